--- /dev/null
+++ b/packages/control/src/marigolddoor_control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: replica, manager and the listener of operators."""
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/fleet.py
@@ -0,0 +1,52 @@
+"""What the leader knows when it decides: the agreed state and the soft reports, at one moment."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from marigolddoor_core.declaration.organisation import Declaration
+from marigolddoor_core.ids import DataCentreId, QuestionId, Revision, ServiceId, TaskId, VmId
+from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, VmRecord
+from marigolddoor_core.targets import Announcement, TargetState
+
+__all__ = ["Demand", "Fleet", "ObservedTarget"]
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedTarget:
+    """The latest announcement of a target, its state and the age of the announcement."""
+
+    announcement: Announcement
+    state: TargetState
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """The demand for one service over all entry processes, in the last `interval_s` seconds.
+
+    `slots` is the mean number of slots that admitted requests held; `queued` and `refused` show
+    what did not fit.
+    """
+
+    interval_s: float
+    arrived: int
+    admitted: int
+    refused: int
+    late: int
+    queued: int
+    slots: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """The input of every decision on the leader. `now_s` is the agreed time in seconds."""
+
+    now_s: float
+    revision: Revision
+    declaration: Declaration
+    vms: Mapping[VmId, VmRecord] = field(default_factory=dict)
+    tasks: Mapping[TaskId, TaskRecord] = field(default_factory=dict)
+    questions: Mapping[QuestionId, QuestionRecord] = field(default_factory=dict)
+    targets: Mapping[VmId, ObservedTarget] = field(default_factory=dict)
+    demand: Mapping[ServiceId, Demand] = field(default_factory=dict)
+    silent_data_centres: frozenset[DataCentreId] = frozenset()
--- /dev/null
+++ b/packages/daemon/src/marigolddoor_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, logging and the roles of a process."""
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: HTTP towards callers and targets."""
--- /dev/null
+++ b/packages/operator/src/marigolddoor_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
--- /dev/null
+++ b/packages/storage/src/marigolddoor_storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files of a replica: its log and its snapshots."""
--- a/packages/wire/src/marigolddoor_wire/codec.py
+++ b/packages/wire/src/marigolddoor_wire/codec.py
@@ -88,7 +88,7 @@
 
     def from_thrift(self, struct: Any) -> Any:
         """Return the dataclass of `struct`; a field that is unset takes its default."""
-        parts = {}
+        parts: dict[str, Any] = {}
         for field in self.fields:
             part = getattr(struct, field.thrift_name)
             if part is None:
@@ -142,7 +142,8 @@
     """Return the bytes of a generated thrift struct."""
     buffer = TMemoryBuffer()
     struct.write(_factory.getProtocol(buffer))
-    return buffer.getvalue()
+    data: bytes = buffer.getvalue()
+    return data
 
 
 def read_struct(thrift_type: type[Any], data: bytes) -> Any:
