Add the leader's loop, watches, soft reports, registration and stand-ins

Cause: decisions need a fleet to look at and someone to carry them out, and entry processes need the replicated state and a way to propose. Change: FleetReports and Registrar in the core; Manager, WatchService, platform and worker clients in control; ControlLink in entry; JSON forms; stand-in target and platform. Conclusion: the leader's soft state is rebuilt from reports, so a change of the leader needs no transfer.

--- /dev/null
+++ b/packages/control/src/marigolddoor_control/manager.py
@@ -0,0 +1,116 @@
+"""The leader's loop: it looks at the fleet, calls every decision and carries out what they ask."""
+
+from collections.abc import Callable, Hashable, Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+from marigolddoor_core.actions import Action, Decision, OrderTask, ProposeCommand, RebootVm
+from marigolddoor_core.errors import MarigolddoorError
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ports import Proposer
+from marigolddoor_core.state.results import Refused
+
+from marigolddoor_control.platform import Platform, PlatformError
+from marigolddoor_control.workers import Workers
+
+__all__ = ["Manager"]
+
+ROUND_S = 1.0
+# Rounds that events ask for are at least this far apart, so that a burst of events costs few.
+MIN_ROUND_S = 0.05
+MAX_ACTIONS_AT_ONCE = 64
+PROPOSE_TIMEOUT_S = 5.0
+# A reboot that the platform refused is asked for again after this time.
+PLATFORM_RETRY_S = 2.0
+
+
+class Manager:
+    """Runs the decisions while this process leads.
+
+    Args:
+      decisions: called in order in each round.
+      look: returns the fleet as it is now, or None while this process does not lead.
+      proposer: takes the commands.
+      workers: takes the orders to workers.
+      platform: reboots VMs.
+    """
+
+    def __init__(
+        self,
+        decisions: Sequence[Decision],
+        look: Callable[[], Fleet | None],
+        proposer: Proposer,
+        workers: Workers,
+        platform: Platform,
+    ) -> None:
+        self.decisions = decisions
+        self.look = look
+        self.proposer = proposer
+        self.workers = workers
+        self.platform = platform
+        self.wake = anyio.Event()
+        self.under_way: set[Hashable] = set()
+        self.limiter = anyio.CapacityLimiter(MAX_ACTIONS_AT_ONCE)
+
+    def call_round(self) -> None:
+        """Ask for a round soon, because something changed."""
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                self.wake = anyio.Event()
+                fleet = self.look()
+                if fleet is not None:
+                    self._round(group, fleet)
+                await anyio.sleep(MIN_ROUND_S)
+                with anyio.move_on_after(ROUND_S - MIN_ROUND_S):
+                    await self.wake.wait()
+
+    def _round(self, group: TaskGroup, fleet: Fleet) -> None:
+        for decision in self.decisions:
+            for action in decision.decide(fleet):
+                if action in self.under_way:
+                    continue
+                self.under_way.add(action)
+                group.start_soon(self._carry_out, action, fleet)
+
+    async def _carry_out(self, action: Action, fleet: Fleet) -> None:
+        try:
+            async with self.limiter:
+                await self._do(action, fleet)
+        except MarigolddoorError as error:
+            logger.warning("manager: {} was not done. {}", type(action).__name__, error)
+            await anyio.sleep(ROUND_S)
+        finally:
+            self.under_way.discard(action)
+
+    async def _do(self, action: Action, fleet: Fleet) -> None:
+        if isinstance(action, ProposeCommand):
+            await self._propose(action)
+        elif isinstance(action, OrderTask):
+            vm = fleet.vms.get(action.vm)
+            if vm is not None:
+                await self.workers.send(vm.address, action.epoch, action.order)
+        elif isinstance(action, RebootVm):
+            await self._reboot(action)
+
+    async def _propose(self, action: ProposeCommand) -> None:
+        result = await self.proposer.propose(action.command, PROPOSE_TIMEOUT_S)
+        if isinstance(result, Refused):
+            logger.debug(
+                "manager: {} was refused, {}. {}",
+                type(action.command).__name__,
+                result.refusal.value,
+                result.detail,
+            )
+        self.call_round()
+
+    async def _reboot(self, action: RebootVm) -> None:
+        try:
+            await self.platform.reboot(action.vm, action.request)
+        except PlatformError as error:
+            logger.warning("manager: the platform refused. {}", error)
+            await anyio.sleep(PLATFORM_RETRY_S)
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/registration/registrar.py
@@ -0,0 +1,98 @@
+"""Registration of targets that the agreed state does not know, or knows under another address."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from marigolddoor_core.actions import Action, ProposeCommand
+from marigolddoor_core.declaration.organisation import Pool
+from marigolddoor_core.fleet import Fleet, ObservedTarget
+from marigolddoor_core.ids import DataCentreId, PoolId, RackId
+from marigolddoor_core.state.commands import RegisterVm
+from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.targets import Announcement, TargetState
+
+__all__ = ["Registrar"]
+
+
+class Registrar:
+    """Assigns each new VM to the pool that lacks most, spread over data centres and racks.
+
+    A VM that comes back keeps its pool; only its facts are updated.
+    """
+
+    def decide(self, fleet: Fleet) -> tuple[Action, ...]:
+        """Return a registration for each announced VM that needs one."""
+        pools = sorted(fleet.declaration.pools, key=lambda pool: pool.id)
+        if not pools:
+            return ()
+        census = _Census(fleet.vms.values())
+        actions = []
+        for target in _announced(fleet):
+            announcement = target.announcement
+            known = fleet.vms.get(announcement.vm)
+            if known is None:
+                pool = census.neediest(pools, announcement).id
+                census.add(pool, announcement.data_centre, announcement.rack)
+                actions.append(ProposeCommand(_registration(announcement, pool)))
+            elif _differs(known, announcement):
+                actions.append(ProposeCommand(_registration(announcement, known.pool)))
+        return tuple(actions)
+
+
+class _Census:
+    """Counts the VMs of each pool, in total, by data centre and by rack."""
+
+    def __init__(self, vms: Iterable[VmRecord]) -> None:
+        self.sizes: Counter[PoolId] = Counter()
+        self.in_data_centre: Counter[tuple[PoolId, DataCentreId]] = Counter()
+        self.in_rack: Counter[tuple[PoolId, RackId]] = Counter()
+        for vm in vms:
+            self.add(vm.next_pool or vm.pool, vm.data_centre, vm.rack)
+
+    def add(self, pool: PoolId, data_centre: DataCentreId, rack: RackId) -> None:
+        self.sizes[pool] += 1
+        self.in_data_centre[pool, data_centre] += 1
+        self.in_rack[pool, rack] += 1
+
+    def neediest(self, pools: list[Pool], announcement: Announcement) -> Pool:
+        """Return the pool with the largest missing share; failure domains break ties."""
+        return min(
+            pools,
+            key=lambda pool: (
+                self.sizes[pool.id] >= pool.size,
+                self.in_data_centre[pool.id, announcement.data_centre],
+                self.sizes[pool.id] / pool.size,
+                self.in_rack[pool.id, announcement.rack],
+                pool.spare,
+            ),
+        )
+
+
+def _announced(fleet: Fleet) -> list[ObservedTarget]:
+    live = [
+        target
+        for target in fleet.targets.values()
+        if target.state is TargetState.READY and not target.announcement.leaving
+    ]
+    return sorted(live, key=lambda target: target.announcement.vm)
+
+
+def _differs(known: VmRecord, announcement: Announcement) -> bool:
+    return (
+        known.address != announcement.address
+        or known.rack != announcement.rack
+        or known.capacity != announcement.capacity
+        or known.slots != announcement.slots
+    )
+
+
+def _registration(announcement: Announcement, pool: PoolId) -> RegisterVm:
+    return RegisterVm(
+        announcement.vm,
+        announcement.data_centre,
+        announcement.rack,
+        announcement.address,
+        announcement.capacity,
+        announcement.slots,
+        pool,
+    )
--- a/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
@@ -1561,6 +1561,7 @@
      - data_centre
      - interval_s
      - services
+     - in_force
 
     """
 
@@ -1569,14 +1570,16 @@
         'data_centre',
         'interval_s',
         'services',
+        'in_force',
     )
 
 
-    def __init__(self, process=None, data_centre=None, interval_s=None, services=None,):
+    def __init__(self, process=None, data_centre=None, interval_s=None, services=None, in_force=None,):
         self.process = process
         self.data_centre = data_centre
         self.interval_s = interval_s
         self.services = services
+        self.in_force = in_force
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1613,6 +1616,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.in_force = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1642,6 +1650,10 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.in_force is not None:
+            oprot.writeFieldBegin('in_force', TType.I64, 5)
+            oprot.writeI64(self.in_force)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2008,6 +2020,7 @@
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'interval_s', None, None, ),  # 3
     (4, TType.LIST, 'services', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 4
+    (5, TType.I64, 'in_force', None, None, ),  # 5
 )
 all_structs.append(TargetDelta)
 TargetDelta.thrift_spec = (
--- a/packages/wire/src/marigolddoor_wire/messages.py
+++ b/packages/wire/src/marigolddoor_wire/messages.py
@@ -157,12 +157,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportDemand:
-    """The demand that an entry process saw in the last `interval_s` seconds."""
+    """The demand that an entry process saw in the last `interval_s` seconds.
+
+    It also tells the leader that the process is there, and which revision it works with.
+    """
 
     process: ProcessId
     data_centre: DataCentreId
     interval_s: float
     services: tuple[ServiceDemand, ...]
+    in_force: Revision = Revision(0)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/control/test_manager.py
@@ -0,0 +1,105 @@
+"""Guards against actions done twice at once, and one failed action that stops the others."""
+
+from typing import Any
+
+import anyio
+import testtools
+from marigolddoor_control.manager import Manager
+from marigolddoor_control.platform import PlatformError
+from marigolddoor_control.workers import OrderOutcome
+from marigolddoor_core.actions import Action, OrderTask, ProposeCommand, RebootVm
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ids import Epoch, FencingToken, JobId, TaskId, VmId
+from marigolddoor_core.ports import NoQuorumError
+from marigolddoor_core.state.commands import CancelTask, Command
+from marigolddoor_core.state.results import Done, Refusal, Refused, Result
+from marigolddoor_core.targets import TaskOrder, TaskOrderKind
+
+from tests.core.fleets import announcement, declaration, fleet, record
+
+VM = record(announcement("vm-1", "dc-0", "r-0"), "a")
+CANCEL = ProposeCommand(CancelTask(TaskId("t")))
+ORDER = OrderTask(
+    VM.vm,
+    Epoch(1),
+    TaskOrder(TaskOrderKind.STOP, TaskId("t"), JobId("j"), FencingToken(1)),
+)
+REBOOT = RebootVm(VM.vm, "vm-1/1")
+
+
+class Outside:
+    """Proposer, workers and platform in one; `error` is raised by each call."""
+
+    def __init__(self, error: Exception | None, result: Result) -> None:
+        self.error = error
+        self.result = result
+        self.calls: list[Any] = []
+        self.block = anyio.Event()
+
+    async def propose(self, command: Command, timeout_s: float = 5.0) -> Result:
+        await self.record(command)
+        return self.result
+
+    async def send(self, address: str, epoch: Epoch, order: TaskOrder) -> OrderOutcome:
+        await self.record((address, order.kind))
+        return OrderOutcome.ACCEPTED
+
+    async def reboot(self, vm: VmId, request: str) -> None:
+        await self.record((vm, request))
+
+    async def record(self, call: Any) -> None:
+        self.calls.append(call)
+        if self.error is not None:
+            raise self.error
+        await self.block.wait()
+
+
+class Always:
+    """A decision that asks for the same actions in every round."""
+
+    def __init__(self, actions: tuple[Action, ...]) -> None:
+        self.actions = actions
+        self.rounds = 0
+
+    def decide(self, looked: Fleet) -> tuple[Action, ...]:
+        self.rounds += 1
+        return self.actions
+
+
+class CarryOutTest(testtools.TestCase):
+    """An action that is under way is not started again, whatever it is and however it ends."""
+
+    scenarios = [
+        ("all kinds", {"error": None, "result": Done(), "leads": True, "calls": 3}),
+        (
+            "refused",
+            {"error": None, "result": Refused(Refusal.FINISHED), "leads": True, "calls": 3},
+        ),
+        (
+            "no quorum",
+            {"error": NoQuorumError("cut off"), "result": Done(), "leads": True, "calls": 3},
+        ),
+        (
+            "platform fails",
+            {"error": PlatformError("down"), "result": Done(), "leads": True, "calls": 3},
+        ),
+        ("not leading", {"error": None, "result": Done(), "leads": False, "calls": 0}),
+    ]
+
+    def test_once(self) -> None:
+        anyio.run(self.once)
+
+    async def once(self) -> None:
+        outside = Outside(self.error, self.result)
+        decision = Always((CANCEL, ORDER, REBOOT))
+        looked = fleet(declaration([("a", 6)]), [], [VM]) if self.leads else None
+        manager = Manager([decision], lambda: looked, outside, outside, outside)
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as group:
+                group.start_soon(manager.run)
+                while decision.rounds < 3 and self.leads:
+                    manager.call_round()
+                    await anyio.sleep(0.01)
+                await anyio.wait_all_tasks_blocked()
+                group.cancel_scope.cancel()
+        self.assertEqual(self.calls, len(outside.calls))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 import testscenarios
+from loguru import logger
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -83,6 +84,8 @@
     parser.add_argument("names", nargs="*", help="run only tests whose name contains one of these")
     arguments = parser.parse_args()
     sys.path.insert(0, str(ROOT))
+    # Tests check behaviour; logs of failures that they cause would hide a real one.
+    logger.remove()
     suite = unittest.TestSuite()
     for test in testscenarios.generate_scenarios(
         unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
