--- /dev/null
+++ b/packages/control/src/marigolddoor_control/agreement.py
@@ -0,0 +1,600 @@
+"""Runs a replica of the consensus group over peer links and a data folder.
+
+Everything happens in one task that waits for messages, proposals or the replica's next deadline.
+Each step handles all that arrived, so that many proposals share one append and one sync.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from loguru import logger
+from marigolddoor_core.consensus import (
+    ChangeRefusedError,
+    Entry,
+    Member,
+    NotLeaderError,
+    Output,
+    ReadId,
+    Replica,
+    ReplicatedMachine,
+    Timing,
+)
+from marigolddoor_core.consensus.messages import Message
+from marigolddoor_core.consensus.stored import StoredState
+from marigolddoor_core.ids import LogIndex, ReplicaId
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
+from marigolddoor_core.state.commands import Command
+from marigolddoor_core.state.results import Result
+from marigolddoor_storage import ReplicaStore, StorageError
+from marigolddoor_wire.agreement import (
+    AskMembership,
+    Join,
+    MembershipReply,
+    PeerMessage,
+    ReadBarrier,
+    ReadBarrierReply,
+)
+from marigolddoor_wire.codec import decode, encode
+from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
+from marigolddoor_wire.messages import Acknowledgement, ErrorKind, Propose, ProposeReply
+from marigolddoor_wire.peers import Address, PeerPool
+
+from marigolddoor_control.agreed_clock import AgreedClock
+from marigolddoor_control.joining import PEER_ERRORS, establish_identity
+from marigolddoor_control.peer_outbox import PeerOutbox
+from marigolddoor_control.proposals import Proposal, Proposals, ProposalState
+
+__all__ = ["HANDLED_MESSAGES", "Agreement", "AgreementSettings"]
+
+HANDLED_MESSAGES = (PeerMessage, Propose, ReadBarrier, AskMembership, Join)
+
+# More waiting proposals than this are refused at once.
+MAX_WAITING_PROPOSALS = 10_000
+# How long a failed call to the leader pauses the caller, unless another leader appears.
+RETRY_S = 0.1
+# The leader answers within this share of the time that is left, so that its answer is not missed.
+FORWARDED_TIME_SHARE = 0.9
+# A replica that belongs to no group asks its peers this often.
+JOIN_INTERVAL_S = 0.5
+# A replica that hears from no leader for this long may have been removed, and asks to join again.
+ABANDONED_AFTER_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class AgreementSettings:
+    """Settings of one replica.
+
+    `peers` are the addresses of the other control processes. A snapshot is taken when the log
+    since the last one has `snapshot_after_bytes`, or the size of that snapshot if it is larger.
+    """
+
+    name: str
+    address: Address
+    peers: tuple[Address, ...] = ()
+    wanted_voters: int = 3
+    timing: Timing = field(default_factory=Timing)
+    snapshot_after_bytes: int = 256 * 1024
+    keep_entries: int = 1_000
+
+
+@dataclass(slots=True)
+class _Read:
+    """A linearizable read that waits for its index."""
+
+    done: anyio.Event
+    index: LogIndex | None = None
+
+
+class Agreement:
+    """The replica of this process. It implements `marigolddoor_core.ports.Proposer`."""
+
+    def __init__(
+        self,
+        settings: AgreementSettings,
+        store: ReplicaStore,
+        machine: ReplicatedMachine,
+        pool: PeerPool,
+        rng: random.Random,
+        wall: Callable[[], float] = time.time,
+        clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.machine = machine
+        self.pool = pool
+        self.rng = rng
+        self.clock = clock
+        self.agreed = AgreedClock(wall)
+        self.replica: Replica | None = None
+        self.replica_id = ReplicaId("")
+        self.failure: StorageError | None = None
+        self.applied_index = LogIndex(0)
+        self.proposals = Proposals()
+        self.reads: dict[ReadId, _Read] = {}
+        self.new_reads: list[ReadId] = []
+        self.inbox: list[tuple[ReplicaId, Message]] = []
+        self.joining: dict[ReplicaId, Member] = {}
+        self.addresses: dict[ReplicaId, Address] = {}
+        self.outboxes: dict[Address, PeerOutbox] = {}
+        self.group: TaskGroup | None = None
+        self.wake = anyio.Event()
+        self.applied = anyio.Event()
+        self.role_changed = anyio.Event()
+        self.known_role: tuple[Any, ...] = ()
+        self.received_state: bytes | None = None
+        self.unsnapshotted_bytes = 0
+        self.is_stopping = False
+        self.stopped = anyio.Event()
+
+    # What the other parts of the control process see.
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads and nobody else can. Check it before each action."""
+        replica = self.replica
+        return replica is not None and replica.accepts_commands and replica.has_lease(self._now())
+
+    @property
+    def leader(self) -> Address | None:
+        """Return the address of the leader, as far as it is known."""
+        replica = self.replica
+        if replica is None or replica.leader is None:
+            return None
+        member = replica.configuration.member(replica.leader)
+        if member is not None:
+            return Address(member.address)
+        return self.addresses.get(replica.leader)
+
+    def agreed_time(self) -> float:
+        """Return the agreed time in seconds; on a follower, that of the last applied command."""
+        return self.agreed.read() if self.is_leader else self.agreed.last_s
+
+    async def wait_applied(self, index: LogIndex) -> None:
+        """Wait until the state includes the entry at `index`."""
+        while self.applied_index < index:
+            await self.applied.wait()
+
+    async def propose(self, command: Command, timeout_s: float = 5.0) -> Result:
+        """Return the result of `command` after it is committed and applied here or at the leader.
+
+        Raises:
+          NoQuorumError: nothing was accepted and nothing will change.
+          ProposalOutcomeUnknownError: the command may still be committed.
+        """
+        deadline = self.clock() + timeout_s
+        while True:
+            remaining_s = deadline - self.clock()
+            if self.failure is not None or self.is_stopping:
+                raise NoQuorumError(f"this replica stopped: {self.failure or 'planned stop'}")
+            if remaining_s <= 0:
+                raise NoQuorumError("no leader accepted the command in time")
+            result: Result | None = None
+            if self.replica is not None and self.replica.accepts_commands:
+                result = await self._propose_here(command, remaining_s)
+            elif self.leader not in (None, self.settings.address):
+                result = await self._forward(command, remaining_s)
+            else:
+                await self._wait_role(remaining_s)
+            if result is not None:
+                return result
+
+    async def read_barrier(self, timeout_s: float = 5.0) -> LogIndex:
+        """Wait until the state includes every command that was acknowledged before this call.
+
+        Raises:
+          NoQuorumError: no leader proved in time that it leads.
+        """
+        deadline = self.clock() + timeout_s
+        while True:
+            remaining_s = deadline - self.clock()
+            if remaining_s <= 0 or self.failure is not None or self.is_stopping:
+                raise NoQuorumError("no leader confirmed the read in time")
+            index: LogIndex | None = None
+            if self.replica is not None and self.replica.leading is not None:
+                index = await self._read_here(remaining_s)
+            elif self.leader not in (None, self.settings.address):
+                index = await self._read_at_leader(remaining_s)
+            else:
+                await self._wait_role(remaining_s)
+            if index is not None:
+                with anyio.move_on_after(deadline - self.clock()):
+                    await self.wait_applied(index)
+                    return index
+
+    async def handle(self, message: Any) -> Any:
+        """Answer a message of another process that is one of `HANDLED_MESSAGES`.
+
+        Raises:
+          RemoteError: the request was refused.
+        """
+        if isinstance(message, PeerMessage):
+            self._take(message)
+            return Acknowledgement()
+        if isinstance(message, Propose):
+            return await self._answer_propose(message)
+        if isinstance(message, ReadBarrier):
+            return await self._answer_read(message)
+        if isinstance(message, AskMembership):
+            replica = self.replica
+            return MembershipReply(replica is not None and bool(replica.configuration.voters))
+        if isinstance(message, Join):
+            return await self._answer_join(message)
+        raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
+
+    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Run the replica until `stop`. `task_status` is reported once its folder is open.
+
+        Raises:
+          StorageError: the data folder can't be opened. A later failure stops the replica, which
+            then neither votes nor acknowledges; it is in `failure`.
+        """
+        settings = self.settings
+        identity = await establish_identity(
+            self.store, settings.name, settings.address, settings.peers, self.pool, self.rng
+        )
+        self.replica_id = identity.replica
+        try:
+            self._open()
+            async with anyio.create_task_group() as group:
+                self.group = group
+                self._step()
+                task_status.started()
+                group.start_soon(self._ask_to_join)
+                await self._run_replica()
+                group.cancel_scope.cancel()
+        finally:
+            self.store.close()
+            self.stopped.set()
+
+    async def stop(self, timeout_s: float = 2.0) -> None:
+        """Hand the leadership over, finish what was accepted, and stop."""
+        replica = self.replica
+        with anyio.move_on_after(timeout_s):
+            if replica is not None and replica.leading is not None:
+                replica.transfer(self._now())
+                self.wake.set()
+                while replica.leading is not None and len(replica.configuration.voters) > 1:
+                    await self.role_changed.wait()
+            while self.proposals.appended:
+                await self.applied.wait()
+        self.is_stopping = True
+        self.wake.set()
+        await self.stopped.wait()
+
+    # The loop.
+
+    def _now(self) -> Instant:
+        return Instant(self.clock())
+
+    def _open(self) -> None:
+        restart = self.store.open()
+        recovered = restart.recovered
+        if recovered.snapshot is not None and restart.state is not None:
+            self._restore(recovered.snapshot.index, restart.state)
+        self.unsnapshotted_bytes = sum(len(entry.command) for entry in recovered.entries)
+        self.replica = Replica(
+            self.replica_id, recovered, self.rng, self._now(), self.settings.timing
+        )
+        logger.info(
+            "agreement: {} starts with {} entries after index {}",
+            self.replica_id,
+            len(recovered.entries),
+            recovered.base_index,
+        )
+
+    async def _run_replica(self) -> None:
+        replica = self._replica()
+        while not self.is_stopping:
+            with anyio.move_on_after(replica.next_deadline() - self.clock()):
+                await self.wake.wait()
+            # Whatever arrived in this turn of the loop joins the same batch.
+            await anyio.lowlevel.checkpoint()
+            self.wake = anyio.Event()
+            self._step()
+
+    def _step(self) -> None:
+        replica = self._replica()
+        inbox, self.inbox = self.inbox, []
+        for sender, message in inbox:
+            replica.receive(sender, message, self._now())
+        replica.tick(self._now())
+        self._drain()
+        self._change_membership()
+        self._append_proposals()
+        reads, self.new_reads = self.new_reads, []
+        for read in reads:
+            replica.read(read, self._now())
+        self._drain()
+        self._snapshot_if_due()
+        self._announce_role()
+
+    def _drain(self) -> None:
+        """Carry out what the replica asks for, until it asks for nothing more."""
+        replica = self._replica()
+        while True:
+            output = replica.take_output()
+            if output.is_empty():
+                return
+            self._send(output)
+            if output.writes and not self._write(output):
+                return
+            if output.restore is not None:
+                assert self.received_state is not None
+                self._restore(output.restore.index, self.received_state)
+                self.received_state = None
+                self.unsnapshotted_bytes = 0
+            self._apply(output.committed)
+            for outcome in output.reads:
+                read = self.reads.pop(outcome.read, None)
+                if read is not None:
+                    read.index = outcome.index
+                    read.done.set()
+
+    def _write(self, output: Output) -> bool:
+        try:
+            state = self.store.perform(write.action for write in output.writes)
+        except StorageError as error:
+            self._fail(error)
+            return False
+        self.received_state = state or self.received_state
+        self._replica().wrote(output.writes[-1].number, self._now())
+        return True
+
+    def _fail(self, error: StorageError) -> None:
+        logger.error("agreement: {} stops voting: {}", self.replica_id, error)
+        self.failure = error
+        self._replica().write_failed()
+        for proposal in self.proposals.take_waiting():
+            proposal.end(ProposalState.REPLACED)
+        self.proposals.skipped(LogIndex(2**63))
+        for read in self.reads.values():
+            read.done.set()
+        self.reads.clear()
+
+    def _send(self, output: Output) -> None:
+        for outgoing in output.messages:
+            self._post(outgoing.recipient, outgoing.message)
+        for chunk in output.chunks:
+            message = chunk.message
+            try:
+                data = self.store.read_chunk(message.snapshot, message.offset, chunk.length)
+            except StorageError as error:
+                logger.error("agreement: a snapshot can't be read: {}", error)
+                continue
+            if data is not None:
+                self._post(chunk.recipient, replace(message, data=data))
+
+    def _post(self, recipient: ReplicaId, message: Message) -> None:
+        member = self._replica().configuration.member(recipient)
+        address = self.addresses.get(recipient) if member is None else Address(member.address)
+        if address is None or self.group is None:
+            return
+        outbox = self.outboxes.get(address)
+        if outbox is None:
+            outbox = self.outboxes[address] = PeerOutbox(self.pool, address)
+            self.group.start_soon(outbox.run)
+        outbox.put(PeerMessage(self.replica_id, recipient, self.settings.address, message))
+
+    def _apply(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            if entry.index <= self.applied_index:
+                continue
+            proposal = self.proposals.committed(entry.index, entry.term)
+            if entry.command:
+                command = decode(entry.command) if proposal is None else proposal.command
+                result = self.machine.apply(entry.index, command)
+                self.agreed.observe(command.time_s)
+                self.unsnapshotted_bytes += len(entry.command)
+                if proposal is not None:
+                    proposal.end(ProposalState.APPLIED, result)
+            self.applied_index = entry.index
+        if entries:
+            self._wake_watchers()
+
+    def _restore(self, index: LogIndex, state: bytes) -> None:
+        stored: StoredState = decode(state)
+        self.machine.restore(decode(stored.state))
+        self.agreed.observe(stored.time_s)
+        self.applied_index = index
+        self.proposals.skipped(index)
+        self._wake_watchers()
+
+    def _wake_watchers(self) -> None:
+        self.applied.set()
+        self.applied = anyio.Event()
+
+    def _append_proposals(self) -> None:
+        replica = self._replica()
+        if not replica.accepts_commands:
+            # The callers go to the leader instead.
+            for proposal in self.proposals.take_waiting():
+                proposal.end(ProposalState.REPLACED)
+            return
+        waiting = self.proposals.take_waiting()
+        if not waiting:
+            return
+        for proposal in waiting:
+            proposal.command = replace(proposal.command, time_s=self.agreed.stamp())
+        first = replica.propose([encode(p.command) for p in waiting], self._now())
+        for position, proposal in enumerate(waiting):
+            self.proposals.append(LogIndex(first + position), replica.term, proposal)
+
+    def _change_membership(self) -> None:
+        replica = self._replica()
+        if replica.leading is None:
+            self.joining.clear()
+            return
+        joining = tuple(self.joining.values())
+        planned = replica.planned_change(joining, self.settings.wanted_voters, self._now())
+        if planned is None:
+            return
+        try:
+            replica.change(planned, self._now())
+        except (ChangeRefusedError, NotLeaderError) as error:
+            logger.debug("agreement: no change now: {}", error)
+            return
+        self.joining.pop(planned.member.replica, None)
+        logger.info("agreement: {} {}", planned.kind.value, planned.member.replica)
+
+    def _snapshot_if_due(self) -> None:
+        replica = self._replica()
+        snapshot = replica.node.snapshot
+        size = 0 if snapshot is None else snapshot.size_bytes
+        if self.unsnapshotted_bytes < max(self.settings.snapshot_after_bytes, size):
+            return
+        self.take_snapshot()
+
+    def take_snapshot(self) -> None:
+        """Store the state and compact the log."""
+        replica = self._replica()
+        index = self.applied_index
+        try:
+            meta = self.store.save_snapshot(
+                index,
+                replica.term_at(index),
+                replica.configuration_at(index),
+                encode(StoredState(self.agreed.last_s, encode(self.machine.snapshot()))),
+            )
+        except StorageError as error:
+            self._fail(error)
+            return
+        self.unsnapshotted_bytes = 0
+        replica.snapshot_taken(meta, self.settings.keep_entries)
+        self._drain()
+
+    def _announce_role(self) -> None:
+        replica = self._replica()
+        role = (replica.role, replica.term, replica.leader, replica.accepts_commands, self.failure)
+        if role != self.known_role:
+            self.known_role = role
+            self.role_changed.set()
+            self.role_changed = anyio.Event()
+            logger.debug("agreement: {} is {} in term {}", self.replica_id, *role[:2])
+
+    def _replica(self) -> Replica:
+        assert self.replica is not None, "run opens the replica first"
+        return self.replica
+
+    # Requests.
+
+    async def _wait_role(self, timeout_s: float) -> None:
+        with anyio.move_on_after(timeout_s):
+            await self.role_changed.wait()
+
+    async def _propose_here(self, command: Command, timeout_s: float) -> Result | None:
+        """Return the result; None if the command was not accepted or certainly has no effect."""
+        if len(self.proposals.waiting) >= MAX_WAITING_PROPOSALS:
+            raise NoQuorumError("too many commands are waiting")
+        proposal = Proposal(command)
+        self.proposals.waiting.append(proposal)
+        self.wake.set()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await proposal.done.wait()
+        finally:
+            if not proposal.done.is_set():
+                self.proposals.forget(proposal)
+        if proposal.state in (ProposalState.APPENDED, ProposalState.UNKNOWN):
+            raise ProposalOutcomeUnknownError("the command was appended and its result is unknown")
+        return proposal.result
+
+    async def _forward(self, command: Command, timeout_s: float) -> Result | None:
+        """Return the leader's result; None if it certainly did not accept the command."""
+        address = self.leader
+        assert address is not None
+        request = Propose(command, timeout_s * FORWARDED_TIME_SHARE)
+        try:
+            reply = await self.pool.call(address, request, timeout_s)
+        except PeerUnreachableError:
+            await self._wait_role(min(RETRY_S, timeout_s))
+            return None
+        except PeerTimeoutError as error:
+            raise ProposalOutcomeUnknownError(f"no answer from the leader: {error}") from error
+        except RemoteError as error:
+            if error.kind is ErrorKind.NO_QUORUM:
+                await self._wait_role(min(RETRY_S, timeout_s))
+                return None
+            raise ProposalOutcomeUnknownError(f"the leader failed: {error}") from error
+        if not isinstance(reply, ProposeReply):
+            raise ProposalOutcomeUnknownError(f"unexpected reply {type(reply).__name__}")
+        return reply.result
+
+    async def _read_here(self, timeout_s: float) -> LogIndex | None:
+        number = ReadId(self.rng.getrandbits(63))
+        read = self.reads[number] = _Read(anyio.Event())
+        self.new_reads.append(number)
+        self.wake.set()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await read.done.wait()
+        finally:
+            self.reads.pop(number, None)
+        return read.index
+
+    async def _read_at_leader(self, timeout_s: float) -> LogIndex | None:
+        address = self.leader
+        assert address is not None
+        request = ReadBarrier(timeout_s * FORWARDED_TIME_SHARE)
+        try:
+            reply = await self.pool.call(address, request, timeout_s)
+        except PEER_ERRORS:
+            await self._wait_role(min(RETRY_S, timeout_s))
+            return None
+        return reply.index if isinstance(reply, ReadBarrierReply) else None
+
+    async def _answer_propose(self, message: Propose) -> ProposeReply:
+        try:
+            return ProposeReply(await self.propose(message.command, message.timeout_s))
+        except NoQuorumError as error:
+            raise RemoteError(ErrorKind.NO_QUORUM, str(error)) from error
+        except ProposalOutcomeUnknownError as error:
+            raise RemoteError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from error
+
+    async def _answer_read(self, message: ReadBarrier) -> ReadBarrierReply:
+        try:
+            return ReadBarrierReply(await self.read_barrier(message.timeout_s))
+        except NoQuorumError as error:
+            raise RemoteError(ErrorKind.NO_QUORUM, str(error)) from error
+
+    async def _answer_join(self, message: Join) -> Acknowledgement:
+        replica = self.replica
+        if replica is not None and replica.leading is not None:
+            self.joining[message.member.replica] = message.member
+            self.wake.set()
+        elif self.leader not in (None, self.settings.address, message.member.address):
+            assert self.leader is not None
+            await self.pool.post(self.leader, message)
+        return Acknowledgement()
+
+    async def _ask_to_join(self) -> None:
+        """Ask the peers to be added, whenever there was no leader for a while."""
+        member = Member(self.replica_id, self.settings.address)
+        while self.settings.peers:
+            if self._is_outside():
+                for peer in self.settings.peers:
+                    await self.pool.post(peer, Join(member))
+                await anyio.sleep(JOIN_INTERVAL_S)
+            else:
+                await self._wait_role(ABANDONED_AFTER_S)
+
+    def _is_outside(self) -> bool:
+        """Return whether the group does not list this replica, or may have removed it."""
+        node = self._replica().node
+        if node.leader == self.replica_id:
+            return False
+        if self.clock() - node.leader_contact > ABANDONED_AFTER_S:
+            return True
+        return node.leader is None and not node.is_voter
+
+    def _take(self, message: PeerMessage) -> None:
+        if message.recipient != self.replica_id or self.replica is None:
+            return
+        self.addresses[message.sender] = Address(message.address)
+        self.inbox.append((message.sender, message.message))
+        self.wake.set()
--- a/packages/core/src/marigolddoor_core/consensus/__init__.py
+++ b/packages/core/src/marigolddoor_core/consensus/__init__.py
@@ -1,1 +1,27 @@
-"""Agreement of the replicas on one log of commands."""
+"""The consensus group: replicated log, elections, membership and snapshots."""
+
+from marigolddoor_core.consensus.configuration import Configuration, Member
+from marigolddoor_core.consensus.entries import Entry, SnapshotMeta
+from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
+from marigolddoor_core.consensus.machine import ReplicatedMachine
+from marigolddoor_core.consensus.outputs import Output, ReadId, Recovered, WriteNumber
+from marigolddoor_core.consensus.replica import Replica
+from marigolddoor_core.consensus.roles import Role
+from marigolddoor_core.consensus.timing import Timing
+
+__all__ = [
+    "ChangeRefusedError",
+    "Configuration",
+    "Entry",
+    "Member",
+    "NotLeaderError",
+    "Output",
+    "ReadId",
+    "Recovered",
+    "Replica",
+    "ReplicatedMachine",
+    "Role",
+    "SnapshotMeta",
+    "Timing",
+    "WriteNumber",
+]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -0,0 +1,354 @@
+"""A leader's part: replication, commit, lease, reads and membership."""
+
+import math
+from collections.abc import Sequence
+
+from marigolddoor_core.consensus.configuration import Configuration, Member
+from marigolddoor_core.consensus.entries import Entry
+from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
+from marigolddoor_core.consensus.lease import Lease
+from marigolddoor_core.consensus.messages import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    SnapshotReply,
+    TimeoutNow,
+)
+from marigolddoor_core.consensus.node import Node
+from marigolddoor_core.consensus.outputs import ChunkToSend, ReadId, ReadOutcome
+from marigolddoor_core.consensus.progress import Progress, ProgressState
+from marigolddoor_core.consensus.reads import PendingRead
+from marigolddoor_core.consensus.snapshot_transfer import CHUNK_BYTES, SnapshotTransfer
+from marigolddoor_core.ids import LogIndex, ReplicaId, Term
+from marigolddoor_core.instants import Instant
+
+__all__ = ["CATCH_UP_ENTRIES", "Leader"]
+
+MAX_MESSAGE_BYTES = 512 * 1024
+# A learner this close to the end of the log keeps up, so that counting it delays no commit.
+CATCH_UP_ENTRIES = 100
+
+
+class Leader:
+    """Leads one term, from the won election until it steps down."""
+
+    def __init__(self, node: Node, now: Instant, chunk_bytes: int = CHUNK_BYTES) -> None:
+        self.node = node
+        self.chunk_bytes = chunk_bytes
+        self.lease = Lease(node.replica, node.timing.lease_s)
+        self.elected_at = now
+        self.heartbeat_at = now
+        self.progress: dict[ReplicaId, Progress] = {}
+        self.reads: list[PendingRead] = []
+        # The end of the time in which a transfer waits for its target to catch up.
+        self.transfer_until: Instant | None = None
+        self.first_index = LogIndex(node.log.last_index + 1)
+        self._append([Entry(self.first_index, node.term)])
+        self._follow_configuration()
+        self.begin_round(now)
+
+    @property
+    def is_established(self) -> bool:
+        """Return whether an entry of the own term is committed, so that all earlier ones are."""
+        return self.node.commit_index >= self.first_index
+
+    @property
+    def accepts_commands(self) -> bool:
+        """Return whether commands may be appended.
+
+        They carry the agreed time, so the state machine has to know all earlier ones.
+        """
+        return self.node.delivered_index >= self.first_index and self.transfer_until is None
+
+    def has_lease(self, now: Instant) -> bool:
+        """Return whether nobody else can lead at `now`."""
+        return self.lease.is_valid(self.node.configuration, now)
+
+    def next_deadline(self) -> Instant:
+        """Return when `tick` has something to do."""
+        transfer_until = Instant(math.inf) if self.transfer_until is None else self.transfer_until
+        return min(self.heartbeat_at, transfer_until)
+
+    def tick(self, now: Instant) -> bool:
+        """Send heartbeats that are due; return whether the replica still leads."""
+        node = self.node
+        contact = max(self.elected_at, self.lease.quorum_contact(node.configuration, now))
+        if now - contact > node.timing.quorum_lost_s:
+            return False
+        if self.transfer_until is not None and now >= self.transfer_until:
+            return False
+        if now >= self.heartbeat_at:
+            self.begin_round(now)
+        return True
+
+    def begin_round(self, now: Instant) -> None:
+        """Send a heartbeat to every peer."""
+        self.heartbeat_at = Instant(now + self.node.timing.heartbeat_s)
+        self.lease.begin_round(now)
+        for peer in self.progress:
+            self._replicate(peer, now, heartbeat=True)
+        self._settle_reads(now)
+
+    def propose(self, commands: Sequence[bytes], now: Instant) -> LogIndex:
+        """Append commands in one write; return the index of the first.
+
+        Raises:
+          NotLeaderError: the leader is not established, or is handing over.
+        """
+        if not self.accepts_commands:
+            raise NotLeaderError(f"{self.node.replica} does not accept commands now")
+        first = LogIndex(self.node.log.last_index + 1)
+        term = self.node.term
+        self._append(
+            [Entry(LogIndex(first + i), term, command) for i, command in enumerate(commands)]
+        )
+        self._replicate_all(now)
+        return first
+
+    def read(self, read: ReadId, now: Instant) -> None:
+        """Begin a linearizable read."""
+        index = self.node.commit_index if self.is_established else None
+        if index is not None and self.has_lease(now):
+            self.node.output.reads.append(ReadOutcome(read, index))
+            return
+        self.reads.append(PendingRead(read, self.lease.round + 1, index))
+        self.begin_round(now)
+
+    def on_append_reply(self, peer: ReplicaId, message: AppendReply, now: Instant) -> None:
+        """Advance the progress of a peer."""
+        progress = self.progress.get(peer)
+        if progress is None:
+            return
+        self.lease.answered(peer, message.round)
+        if message.accepted:
+            self._on_accepted(progress, message.match_index)
+            self.advance_commit(now)
+            self._replicate(peer, now)
+        elif progress.rejected(message.previous_index, message.match_index):
+            self._replicate(peer, now)
+        self._settle_reads(now)
+
+    def _on_accepted(self, progress: Progress, match_index: LogIndex) -> None:
+        transfer = progress.transfer
+        if transfer is None:
+            progress.accepted(match_index)
+        elif match_index >= transfer.snapshot.index:
+            progress.end_transfer(match_index)
+
+    def on_snapshot_reply(self, peer: ReplicaId, message: SnapshotReply, now: Instant) -> None:
+        """Send the next chunk, or go on with entries."""
+        progress = self.progress.get(peer)
+        if progress is None:
+            return
+        self.lease.answered(peer, message.round)
+        transfer = progress.transfer
+        if transfer is not None and transfer.snapshot.index == message.index:
+            if message.installed:
+                progress.end_transfer(message.index)
+                self.advance_commit(now)
+                self._replicate(peer, now)
+            elif transfer.confirmed(message.offset):
+                self._send_chunk(peer, transfer, now)
+        self._settle_reads(now)
+
+    def advance_commit(self, now: Instant) -> None:
+        """Commit what a quorum has synced, if it is of the own term."""
+        node = self.node
+        index: LogIndex = node.configuration.quorum_value(self._synced_index)
+        if index > node.commit_index and self.is_committable(index):
+            node.commit(index)
+            self._settle_reads(now)
+            for peer, progress in self.progress.items():
+                # A peer with messages under way learns the commit index from the next one.
+                if not progress.in_flight:
+                    self._replicate(peer, now, heartbeat=True)
+
+    def is_committable(self, index: LogIndex) -> bool:
+        """Return whether counting replicas decides the entry.
+
+        An entry of an earlier term may be on a quorum and still be replaced by a later leader.
+        """
+        return self.node.log.term_at(index) == self.node.term
+
+    def _synced_index(self, voter: ReplicaId) -> LogIndex:
+        if voter == self.node.replica:
+            return self.node.synced_index
+        progress = self.progress.get(voter)
+        return LogIndex(0) if progress is None else progress.match_index
+
+    @property
+    def is_removed(self) -> bool:
+        """Return whether a committed configuration no longer lists this leader as a voter."""
+        node = self.node
+        return not node.is_voter and node.log.configured_at <= node.commit_index
+
+    @property
+    def may_change(self) -> bool:
+        """Return whether a membership change may begin.
+
+        Two changes at once could leave two quorums without a common voter, and so could a change
+        by a leader that does not know yet whether its predecessor's change is committed.
+        """
+        is_settled = self.node.log.configured_at <= self.node.commit_index
+        return self.is_established and is_settled and self.transfer_until is None
+
+    def add_learner(self, member: Member, now: Instant) -> LogIndex:
+        """Add a member that receives the log and does not vote yet."""
+        return self._change(self.node.configuration.with_learner(member), now)
+
+    def promote(self, replica: ReplicaId, now: Instant) -> LogIndex:
+        """Let a learner vote that has caught up."""
+        configuration = self.node.configuration.with_promoted(replica)
+        if not self.is_caught_up(replica, now):
+            raise ChangeRefusedError(f"{replica} has not caught up")
+        return self._change(configuration, now)
+
+    def remove(self, replica: ReplicaId, now: Instant) -> LogIndex:
+        """Remove a member."""
+        return self._change(self.node.configuration.without(replica), now)
+
+    def is_caught_up(self, replica: ReplicaId, now: Instant) -> bool:
+        """Return whether a member has nearly the whole log and answers."""
+        progress = self.progress.get(replica)
+        if progress is None:
+            return False
+        node = self.node
+        is_close = progress.match_index + CATCH_UP_ENTRIES >= node.log.last_index
+        answers = now - self.lease.contact(replica) < node.timing.quorum_lost_s
+        return is_close and answers and progress.match_index >= self.first_index
+
+    def is_lost(self, replica: ReplicaId, now: Instant) -> bool:
+        """Return whether a member was silent for so long that it may be replaced."""
+        contact = max(self.elected_at, self.lease.contact(replica))
+        return replica != self.node.replica and now - contact > self.node.timing.replace_after_s
+
+    def _change(self, configuration: Configuration, now: Instant) -> LogIndex:
+        node = self.node
+        if not self.may_change:
+            raise ChangeRefusedError("the leader is not established, or a change is under way")
+        index = LogIndex(node.log.last_index + 1)
+        self._append([Entry(index, node.term, configuration=configuration)])
+        self._follow_configuration()
+        self._replicate_all(now)
+        return index
+
+    def begin_transfer(self, now: Instant) -> None:
+        """Hand over to the voter with the longest log as soon as it has the whole log."""
+        if self.transfer_until is None:
+            self.transfer_until = Instant(now + self.node.timing.election_min_s)
+
+    def transfer_target(self) -> ReplicaId | None:
+        """Return a voter that has the whole log, if a transfer waits for one."""
+        if self.transfer_until is None:
+            return None
+        for peer, progress in self.progress.items():
+            is_whole = progress.match_index == self.node.log.last_index
+            if is_whole and self.node.configuration.is_voter(peer):
+                return peer
+        return None
+
+    def send_timeout_now(self, target: ReplicaId) -> None:
+        """Tell a voter to stand for election. The caller steps down in the same step.
+
+        A leader that stayed would count on a lease that the voters of a transfer do not honour.
+        """
+        self.node.send(target, TimeoutNow(self.node.term))
+
+    def fail_reads(self) -> None:
+        """Answer every waiting read with a failure."""
+        for pending in self.reads:
+            self.node.output.reads.append(ReadOutcome(pending.read, None))
+        self.reads.clear()
+
+    def _settle_reads(self, now: Instant) -> None:
+        if not self.reads or not self.is_established:
+            return
+        node = self.node
+        proven = self.lease.quorum_round(node.configuration)
+        has_lease = self.has_lease(now)
+        waiting: list[PendingRead] = []
+        for pending in self.reads:
+            if pending.index is None:
+                pending.index = node.commit_index
+            if has_lease or proven >= pending.round:
+                node.output.reads.append(ReadOutcome(pending.read, pending.index))
+            else:
+                waiting.append(pending)
+        self.reads = waiting
+
+    def _append(self, entries: list[Entry]) -> None:
+        self.node.append(tuple(entries))
+
+    def _follow_configuration(self) -> None:
+        members = {member.replica for member in self.node.configuration.members}
+        members.discard(self.node.replica)
+        for peer in [peer for peer in self.progress if peer not in members]:
+            del self.progress[peer]
+        for peer in members - self.progress.keys():
+            self.progress[peer] = Progress(LogIndex(self.node.log.last_index + 1))
+
+    def _replicate_all(self, now: Instant) -> None:
+        for peer in self.progress:
+            self._replicate(peer, now)
+
+    def _replicate(self, peer: ReplicaId, now: Instant, heartbeat: bool = False) -> None:
+        node = self.node
+        progress = self.progress[peer]
+        if progress.state is ProgressState.SNAPSHOT:
+            self._replicate_snapshot(peer, progress, now, heartbeat)
+            return
+        if progress.next_index <= node.log.base_index:
+            self._begin_snapshot(peer, progress, now)
+            return
+        if heartbeat:
+            progress.probe_sent = False
+        while progress.can_send_entries() and progress.next_index <= node.log.last_index:
+            first = progress.next_index
+            entries = node.log.slice(first, MAX_MESSAGE_BYTES)
+            self._send_entries(peer, LogIndex(first - 1), entries)
+            progress.sent(entries[-1].index)
+            heartbeat = False
+        if heartbeat:
+            self._send_entries(peer, LogIndex(progress.next_index - 1), ())
+
+    def _send_entries(
+        self, peer: ReplicaId, previous_index: LogIndex, entries: tuple[Entry, ...]
+    ) -> None:
+        node = self.node
+        previous_term = node.log.term_at(previous_index)
+        assert previous_term is not None, "entries before the base are sent as a snapshot"
+        message = AppendEntries(
+            node.term, previous_index, previous_term, entries, node.commit_index, self.lease.round
+        )
+        node.send(peer, message)
+
+    def _replicate_snapshot(
+        self, peer: ReplicaId, progress: Progress, now: Instant, heartbeat: bool
+    ) -> None:
+        transfer = progress.transfer
+        assert transfer is not None
+        if now - transfer.sent_at >= self.node.timing.resend_s:
+            if self.node.snapshot != transfer.snapshot:
+                # The driver may have deleted the older snapshot.
+                self._begin_snapshot(peer, progress, now)
+            else:
+                self._send_chunk(peer, transfer, now)
+        elif heartbeat:
+            message = AppendEntries(
+                self.node.term, LogIndex(0), Term(0), (), LogIndex(0), self.lease.round
+            )
+            self.node.send(peer, message)
+
+    def _begin_snapshot(self, peer: ReplicaId, progress: Progress, now: Instant) -> None:
+        assert self.node.snapshot is not None, "the log is compacted only after a snapshot"
+        transfer = SnapshotTransfer(self.node.snapshot, now)
+        progress.begin_transfer(transfer)
+        self._send_chunk(peer, transfer, now)
+
+    def _send_chunk(self, peer: ReplicaId, transfer: SnapshotTransfer, now: Instant) -> None:
+        transfer.sent_at = now
+        message = InstallSnapshot(
+            self.node.term, transfer.snapshot, transfer.offset, b"", self.lease.round
+        )
+        length = transfer.next_length(self.chunk_bytes)
+        self.node.send_chunk(ChunkToSend(peer, message, length))
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/consensus/log.py
@@ -0,0 +1,120 @@
+"""The log of one replica, as far as it is not compacted."""
+
+from collections.abc import Iterable, Sequence
+
+from marigolddoor_core.consensus.configuration import Configuration
+from marigolddoor_core.consensus.entries import Entry, SnapshotMeta
+from marigolddoor_core.ids import LogIndex, Term
+
+__all__ = ["Log"]
+
+# Overhead of an entry in a message or a file, in bytes; only an estimate is needed.
+ENTRY_OVERHEAD_BYTES = 24
+
+
+class Log:
+    """Entries after `base_index`, and the configurations in force along them.
+
+    Entries up to the base are part of a snapshot and are no longer kept.
+    """
+
+    def __init__(
+        self,
+        base_index: LogIndex,
+        base_term: Term,
+        configuration: Configuration,
+        configured_at: LogIndex,
+        entries: Iterable[Entry] = (),
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries: list[Entry] = []
+        self.configurations: list[tuple[LogIndex, Configuration]] = [(configured_at, configuration)]
+        self.extend(entries)
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Return the index of the last entry."""
+        return LogIndex(self.base_index + len(self.entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the latest configuration; it counts from the moment it is appended."""
+        return self.configurations[-1][1]
+
+    @property
+    def configured_at(self) -> LogIndex:
+        """Return the index of the latest configuration."""
+        return self.configurations[-1][0]
+
+    def configuration_at(self, index: LogIndex) -> Configuration:
+        """Return the configuration in force after the entry at `index`."""
+        for configured_at, configuration in reversed(self.configurations):
+            if configured_at <= index:
+                return configuration
+        return self.configurations[0][1]
+
+    def term_at(self, index: LogIndex) -> Term | None:
+        """Return the term of the entry at `index`; None if it is not kept or does not exist."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def entry(self, index: LogIndex) -> Entry:
+        """Return the entry at `index`, which is kept."""
+        return self.entries[index - self.base_index - 1]
+
+    def extend(self, entries: Iterable[Entry]) -> None:
+        """Append entries that follow the last one."""
+        for entry in entries:
+            self.entries.append(entry)
+            if entry.configuration is not None and entry.index > self.configurations[0][0]:
+                self.configurations.append((entry.index, entry.configuration))
+
+    def truncate(self, first: LogIndex) -> None:
+        """Drop the entries from `first` on, and the configurations in them."""
+        del self.entries[first - self.base_index - 1 :]
+        while len(self.configurations) > 1 and self.configurations[-1][0] >= first:
+            self.configurations.pop()
+
+    def slice(self, first: LogIndex, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from `first` on: at least one, if there is one, and up to `max_bytes`."""
+        taken: list[Entry] = []
+        size = 0
+        for position in range(first - self.base_index - 1, len(self.entries)):
+            entry = self.entries[position]
+            size += len(entry.command) + ENTRY_OVERHEAD_BYTES
+            if taken and size > max_bytes:
+                break
+            taken.append(entry)
+        return tuple(taken)
+
+    def between(self, after: LogIndex, last: LogIndex) -> Sequence[Entry]:
+        """Return the entries after `after` up to `last`."""
+        return self.entries[after - self.base_index : last - self.base_index]
+
+    def compact(self, index: LogIndex) -> None:
+        """Drop the entries up to `index`."""
+        if index <= self.base_index:
+            return
+        term = self.term_at(index)
+        assert term is not None
+        while len(self.configurations) > 1 and self.configurations[1][0] <= index:
+            self.configurations.pop(0)
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, snapshot: SnapshotMeta) -> None:
+        """Replace everything with an empty log after `snapshot`."""
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self.entries.clear()
+        self.configurations = [(snapshot.index, snapshot.configuration)]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/consensus/node.py
@@ -0,0 +1,191 @@
+"""The state of a replica that its roles share, and the order of its writes and messages."""
+
+import random
+from collections import deque
+
+from marigolddoor_core.consensus.configuration import Configuration
+from marigolddoor_core.consensus.entries import Entry, SnapshotMeta
+from marigolddoor_core.consensus.errors import LogDivergedError
+from marigolddoor_core.consensus.log import Log
+from marigolddoor_core.consensus.messages import Message
+from marigolddoor_core.consensus.outputs import (
+    ChunkToSend,
+    CompactLog,
+    Outgoing,
+    Output,
+    Recovered,
+    SaveEntries,
+    SaveVote,
+    Write,
+    WriteAction,
+    WriteNumber,
+)
+from marigolddoor_core.consensus.roles import Role
+from marigolddoor_core.consensus.timing import Timing
+from marigolddoor_core.ids import LogIndex, ReplicaId, Term
+from marigolddoor_core.instants import Instant
+
+__all__ = ["Node"]
+
+
+class Node:
+    """Term, vote, log and commit index of one replica.
+
+    `synced_index` is the last entry that is on the disk, `delivered_index` the last one that was
+    handed to the state machine.
+    """
+
+    def __init__(
+        self,
+        replica: ReplicaId,
+        recovered: Recovered,
+        timing: Timing,
+        rng: random.Random,
+        now: Instant,
+    ) -> None:
+        self.replica = replica
+        self.timing = timing
+        self.rng = rng
+        self.role = Role.FOLLOWER
+        self.term = recovered.term
+        self.vote = recovered.vote
+        self.leader: ReplicaId | None = None
+        self.snapshot = recovered.snapshot
+        start = recovered.snapshot.index if recovered.snapshot is not None else LogIndex(0)
+        self.log = Log(
+            recovered.base_index,
+            recovered.base_term,
+            recovered.configuration,
+            start,
+            recovered.entries,
+        )
+        self.commit_index = start
+        self.delivered_index = start
+        self.synced_index = self.log.last_index
+        # The replica may have answered a leader just before it restarted.
+        self.leader_contact = now
+        self.election_at = now
+        self.output = Output()
+        self.last_write = WriteNumber(0)
+        self.last_vote_write = WriteNumber(0)
+        self.completed_write = WriteNumber(0)
+        self.unsynced: deque[tuple[WriteNumber, LogIndex]] = deque()
+        self.held: deque[tuple[WriteNumber, Outgoing | ChunkToSend]] = deque()
+        # The write that replaces the log with a received snapshot.
+        self.installing: tuple[WriteNumber, SnapshotMeta] | None = None
+        self.restart_election_timer(now)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the latest configuration in the log."""
+        return self.log.configuration
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this replica votes."""
+        return self.configuration.is_voter(self.replica)
+
+    def restart_election_timer(self, now: Instant) -> None:
+        """Draw the time at which the replica campaigns if it hears from no leader."""
+        wait_s = self.rng.uniform(self.timing.election_min_s, self.timing.election_max_s)
+        self.election_at = Instant(now + wait_s)
+
+    def write(self, action: WriteAction) -> WriteNumber:
+        """Ask for a write; return its number."""
+        self.last_write = WriteNumber(self.last_write + 1)
+        self.output.writes.append(Write(self.last_write, action))
+        return self.last_write
+
+    def save_vote(self) -> None:
+        """Store the term and the vote. No later message leaves before this is synced."""
+        self.last_vote_write = self.write(SaveVote(self.term, self.vote))
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Append entries in place of those from the first one's index on."""
+        first = entries[0].index
+        if first <= self.log.last_index:
+            if first <= self.commit_index:
+                raise LogDivergedError(f"the entry at {first} is committed and would be replaced")
+            self.log.truncate(first)
+            before = LogIndex(first - 1)
+            self.synced_index = min(self.synced_index, before)
+            self.unsynced = deque((number, min(last, before)) for number, last in self.unsynced)
+        self.log.extend(entries)
+        self.unsynced.append((self.write(SaveEntries(entries)), self.log.last_index))
+
+    def send(self, recipient: ReplicaId, message: Message) -> None:
+        """Send a message after the term and vote that it speaks for are synced."""
+        self._send_after(self.last_vote_write, Outgoing(recipient, message))
+
+    def send_chunk(self, chunk: ChunkToSend) -> None:
+        """Send a chunk of the snapshot, like a message."""
+        self._send_after(self.last_vote_write, chunk)
+
+    def acknowledge(self, recipient: ReplicaId, message: Message) -> None:
+        """Send a message after everything written so far is synced."""
+        self._send_after(self.last_write, Outgoing(recipient, message))
+
+    def _send_after(self, number: WriteNumber, outgoing: Outgoing | ChunkToSend) -> None:
+        if number > self.completed_write:
+            self.held.append((number, outgoing))
+        elif isinstance(outgoing, ChunkToSend):
+            self.output.chunks.append(outgoing)
+        else:
+            self.output.messages.append(outgoing)
+
+    def wrote(self, number: WriteNumber) -> None:
+        """Record that every write up to `number` is synced."""
+        self.completed_write = number
+        while self.unsynced and self.unsynced[0][0] <= number:
+            self.synced_index = self.unsynced.popleft()[1]
+        if self.installing is not None and self.installing[0] <= number:
+            snapshot = self.installing[1]
+            self.installing = None
+            self.output.restore = snapshot
+            self.output.committed.clear()
+            self.delivered_index = snapshot.index
+        held, self.held = self.held, deque()
+        for barrier, outgoing in held:
+            self._send_after(barrier, outgoing)
+        self.deliver()
+
+    def commit(self, index: LogIndex) -> None:
+        """Raise the commit index."""
+        if index > self.commit_index:
+            self.commit_index = index
+            self.deliver()
+
+    def deliver(self) -> None:
+        """Hand committed entries that are on the own disk to the state machine."""
+        last = min(self.commit_index, self.synced_index)
+        if self.installing is None and last > self.delivered_index:
+            self.output.committed.extend(self.log.between(self.delivered_index, last))
+            self.delivered_index = last
+
+    def install(self, number: WriteNumber, snapshot: SnapshotMeta) -> None:
+        """Replace the log with a snapshot that write `number` makes durable."""
+        self.log.reset(snapshot)
+        self.snapshot = snapshot
+        self.commit_index = snapshot.index
+        self.synced_index = snapshot.index
+        self.unsynced.clear()
+        self.installing = (number, snapshot)
+
+    def compact(self, snapshot: SnapshotMeta, keep_entries: int) -> None:
+        """Drop entries that `snapshot` covers, but the last `keep_entries` of them."""
+        if self.snapshot is not None and snapshot.index <= self.snapshot.index:
+            return
+        self.snapshot = snapshot
+        index = LogIndex(snapshot.index - keep_entries)
+        if index > self.log.base_index:
+            self.log.compact(index)
+            self.write(CompactLog(index, self.log.base_term))
+
+    def become_follower(self, term: Term, leader: ReplicaId | None) -> None:
+        """Follow `leader`, or wait for one, in `term`, which is not before the current one."""
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        if term > self.term:
+            self.term = term
+            self.vote = None
+            self.save_vote()
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/consensus/progress.py
@@ -0,0 +1,82 @@
+"""What a leader knows about the log of one peer."""
+
+from collections import deque
+from enum import Enum
+
+from marigolddoor_core.consensus.snapshot_transfer import SnapshotTransfer
+from marigolddoor_core.ids import LogIndex
+
+__all__ = ["MAX_IN_FLIGHT", "Progress", "ProgressState"]
+
+# Messages with entries that a peer has not answered yet. With batches of proposals, a few are
+# enough to keep a link of some milliseconds busy.
+MAX_IN_FLIGHT = 8
+
+
+class ProgressState(Enum):
+    """How the leader sends to a peer."""
+
+    # The last equal index is not known: one message at a time.
+    PROBE = "probe"
+    REPLICATE = "replicate"
+    SNAPSHOT = "snapshot"
+
+
+class Progress:
+    """The replication to one peer."""
+
+    def __init__(self, next_index: LogIndex) -> None:
+        self.match_index = LogIndex(0)
+        self.next_index = next_index
+        self.state = ProgressState.PROBE
+        self.probe_sent = False
+        # The last index of each message with entries that was not answered.
+        self.in_flight: deque[LogIndex] = deque()
+        self.transfer: SnapshotTransfer | None = None
+
+    def can_send_entries(self) -> bool:
+        """Return whether another message with entries may go out."""
+        if self.state is ProgressState.PROBE:
+            return not self.probe_sent
+        return self.state is ProgressState.REPLICATE and len(self.in_flight) < MAX_IN_FLIGHT
+
+    def sent(self, last: LogIndex) -> None:
+        """Record a message with entries up to `last`."""
+        if self.state is ProgressState.PROBE:
+            self.probe_sent = True
+            return
+        self.in_flight.append(last)
+        self.next_index = LogIndex(last + 1)
+
+    def accepted(self, match_index: LogIndex) -> None:
+        """Record that the logs are equal up to `match_index`."""
+        self.match_index = max(self.match_index, match_index)
+        self.next_index = LogIndex(max(self.next_index, self.match_index + 1))
+        while self.in_flight and self.in_flight[0] <= self.match_index:
+            self.in_flight.popleft()
+        if self.state is ProgressState.PROBE:
+            self.state = ProgressState.REPLICATE
+
+    def rejected(self, previous_index: LogIndex, hint: LogIndex) -> bool:
+        """Record a mismatch at `previous_index`; return whether it changes what to send next."""
+        if previous_index <= self.match_index or self.state is ProgressState.SNAPSHOT:
+            return False
+        self.state = ProgressState.PROBE
+        self.probe_sent = False
+        self.in_flight.clear()
+        self.next_index = LogIndex(max(self.match_index, min(hint, previous_index - 1)) + 1)
+        return True
+
+    def begin_transfer(self, transfer: SnapshotTransfer) -> None:
+        """Send a snapshot instead of entries."""
+        self.state = ProgressState.SNAPSHOT
+        self.in_flight.clear()
+        self.transfer = transfer
+
+    def end_transfer(self, index: LogIndex) -> None:
+        """Go on with the entries after the snapshot."""
+        self.transfer = None
+        self.state = ProgressState.PROBE
+        self.probe_sent = False
+        self.match_index = max(self.match_index, index)
+        self.next_index = LogIndex(self.match_index + 1)
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/consensus/stored.py
@@ -0,0 +1,43 @@
+"""What a replica stores besides its log and snapshots."""
+
+from dataclasses import dataclass
+
+from marigolddoor_core.consensus.configuration import Configuration
+from marigolddoor_core.ids import LogIndex, ReplicaId, Term
+
+__all__ = ["Identity", "LogBase", "StoredState", "VoteRecord"]
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """The replica that a data folder belongs to.
+
+    `configuration` is the one that the group was formed with; it is empty in a replica that joins.
+    """
+
+    replica: ReplicaId
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class VoteRecord:
+    """The latest term, and the vote given in it."""
+
+    term: Term
+    vote: ReplicaId | None
+
+
+@dataclass(frozen=True, slots=True)
+class LogBase:
+    """The entry before the first one in a log file."""
+
+    index: LogIndex
+    term: Term
+
+
+@dataclass(frozen=True, slots=True)
+class StoredState:
+    """The content of a snapshot: the encoded state, and the agreed time of its last command."""
+
+    time_s: float
+    state: bytes
--- a/packages/storage/src/marigolddoor_storage/__init__.py
+++ b/packages/storage/src/marigolddoor_storage/__init__.py
@@ -1,1 +1,23 @@
-"""Files of a replica: its log and its snapshots."""
+"""Log, vote and snapshot files of a replica."""
+
+from marigolddoor_storage.errors import (
+    CorruptFileError,
+    DiskFullError,
+    FolderInUseError,
+    FolderMissingError,
+    StorageError,
+)
+from marigolddoor_storage.files import Files, OsFiles
+from marigolddoor_storage.store import ReplicaStore, Restart
+
+__all__ = [
+    "CorruptFileError",
+    "DiskFullError",
+    "Files",
+    "FolderInUseError",
+    "FolderMissingError",
+    "OsFiles",
+    "ReplicaStore",
+    "Restart",
+    "StorageError",
+]
--- /dev/null
+++ b/packages/storage/src/marigolddoor_storage/folder.py
@@ -0,0 +1,36 @@
+"""The data folder and its lock."""
+
+import fcntl
+import os
+from pathlib import Path
+
+from marigolddoor_storage.errors import FolderInUseError, FolderMissingError
+from marigolddoor_storage.files import typed_errors
+
+__all__ = ["Folder"]
+
+LOCK_NAME = "lock"
+
+
+class Folder:
+    """A data folder that this process alone uses.
+
+    The folder is not created: a folder that is missing is more likely a disk that is not mounted
+    than a new replica.
+    """
+
+    def __init__(self, path: Path) -> None:
+        if not path.is_dir():
+            raise FolderMissingError(f"{path} is not a folder")
+        self.path = path
+        with typed_errors(path / LOCK_NAME):
+            self.lock = os.open(path / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self.lock)
+            raise FolderInUseError(f"{path} is used by another process") from error
+
+    def close(self) -> None:
+        """Release the lock."""
+        os.close(self.lock)
--- /dev/null
+++ b/packages/storage/src/marigolddoor_storage/store.py
@@ -0,0 +1,201 @@
+"""Everything that one replica stores in its data folder."""
+
+import zlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from marigolddoor_core.consensus.configuration import Configuration
+from marigolddoor_core.consensus.entries import Entry, SnapshotMeta
+from marigolddoor_core.consensus.outputs import (
+    CompactLog,
+    Recovered,
+    SaveChunk,
+    SaveEntries,
+    SaveVote,
+    WriteAction,
+)
+from marigolddoor_core.consensus.stored import Identity, LogBase, VoteRecord
+from marigolddoor_core.ids import LogIndex, Term
+
+from marigolddoor_storage.errors import CorruptFileError, StorageError
+from marigolddoor_storage.files import Files, OsFiles
+from marigolddoor_storage.folder import Folder
+from marigolddoor_storage.log_file import LogFile
+from marigolddoor_storage.record_file import RecordFile
+from marigolddoor_storage.snapshot_files import SnapshotFiles
+
+__all__ = ["ReplicaStore", "Restart"]
+
+
+@dataclass(frozen=True, slots=True)
+class Restart:
+    """What a replica continues with: its recovered log, and the state of its snapshot."""
+
+    recovered: Recovered
+    state: bytes | None
+
+
+class ReplicaStore:
+    """Carries out the writes of a replica, in order, each synced before `perform` returns.
+
+    After a failed write nothing is known about the disk, so every later write fails as well until
+    the folder is opened again.
+    """
+
+    def __init__(self, path: Path, files: Files | None = None) -> None:
+        self.folder = Folder(path)
+        self.files = files or OsFiles()
+        self.identity_file = RecordFile(path / "identity", self.files)
+        self.vote_file = RecordFile(path / "vote", self.files)
+        self.log = LogFile(path / "log", self.files)
+        self.snapshots = SnapshotFiles(path, self.files)
+        self.failure: StorageError | None = None
+        # Entries of the log file, in the order in which they were appended, since its base.
+        self.tail: list[Entry] = []
+
+    def identity(self) -> Identity | None:
+        """Return whose folder this is; None if it is a new one.
+
+        Raises:
+          CorruptFileError: the folder is not new, and it is not known whose it is.
+        """
+        identity: Identity | None = self.identity_file.read()
+        if identity is None and (self.log.path.exists() or self.vote_file.path.exists()):
+            raise CorruptFileError(f"{self.folder.path}: the identity file is missing")
+        return identity
+
+    def found(self, identity: Identity) -> None:
+        """Make this the folder of a new replica."""
+        self.identity_file.write(identity)
+
+    def open(self) -> Restart:
+        """Return what the replica continues with.
+
+        Raises:
+          StorageError: the folder can't be used.
+          CorruptFileError: a file is damaged.
+        """
+        identity = self.identity()
+        if identity is None:
+            raise StorageError(f"{self.folder.path} belongs to no replica yet")
+        state = self.snapshots.open()
+        self.log.open()
+        vote: VoteRecord | None = self.vote_file.read()
+        snapshot = self.snapshots.latest
+        base, entries = self.log.base, self.log.entries
+        if snapshot is not None and not _contains(base, entries, snapshot):
+            # A crash came between storing a received snapshot and replacing the log.
+            base, entries = LogBase(snapshot.index, snapshot.term), []
+            self.log.rewrite(base, entries)
+        elif snapshot is None and base.index > 0:
+            raise StorageError(f"{self.folder.path}: the snapshot before the log is missing")
+        last_term = entries[-1].term if entries else base.term
+        if last_term > (0 if vote is None else vote.term):
+            # Without its vote the replica could vote twice in a term.
+            raise CorruptFileError(f"{self.folder.path}: the vote is older than the log")
+        self.tail = list(entries)
+        self.log.entries = []
+        recovered = Recovered(
+            term=Term(0) if vote is None else vote.term,
+            vote=None if vote is None else vote.vote,
+            snapshot=snapshot,
+            configuration=identity.configuration if snapshot is None else snapshot.configuration,
+            base_index=base.index,
+            base_term=base.term,
+            entries=entries,
+        )
+        return Restart(recovered, state)
+
+    def perform(self, actions: Iterable[WriteAction]) -> bytes | None:
+        """Carry out writes; return the state of a received snapshot if one became complete.
+
+        Neighbouring appends share one sync.
+
+        Raises:
+          StorageError: a write failed; this and every later one counts as not done.
+        """
+        if self.failure is not None:
+            raise self.failure
+        state: bytes | None = None
+        try:
+            pending: list[Sequence[Entry]] = []
+            for action in actions:
+                if isinstance(action, SaveEntries):
+                    pending.append(action.entries)
+                    continue
+                self._append(pending)
+                pending = []
+                state = self._perform(action) or state
+            self._append(pending)
+        except StorageError as error:
+            self.failure = error
+            raise
+        return state
+
+    def _append(self, batches: list[Sequence[Entry]]) -> None:
+        if not batches:
+            return
+        self.log.append(batches)
+        for entries in batches:
+            del self.tail[entries[0].index - self.log.base.index - 1 :]
+            self.tail.extend(entries)
+
+    def _perform(self, action: WriteAction) -> bytes | None:
+        if isinstance(action, SaveVote):
+            self.vote_file.write(VoteRecord(action.term, action.vote))
+        elif isinstance(action, SaveChunk):
+            return self._save_chunk(action)
+        elif isinstance(action, CompactLog):
+            kept = self.tail[action.index - self.log.base.index :]
+            self._replace_log(LogBase(action.index, action.term), kept)
+        return None
+
+    def _save_chunk(self, action: SaveChunk) -> bytes | None:
+        if action.offset == 0:
+            self.snapshots.begin(action.snapshot)
+        self.snapshots.add(action.data)
+        if not action.last:
+            return None
+        state = self.snapshots.finish(action.snapshot)
+        self._replace_log(LogBase(action.snapshot.index, action.snapshot.term), [])
+        return state
+
+    def _replace_log(self, base: LogBase, entries: list[Entry]) -> None:
+        self.log.rewrite(base, entries)
+        self.tail = entries
+
+    def save_snapshot(
+        self, index: LogIndex, term: Term, configuration: Configuration, state: bytes
+    ) -> SnapshotMeta:
+        """Store a snapshot of the own state.
+
+        Raises:
+          StorageError: it is not durable.
+        """
+        if self.failure is not None:
+            raise self.failure
+        meta = SnapshotMeta(index, term, configuration, len(state), zlib.crc32(state))
+        try:
+            self.snapshots.save(meta, state)
+        except StorageError as error:
+            self.failure = error
+            raise
+        return meta
+
+    def read_chunk(self, meta: SnapshotMeta, offset: int, length: int) -> bytes | None:
+        """Return a part of the state of a snapshot; None if a newer one replaced it."""
+        return self.snapshots.read_chunk(meta, offset, length)
+
+    def close(self) -> None:
+        """Close the files and release the folder."""
+        self.log.close()
+        self.snapshots.close()
+        self.folder.close()
+
+
+def _contains(base: LogBase, entries: Sequence[Entry], snapshot: SnapshotMeta) -> bool:
+    if snapshot.index == base.index:
+        return snapshot.term == base.term
+    position = snapshot.index - base.index - 1
+    return 0 <= position < len(entries) and entries[position].term == snapshot.term
--- a/packages/wire/src/marigolddoor_wire/codec.py
+++ b/packages/wire/src/marigolddoor_wire/codec.py
@@ -22,6 +22,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
+from marigolddoor_wire.gen.consensus import ttypes as consensus_types
 from marigolddoor_wire.gen.messages import ttypes as message_types
 from marigolddoor_wire.gen.state import ttypes as state_types
 from marigolddoor_wire.schema import MODULES
@@ -40,6 +41,9 @@
 # Thrift reserves these words, so the IDL uses another name for such a field.
 RENAMED_FIELDS = {"service": "service_id"}
 
+# The generated modules in which the struct of a dataclass is looked up by its name.
+THRIFT_MODULES = (message_types, state_types, consensus_types)
+
 Convert = Callable[[Any], Any]
 
 _factory = TCompactProtocolAcceleratedFactory()
@@ -193,7 +197,9 @@
 
 def _build_codec(message_type: type[Any]) -> StructCodec:
     name = message_type.__name__
-    thrift_type = getattr(message_types, name, None) or getattr(state_types, name, None)
+    thrift_type = next(
+        (getattr(module, name) for module in THRIFT_MODULES if hasattr(module, name)), None
+    )
     if thrift_type is None:
         raise DecodeError(f"no thrift struct for {name}")
     hints = get_type_hints(message_type)
--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -3,11 +3,25 @@
 from types import ModuleType
 
 from marigolddoor_core import targets
+from marigolddoor_core.consensus import configuration, entries, stored
+from marigolddoor_core.consensus import messages as consensus_messages
 from marigolddoor_core.declaration import organisation
 from marigolddoor_core.state import commands, objects, results
 
-from marigolddoor_wire import messages
+from marigolddoor_wire import agreement, messages
 
 __all__ = ["MODULES"]
 
-MODULES: tuple[ModuleType, ...] = (targets, organisation, commands, objects, results, messages)
+MODULES: tuple[ModuleType, ...] = (
+    targets,
+    organisation,
+    commands,
+    objects,
+    results,
+    messages,
+    configuration,
+    entries,
+    consensus_messages,
+    stored,
+    agreement,
+)
--- /dev/null
+++ b/tests/control/groups.py
@@ -0,0 +1,135 @@
+"""A group of control processes in one test process, over real sockets and real files."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+from marigolddoor_control.agreement import Agreement, AgreementSettings
+from marigolddoor_core.ids import ClaimId, IdempotencyKey, LogIndex, ProcessId, ServiceId
+from marigolddoor_core.state.commands import Claim, Command
+from marigolddoor_core.state.results import ClaimGranted, Result
+from marigolddoor_storage import Files, ReplicaStore
+from marigolddoor_wire.handshake import SharedKey
+from marigolddoor_wire.messages import TargetDelta
+from marigolddoor_wire.peers import Address, PeerPool, PeerServer
+
+KEY = SharedKey(b"k" * 32)
+
+
+def claim(key: str) -> Claim:
+    """Return a claim on `key`."""
+    return Claim(ServiceId("s"), IdempotencyKey(key), b"d" * 32, ProcessId("p"), 9e9)
+
+
+class KeyList:
+    """A state machine that remembers the keys of the claims, in order."""
+
+    def __init__(self) -> None:
+        self.keys: list[str] = []
+        self.times_s: list[float] = []
+
+    def apply(self, index: LogIndex, command: Command) -> Result:
+        assert isinstance(command, Claim)
+        self.keys.append(command.key)
+        self.times_s.append(command.time_s)
+        return ClaimGranted(ClaimId(index))
+
+    def snapshot(self) -> Any:
+        return TargetDelta(ProcessId("p"), 0, True, (), tuple(self.keys))  # type: ignore[arg-type]
+
+    def restore(self, snapshot: Any) -> None:
+        self.keys = list(snapshot.gone)
+
+
+class Process:
+    """A control process: a peer server, a pool and an agreement in a scope of their own."""
+
+    def __init__(self, settings: AgreementSettings, folder: Path, files: Files | None) -> None:
+        self.settings = settings
+        self.folder = folder
+        self.files = files
+        self.machine = KeyList()
+        self.agreement: Agreement
+        self.scope = anyio.CancelScope()
+        self.ended = anyio.Event()
+
+    async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        with self.scope:
+            async with PeerPool(KEY) as pool, anyio.create_task_group() as group:
+                store = ReplicaStore(self.folder, self.files)
+                self.agreement = Agreement(
+                    self.settings, store, self.machine, pool, random.Random()
+                )
+                await group.start(PeerServer(KEY, self.agreement.handle).run, self.settings.address)
+                task_status.started()
+                await self.agreement.run()
+                group.cancel_scope.cancel()
+        self.ended.set()
+
+    async def kill(self) -> None:
+        """End the process without a word to anybody."""
+        self.scope.cancel()
+        await self.ended.wait()
+
+
+class Group:
+    """Processes that know each other's addresses."""
+
+    def __init__(self, root: Path, count: int, tasks: Any, **settings: Any) -> None:
+        self.root = root
+        self.tasks = tasks
+        self.settings = settings
+        self.addresses = [Address(f"127.0.0.1:{port}") for port in free_ports(count)]
+        self.processes: list[Process] = []
+
+    async def start(self, number: int, files: Files | None = None) -> Process:
+        """Start the process with this number, in its folder."""
+        folder = self.root / str(number)
+        folder.mkdir(exist_ok=True)
+        peers = tuple(address for i, address in enumerate(self.addresses) if i != number)
+        settings = AgreementSettings(f"r{number}", self.addresses[number], peers, **self.settings)
+        process = Process(settings, folder, files)
+        await self.tasks.start(process.run)
+        if number < len(self.processes):
+            self.processes[number] = process
+        else:
+            self.processes.append(process)
+        return process
+
+    async def leader(self) -> Process:
+        """Wait for a leader with all voters."""
+        while True:
+            for process in self.processes:
+                agreement = process.agreement
+                if not process.ended.is_set() and agreement.is_leader:
+                    voters = agreement.replica.configuration.voters  # type: ignore[union-attr]
+                    if len(voters) == len(self.addresses):
+                        return process
+            await anyio.sleep(0.02)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that nobody listens on."""
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    for bound in sockets:
+        bound.bind(("127.0.0.1", 0))
+    ports = sorted(bound.getsockname()[1] for bound in sockets)
+    for bound in sockets:
+        bound.close()
+    return ports
+
+
+@asynccontextmanager
+async def running_group(root: Path, count: int, **settings: Any) -> AsyncIterator[Group]:
+    """Run `count` processes until the block ends."""
+    async with anyio.create_task_group() as tasks:
+        group = Group(root, count, tasks, **settings)
+        for number in range(count):
+            await group.start(number)
+        yield group
+        tasks.cancel_scope.cancel()
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -44,9 +44,7 @@
     TaskPhase,
     TaskReport,
 )
-from marigolddoor_wire.codec import DecodeError, decode, encode
-from marigolddoor_wire.gen.messages import ttypes as message_types
-from marigolddoor_wire.gen.state import ttypes as state_types
+from marigolddoor_wire.codec import THRIFT_MODULES, DecodeError, decode, encode
 from marigolddoor_wire.messages import (
     Propose,
     ProposeReply,
@@ -163,8 +161,9 @@
 
     def test_fields(self) -> None:
         name = self.message_type.__name__
-        struct = getattr(message_types, name, None) or getattr(state_types, name, None)
-        self.assertIsNotNone(struct, f"no thrift struct for {name}")
+        structs = [getattr(module, name) for module in THRIFT_MODULES if hasattr(module, name)]
+        self.assertEqual(1, len(structs), f"thrift structs for {name}")
+        struct = structs[0]
         in_idl = [spec[2].replace("service_id", "service") for spec in struct.thrift_spec if spec]
         self.assertEqual([field.name for field in dataclasses.fields(self.message_type)], in_idl)
 
