--- /dev/null
+++ b/packages/core/src/marigolddoor_core/state/machine.py
@@ -0,0 +1,244 @@
+"""The replicated state machine: applies committed commands in log order."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from marigolddoor_core.declaration.organisation import Declaration, Job
+from marigolddoor_core.errors import InvalidInputError
+from marigolddoor_core.ids import (
+    ClaimId,
+    DataCentreId,
+    IdempotencyKey,
+    JobId,
+    LogIndex,
+    OperatorId,
+    QuestionId,
+    Revision,
+    ServiceId,
+    TaskId,
+    VmId,
+)
+from marigolddoor_core.state.checks import is_well_formed
+from marigolddoor_core.state.claims import CLAIMS_LIMIT_BYTES, Claims
+from marigolddoor_core.state.commands import (
+    AnswerQuestion,
+    ApplyDeclaration,
+    BeginMove,
+    CancelTask,
+    Claim,
+    CloseQuestion,
+    Command,
+    ExpireClaims,
+    FinishClaim,
+    FinishMove,
+    FinishTask,
+    GrantLease,
+    OpenQuestion,
+    RecordMaintenance,
+    RegisterVm,
+    ReleaseClaim,
+    RenewLease,
+    RetireVm,
+    SetAsideTask,
+    SubmitTask,
+)
+from marigolddoor_core.state.declarations import Declarations
+from marigolddoor_core.state.journal import TOMBSTONE_LIMIT, Journal
+from marigolddoor_core.state.objects import (
+    Change,
+    QuestionRecord,
+    TaskRecord,
+    VmRecord,
+)
+from marigolddoor_core.state.pools import Pools
+from marigolddoor_core.state.questions import Questions
+from marigolddoor_core.state.results import Refusal, Refused, Result
+from marigolddoor_core.state.snapshots import ClaimRecord, RequestResult, StateSnapshot
+from marigolddoor_core.state.tasks import Tasks
+
+__all__ = ["StateMachine"]
+
+Applier = Callable[[Any, float], Result]
+
+
+class StateMachine:
+    """Applies commands to the agreed state.
+
+    Two machines that apply the same commands at the same indexes hold the same state and return
+    the same results.
+
+    Attributes:
+      index: The log index of the last command applied.
+      time_s: The agreed time, the highest time of any command so far.
+    """
+
+    def __init__(
+        self,
+        claims_limit_bytes: int = CLAIMS_LIMIT_BYTES,
+        tombstone_limit: int = TOMBSTONE_LIMIT,
+    ) -> None:
+        self.index = LogIndex(0)
+        self.time_s = 0.0
+        self._journal = Journal(tombstone_limit)
+        self._declarations = Declarations(self._journal)
+        self._pools = Pools(self._journal, self._declarations)
+        self._tasks = Tasks(self._journal, self._declarations, self._pools)
+        self._claims = Claims(self._declarations, claims_limit_bytes)
+        self._questions = Questions(self._journal)
+        self._appliers: dict[type[Any], Applier] = {
+            ApplyDeclaration: self._apply_declaration,
+            RegisterVm: self._pools.register,
+            BeginMove: self._pools.begin_move,
+            FinishMove: self._finish_move,
+            RetireVm: self._pools.retire,
+            SubmitTask: self._tasks.submit,
+            GrantLease: self._tasks.grant,
+            RenewLease: self._tasks.renew,
+            FinishTask: self._tasks.finish,
+            CancelTask: self._tasks.cancel,
+            SetAsideTask: self._tasks.set_aside,
+            Claim: lambda command, now_s: self._claims.claim(command, now_s, self.index),
+            FinishClaim: self._claims.finish,
+            ReleaseClaim: self._claims.release,
+            ExpireClaims: self._claims.expire,
+            OpenQuestion: lambda command, now_s: self._questions.open(command, now_s, self.index),
+            AnswerQuestion: self._questions.answer,
+            CloseQuestion: self._questions.close,
+            RecordMaintenance: self._pools.record_maintenance,
+        }
+
+    @property
+    def revision(self) -> Revision:
+        """The revision of the declaration, 0 before the first one."""
+        return self._declarations.revision
+
+    @property
+    def author(self) -> OperatorId:
+        """The author of the revision, empty before the first one."""
+        return self._declarations.author
+
+    @property
+    def declaration(self) -> Declaration:
+        """The declaration in force."""
+        return self._declarations.declaration
+
+    @property
+    def vms(self) -> Mapping[VmId, VmRecord]:
+        """The VMs."""
+        return self._pools.vms
+
+    @property
+    def tasks(self) -> Mapping[TaskId, TaskRecord]:
+        """The tasks, those that ended included."""
+        return self._tasks.tasks
+
+    @property
+    def jobs(self) -> Mapping[JobId, Job]:
+        """The declared jobs."""
+        return self._declarations.jobs
+
+    @property
+    def questions(self) -> Mapping[QuestionId, QuestionRecord]:
+        """The open questions and the last ones that ended."""
+        return self._questions.questions
+
+    @property
+    def claims(self) -> Mapping[ClaimId, ClaimRecord]:
+        """The claims that have not expired, in the order of their grants."""
+        return self._claims.claims
+
+    @property
+    def claims_used_bytes(self) -> int:
+        """The memory that the claims count for, in bytes."""
+        return self._claims.used_bytes
+
+    def find_claim(self, service: ServiceId, key: IdempotencyKey) -> ClaimRecord | None:
+        """Return the claim on an idempotency key, or None."""
+        return self._claims.find(service, key)
+
+    def apply(self, index: LogIndex, command: Command) -> Result:
+        """Apply the command committed at `index` and return its result.
+
+        A command that cannot be applied changes nothing and returns a refusal.
+
+        Raises:
+          InvalidInputError: `index` is not higher than that of the last command.
+        """
+        if index <= self.index:
+            raise InvalidInputError(f"index {index} was applied before; the last is {self.index}")
+        self.index = index
+        self._journal.index = index
+        applier = self._appliers.get(type(command))
+        if applier is None or not is_well_formed(command):
+            return Refused(Refusal.INVALID, f"malformed {type(command).__name__}")
+        self.time_s = max(self.time_s, command.time_s)
+        return applier(command, self.time_s)
+
+    def changes_after(
+        self, index: LogIndex, data_centre: DataCentreId | None
+    ) -> tuple[Change, ...] | None:
+        """Return what a watcher that has seen everything up to `index` has not seen.
+
+        The changes are in log order; a change without a value removes the object. A watcher of a
+        data centre gets the revision, services, pools, teams, weights and the VMs of its data
+        centre; `None` stands for everything. The cost grows with the number of objects changed
+        after `index`.
+
+        Returns:
+          The changes, or None if removals after `index` are no longer kept, so that the watcher
+          needs `all_changes`.
+        """
+        return self._journal.changes_after(index, data_centre)
+
+    def all_changes(self, data_centre: DataCentreId | None) -> tuple[Change, ...]:
+        """Return every object that a watcher of `data_centre` holds; see `changes_after`."""
+        return self._journal.all_changes(data_centre)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the whole state as a value that shares nothing that changes later."""
+        declarations = self._declarations
+        return StateSnapshot(
+            self.index,
+            self.time_s,
+            declarations.revision,
+            declarations.author,
+            declarations.declaration,
+            tuple(RequestResult(*kept) for kept in declarations.requests.items()),
+            tuple(self._journal.entries()),
+            tuple(self._claims.claims.values()),
+            self._journal.compacted_index,
+            self._pools.retired_epoch,
+            self._tasks.removed_token,
+        )
+
+    def restore(self, snapshot: StateSnapshot) -> None:
+        """Replace the whole state by that of `snapshot`."""
+        self.index = snapshot.index
+        self.time_s = snapshot.time_s
+        self._journal.restore(snapshot.index, snapshot.compacted_index, snapshot.entries)
+        self._declarations.restore(
+            snapshot.revision, snapshot.author, snapshot.declaration, snapshot.requests
+        )
+        values = [entry.change.value for entry in snapshot.entries]
+        self._pools.restore(
+            (value for value in values if isinstance(value, VmRecord)), snapshot.retired_epoch
+        )
+        self._tasks.restore(
+            (value for value in values if isinstance(value, TaskRecord)), snapshot.removed_token
+        )
+        self._questions.restore(value for value in values if isinstance(value, QuestionRecord))
+        self._claims.restore(snapshot.claims)
+
+    def _apply_declaration(self, command: ApplyDeclaration, now_s: float) -> Result:
+        revision = self._declarations.revision
+        jobs = self._declarations.jobs
+        result = self._declarations.apply(command, self._pools.vms)
+        if self._declarations.revision != revision:
+            self._tasks.follow_jobs(jobs, now_s)
+        return result
+
+    def _finish_move(self, command: FinishMove, now_s: float) -> Result:
+        vm = self._pools.current(command.vm, command.epoch)
+        if not isinstance(vm, Refused) and self._tasks.has_lease_on(command.vm, now_s):
+            return Refused(Refusal.LEASE_HELD, f"{command.vm} holds task leases")
+        return self._pools.finish_move(command, now_s)
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/state/snapshots.py
@@ -0,0 +1,78 @@
+"""The whole agreed state as one value, for snapshot files and for replicas that lag."""
+
+from dataclasses import dataclass
+
+from marigolddoor_core.declaration.organisation import Declaration
+from marigolddoor_core.ids import (
+    ClaimId,
+    DataCentreId,
+    Epoch,
+    FencingToken,
+    IdempotencyKey,
+    LogIndex,
+    OperatorId,
+    ProcessId,
+    RequestId,
+    Revision,
+    ServiceId,
+)
+from marigolddoor_core.state.commands import KeptAnswer
+from marigolddoor_core.state.objects import Change
+from marigolddoor_core.state.results import Result
+
+__all__ = ["ClaimRecord", "RequestResult", "SnapshotEntry", "StateSnapshot"]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """A claim on the one run of a request. `expires_s` is an agreed time.
+
+    `answer` is None while the claim is pending, and for a finished claim of unknown outcome.
+    """
+
+    claim: ClaimId
+    service: ServiceId
+    key: IdempotencyKey
+    body_digest: bytes
+    claimant: ProcessId
+    expires_s: float
+    finished: bool = False
+    answer: KeptAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestResult:
+    """The first result of a request to change the declaration, returned to each resend."""
+
+    request: RequestId
+    result: Result
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotEntry:
+    """An object or a removal. `data_centre` is that of a VM."""
+
+    change: Change
+    data_centre: DataCentreId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StateSnapshot:
+    """Everything that the results of later commands depend on.
+
+    `entries` are in the order of their last change, `claims` in the order of their grants and
+    `requests` in the order of their arrival. `compacted_index` is the highest index of a removal
+    that is no longer among the entries.
+    """
+
+    index: LogIndex
+    time_s: float
+    revision: Revision
+    author: OperatorId
+    declaration: Declaration
+    requests: tuple[RequestResult, ...]
+    entries: tuple[SnapshotEntry, ...]
+    claims: tuple[ClaimRecord, ...]
+    compacted_index: LogIndex
+    retired_epoch: Epoch
+    removed_token: FencingToken
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/state/tasks.py
@@ -0,0 +1,246 @@
+"""Tasks and their leases."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+
+from marigolddoor_core.declaration.organisation import Job
+from marigolddoor_core.ids import FencingToken, JobId, TaskId, VmId
+from marigolddoor_core.state.commands import (
+    CancelTask,
+    FinishTask,
+    GrantLease,
+    RenewLease,
+    SetAsideTask,
+    SubmitTask,
+)
+from marigolddoor_core.state.declarations import Declarations
+from marigolddoor_core.state.journal import Journal
+from marigolddoor_core.state.objects import ObjectKind, TaskRecord, TaskState
+from marigolddoor_core.state.pools import Pools, in_maintenance
+from marigolddoor_core.state.results import Done, LeaseGranted, Refusal, Refused, Result
+from marigolddoor_core.targets import TaskPhase
+
+__all__ = ["Tasks", "declared_task"]
+
+ENDED = frozenset({TaskState.FINISHED, TaskState.CANCELLED})
+
+
+def declared_task(job: JobId, number: int) -> TaskId:
+    """Return the id of the task `number` that the declaration of `job` creates."""
+    return TaskId(f"{job}/{number}")
+
+
+class Tasks:
+    """Holds the tasks. A task has at most one lease, whose token grows with every grant.
+
+    `removed_token` is the highest token of a removed task. A new task starts with it, so that a
+    task id that is used again never repeats a token.
+    """
+
+    def __init__(self, journal: Journal, declarations: Declarations, pools: Pools) -> None:
+        self.journal = journal
+        self.declarations = declarations
+        self.pools = pools
+        self.tasks: dict[TaskId, TaskRecord] = {}
+        self.removed_token = FencingToken(0)
+        # Dicts as ordered sets: every replica visits the tasks in the same order.
+        self._of_job: dict[JobId, dict[TaskId, None]] = {}
+        self._leased_on: dict[VmId, dict[TaskId, None]] = {}
+
+    def submit(self, command: SubmitTask, now_s: float) -> Result:
+        """Accept a task, or put one that was set aside back in line."""
+        if not command.task:
+            return Refused(Refusal.INVALID, "a task needs an id")
+        if command.job not in self.declarations.jobs:
+            return Refused(Refusal.UNKNOWN, f"no job {command.job!r}")
+        owner, separator, _ = command.task.partition("/")
+        if separator and owner != command.job:
+            return Refused(Refusal.INVALID, f"{command.task!r} is an id of job {owner!r}")
+        task = self.tasks.get(command.task)
+        if task is None:
+            self._put(self._new_task(command.task, command.job, now_s))
+            return Done()
+        if task.job != command.job:
+            return Refused(Refusal.INVALID, f"{command.task!r} is a task of job {task.job!r}")
+        if task.state is TaskState.SET_ASIDE:
+            self._put(replace(task, state=TaskState.WAITING, failures=0, failed_on=(), reason=""))
+        return Done()
+
+    def grant(self, command: GrantLease, now_s: float) -> Result:
+        """Lease a waiting task, or one whose lease is over, under the next token."""
+        task = self._open(command.task)
+        if isinstance(task, Refused):
+            return task
+        if task.state is TaskState.SET_ASIDE:
+            return Refused(Refusal.INVALID, f"{task.task} is set aside")
+        if command.lease_s <= 0.0:
+            return Refused(Refusal.INVALID, "a lease is longer than 0 s")
+        vm = self.pools.current(command.vm, command.epoch)
+        if isinstance(vm, Refused):
+            return vm
+        if vm.next_pool is not None or in_maintenance(vm):
+            return Refused(Refusal.DRAINING, f"{vm.vm} takes no new tasks")
+        if now_s < task.lease_until_s:
+            return Refused(
+                Refusal.LEASE_HELD, f"{task.task} is leased for {task.lease_until_s - now_s:.1f} s"
+            )
+        token = FencingToken(task.token + 1)
+        self._put(
+            replace(
+                task,
+                state=TaskState.LEASED,
+                token=token,
+                vm=vm.vm,
+                lease_until_s=now_s + command.lease_s,
+            )
+        )
+        return LeaseGranted(token)
+
+    def renew(self, command: RenewLease, now_s: float) -> Result:
+        """Extend the lease of the current token; a lease is never shortened."""
+        task = self._held(command.task, command.token)
+        if isinstance(task, Refused):
+            return task
+        if command.lease_s <= 0.0:
+            return Refused(Refusal.INVALID, "a lease is longer than 0 s")
+        self._put(replace(task, lease_until_s=max(task.lease_until_s, now_s + command.lease_s)))
+        return Done()
+
+    def finish(self, command: FinishTask, now_s: float) -> Result:
+        """End the run of the current token."""
+        task = self._held(command.task, command.token)
+        if isinstance(task, Refused):
+            return task
+        if command.phase is TaskPhase.RUNNING:
+            return Refused(Refusal.INVALID, "a running task has not ended")
+        ended = replace(
+            task, state=TaskState.WAITING, vm=None, lease_until_s=0.0, reason=command.reason
+        )
+        if command.phase is TaskPhase.FINISHED:
+            ended = replace(ended, state=TaskState.FINISHED)
+        elif command.phase is TaskPhase.FAILED:
+            failed_on = task.failed_on
+            if task.vm is not None and task.vm not in failed_on:
+                failed_on = (*failed_on, task.vm)
+            ended = replace(ended, failures=task.failures + 1, failed_on=failed_on)
+        self._put(ended)
+        return Done()
+
+    def cancel(self, command: CancelTask, now_s: float) -> Result:
+        """Cancel a task. Its lease stays on record until it is over, because the run may go on."""
+        task = self.tasks.get(command.task)
+        if task is None:
+            return Refused(Refusal.UNKNOWN, f"no task {command.task!r}")
+        if task.state is TaskState.FINISHED:
+            return Refused(Refusal.FINISHED, f"{task.task} is finished")
+        self._put(replace(task, state=TaskState.CANCELLED))
+        return Done()
+
+    def set_aside(self, command: SetAsideTask, now_s: float) -> Result:
+        """Take a task that does not run out of the line."""
+        task = self._open(command.task)
+        if isinstance(task, Refused):
+            return task
+        if task.state is TaskState.LEASED and now_s < task.lease_until_s:
+            return Refused(Refusal.LEASE_HELD, f"{task.task} is running")
+        if task.state is not TaskState.SET_ASIDE:
+            self._put(replace(task, state=TaskState.SET_ASIDE, vm=None, reason=command.reason))
+        return Done()
+
+    def follow_jobs(self, before: Mapping[JobId, Job], now_s: float) -> None:
+        """Create and cancel tasks so that they match the jobs declared now.
+
+        Tasks of a job that is no longer declared are removed once no lease on them can be in
+        force.
+        """
+        after = self.declarations.jobs
+        for job in after.values():
+            declared = before[job.id].tasks if job.id in before else 0
+            for number in range(declared, job.tasks):
+                self._declare(declared_task(job.id, number), job.id, now_s)
+            for number in range(job.tasks, declared):
+                self._cancel_if_open(declared_task(job.id, number))
+        for job_id in [job_id for job_id in self._of_job if job_id not in after]:
+            for task_id in list(self._of_job[job_id]):
+                if self.tasks[task_id].lease_until_s <= now_s:
+                    self._remove(self.tasks[task_id])
+                else:
+                    self._cancel_if_open(task_id)
+
+    def has_lease_on(self, vm: VmId, now_s: float) -> bool:
+        """Return whether a lease on `vm` is in force, cancelled tasks included."""
+        return any(self.tasks[task].lease_until_s > now_s for task in self._leased_on.get(vm, ()))
+
+    def restore(self, tasks: Iterable[TaskRecord], removed_token: FencingToken) -> None:
+        """Replace everything by the parts of a snapshot."""
+        self.tasks = {}
+        self.removed_token = removed_token
+        self._of_job = {}
+        self._leased_on = {}
+        for task in tasks:
+            self._index(task)
+
+    def _new_task(self, task: TaskId, job: JobId, now_s: float) -> TaskRecord:
+        return TaskRecord(task, job, TaskState.WAITING, token=self.removed_token, submitted_s=now_s)
+
+    def _declare(self, task_id: TaskId, job: JobId, now_s: float) -> None:
+        task = self.tasks.get(task_id)
+        if task is None:
+            self._put(self._new_task(task_id, job, now_s))
+        elif task.state is TaskState.CANCELLED:
+            # The next token keeps a late end of the cancelled run from ending the new one.
+            self._put(
+                replace(task, state=TaskState.WAITING, vm=None, token=FencingToken(task.token + 1))
+            )
+
+    def _cancel_if_open(self, task_id: TaskId) -> None:
+        task = self.tasks.get(task_id)
+        if task is not None and task.state not in ENDED:
+            self._put(replace(task, state=TaskState.CANCELLED))
+
+    def _open(self, task_id: TaskId) -> TaskRecord | Refused:
+        task = self.tasks.get(task_id)
+        if task is None:
+            return Refused(Refusal.UNKNOWN, f"no task {task_id!r}")
+        if task.state in ENDED:
+            return Refused(Refusal.FINISHED, f"{task_id} is {task.state.value}")
+        return task
+
+    def _held(self, task_id: TaskId, token: FencingToken) -> TaskRecord | Refused:
+        task = self._open(task_id)
+        if isinstance(task, Refused):
+            return task
+        if token != task.token or task.state is not TaskState.LEASED:
+            return Refused(Refusal.OLD_TOKEN, f"token {token} holds no lease on {task_id}")
+        return task
+
+    def _put(self, task: TaskRecord) -> None:
+        if self.tasks.get(task.task) != task:
+            self._index(task)
+            self.journal.put(ObjectKind.TASK, task.task, task)
+
+    def _index(self, task: TaskRecord) -> None:
+        before = self.tasks.get(task.task)
+        if before is not None and before.vm is not None and before.vm != task.vm:
+            self._forget_vm(before.vm, task.task)
+        if task.vm is not None:
+            self._leased_on.setdefault(task.vm, {})[task.task] = None
+        self.tasks[task.task] = task
+        self._of_job.setdefault(task.job, {})[task.task] = None
+
+    def _remove(self, task: TaskRecord) -> None:
+        if task.vm is not None:
+            self._forget_vm(task.vm, task.task)
+        del self.tasks[task.task]
+        of_job = self._of_job[task.job]
+        del of_job[task.task]
+        if not of_job:
+            del self._of_job[task.job]
+        self.removed_token = max(self.removed_token, task.token)
+        self.journal.remove(ObjectKind.TASK, task.task)
+
+    def _forget_vm(self, vm: VmId, task: TaskId) -> None:
+        leased = self._leased_on[vm]
+        del leased[task]
+        if not leased:
+            del self._leased_on[vm]
--- a/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
@@ -4934,6 +4934,537 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ClaimRecord(object):
+    """
+    Attributes:
+     - claim
+     - service_id
+     - key
+     - body_digest
+     - claimant
+     - expires_s
+     - finished
+     - answer
+
+    """
+
+    __slots__ = (
+        'claim',
+        'service_id',
+        'key',
+        'body_digest',
+        'claimant',
+        'expires_s',
+        'finished',
+        'answer',
+    )
+
+
+    def __init__(self, claim=None, service_id=None, key=None, body_digest=None, claimant=None, expires_s=None, finished=None, answer=None,):
+        self.claim = claim
+        self.service_id = service_id
+        self.key = key
+        self.body_digest = body_digest
+        self.claimant = claimant
+        self.expires_s = expires_s
+        self.finished = finished
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.claim = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.body_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.claimant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.expires_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.finished = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.answer = KeptAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimRecord')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.I64, 1)
+            oprot.writeI64(self.claim)
+            oprot.writeFieldEnd()
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 2)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 3)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.body_digest is not None:
+            oprot.writeFieldBegin('body_digest', TType.STRING, 4)
+            oprot.writeBinary(self.body_digest)
+            oprot.writeFieldEnd()
+        if self.claimant is not None:
+            oprot.writeFieldBegin('claimant', TType.STRING, 5)
+            oprot.writeString(self.claimant.encode('utf-8') if sys.version_info[0] == 2 else self.claimant)
+            oprot.writeFieldEnd()
+        if self.expires_s is not None:
+            oprot.writeFieldBegin('expires_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.expires_s)
+            oprot.writeFieldEnd()
+        if self.finished is not None:
+            oprot.writeFieldBegin('finished', TType.BOOL, 7)
+            oprot.writeBool(self.finished)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 8)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RequestResult(object):
+    """
+    Attributes:
+     - request
+     - result
+
+    """
+
+    __slots__ = (
+        'request',
+        'result',
+    )
+
+
+    def __init__(self, request=None, result=None,):
+        self.request = request
+        self.result = result
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.result = Tagged()
+                    self.result.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestResult')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.STRUCT, 2)
+            self.result.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SnapshotEntry(object):
+    """
+    Attributes:
+     - change
+     - data_centre
+
+    """
+
+    __slots__ = (
+        'change',
+        'data_centre',
+    )
+
+
+    def __init__(self, change=None, data_centre=None,):
+        self.change = change
+        self.data_centre = data_centre
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.change = Change()
+                    self.change.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SnapshotEntry')
+        if self.change is not None:
+            oprot.writeFieldBegin('change', TType.STRUCT, 1)
+            self.change.write(oprot)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StateSnapshot(object):
+    """
+    Attributes:
+     - index
+     - time_s
+     - revision
+     - author
+     - declaration
+     - requests
+     - entries
+     - claims
+     - compacted_index
+     - retired_epoch
+     - removed_token
+
+    """
+
+    __slots__ = (
+        'index',
+        'time_s',
+        'revision',
+        'author',
+        'declaration',
+        'requests',
+        'entries',
+        'claims',
+        'compacted_index',
+        'retired_epoch',
+        'removed_token',
+    )
+
+
+    def __init__(self, index=None, time_s=None, revision=None, author=None, declaration=None, requests=None, entries=None, claims=None, compacted_index=None, retired_epoch=None, removed_token=None,):
+        self.index = index
+        self.time_s = time_s
+        self.revision = revision
+        self.author = author
+        self.declaration = declaration
+        self.requests = requests
+        self.entries = entries
+        self.claims = claims
+        self.compacted_index = compacted_index
+        self.retired_epoch = retired_epoch
+        self.removed_token = removed_token
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.time_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.author = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.declaration = Declaration()
+                    self.declaration.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = RequestResult()
+                        _elem68.read(iprot)
+                        self.requests.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = SnapshotEntry()
+                        _elem74.read(iprot)
+                        self.entries.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.claims = []
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = ClaimRecord()
+                        _elem80.read(iprot)
+                        self.claims.append(_elem80)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.compacted_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.retired_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.removed_token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StateSnapshot')
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I64, 1)
+            oprot.writeI64(self.index)
+            oprot.writeFieldEnd()
+        if self.time_s is not None:
+            oprot.writeFieldBegin('time_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.time_s)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.author is not None:
+            oprot.writeFieldBegin('author', TType.STRING, 4)
+            oprot.writeString(self.author.encode('utf-8') if sys.version_info[0] == 2 else self.author)
+            oprot.writeFieldEnd()
+        if self.declaration is not None:
+            oprot.writeFieldBegin('declaration', TType.STRUCT, 5)
+            self.declaration.write(oprot)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter81 in self.requests:
+                iter81.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter82 in self.entries:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.claims))
+            for iter83 in self.claims:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.compacted_index is not None:
+            oprot.writeFieldBegin('compacted_index', TType.I64, 9)
+            oprot.writeI64(self.compacted_index)
+            oprot.writeFieldEnd()
+        if self.retired_epoch is not None:
+            oprot.writeFieldBegin('retired_epoch', TType.I64, 10)
+            oprot.writeI64(self.retired_epoch)
+            oprot.writeFieldEnd()
+        if self.removed_token is not None:
+            oprot.writeFieldBegin('removed_token', TType.I64, 11)
+            oprot.writeI64(self.removed_token)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Tagged)
 Tagged.thrift_spec = (
     None,  # 0
@@ -5303,5 +5834,44 @@
     (3, TType.I64, 'index', None, None, ),  # 3
     (4, TType.STRUCT, 'value', [Tagged, None], None, ),  # 4
 )
+all_structs.append(ClaimRecord)
+ClaimRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'claim', None, None, ),  # 1
+    (2, TType.STRING, 'service_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'key', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'body_digest', 'BINARY', None, ),  # 4
+    (5, TType.STRING, 'claimant', 'UTF8', None, ),  # 5
+    (6, TType.DOUBLE, 'expires_s', None, None, ),  # 6
+    (7, TType.BOOL, 'finished', None, None, ),  # 7
+    (8, TType.STRUCT, 'answer', [KeptAnswer, None], None, ),  # 8
+)
+all_structs.append(RequestResult)
+RequestResult.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'result', [Tagged, None], None, ),  # 2
+)
+all_structs.append(SnapshotEntry)
+SnapshotEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'change', [Change, None], None, ),  # 1
+    (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
+)
+all_structs.append(StateSnapshot)
+StateSnapshot.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'index', None, None, ),  # 1
+    (2, TType.DOUBLE, 'time_s', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'author', 'UTF8', None, ),  # 4
+    (5, TType.STRUCT, 'declaration', [Declaration, None], None, ),  # 5
+    (6, TType.LIST, 'requests', (TType.STRUCT, [RequestResult, None], False), None, ),  # 6
+    (7, TType.LIST, 'entries', (TType.STRUCT, [SnapshotEntry, None], False), None, ),  # 7
+    (8, TType.LIST, 'claims', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 8
+    (9, TType.I64, 'compacted_index', None, None, ),  # 9
+    (10, TType.I64, 'retired_epoch', None, None, ),  # 10
+    (11, TType.I64, 'removed_token', None, None, ),  # 11
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -4,10 +4,18 @@
 
 from marigolddoor_core import targets
 from marigolddoor_core.declaration import organisation
-from marigolddoor_core.state import commands, objects, results
+from marigolddoor_core.state import commands, objects, results, snapshots
 
 from marigolddoor_wire import messages
 
 __all__ = ["MODULES"]
 
-MODULES: tuple[ModuleType, ...] = (targets, organisation, commands, objects, results, messages)
+MODULES: tuple[ModuleType, ...] = (
+    targets,
+    organisation,
+    commands,
+    objects,
+    results,
+    snapshots,
+    messages,
+)
--- /dev/null
+++ b/tests/core/state/fixtures.py
@@ -0,0 +1,164 @@
+"""A small declaration and commands on it, for the tests of the state machine."""
+
+from dataclasses import replace
+from typing import Any
+
+from marigolddoor_core.declaration import Declaration, Job, Pool, Service, Team
+from marigolddoor_core.ids import (
+    ClaimId,
+    DataCentreId,
+    Epoch,
+    FencingToken,
+    IdempotencyKey,
+    JobId,
+    LogIndex,
+    OperatorId,
+    OrganisationId,
+    PoolId,
+    ProcessId,
+    QuestionId,
+    RackId,
+    RequestId,
+    Revision,
+    ServiceId,
+    TaskId,
+    TeamId,
+    VmId,
+)
+from marigolddoor_core.state import commands as c
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.results import Result
+from marigolddoor_core.targets import Resources, TaskPhase
+
+SIZE = Resources(16.0, 32_000)
+DECLARATION = Declaration(
+    OrganisationId("example"),
+    (
+        Service(ServiceId("orders"), PoolId("web"), False, 6),
+        Service(ServiceId("help"), PoolId("spare"), True, 2, rank=1),
+    ),
+    (
+        Pool(PoolId("web"), 6, 4, 1),
+        Pool(PoolId("spare"), 6, 2, 2, spare=True),
+    ),
+    (Team(TeamId("shop"), 8, 16.0),),
+    (Job(JobId("report"), PoolId("web"), TeamId("shop"), 2, Resources(2.0, 1_000)),),
+)
+
+
+def with_job(tasks: int, version: str = "1") -> Declaration:
+    """Return the declaration with another number of tasks or version of its job."""
+    job = replace(DECLARATION.jobs[0], tasks=tasks, version=version)
+    return replace(DECLARATION, jobs=(job,))
+
+
+def declare(
+    base: int = 0,
+    request: str = "r1",
+    declaration: Declaration = DECLARATION,
+    author: str = "ann",
+    time_s: float = 0.0,
+) -> c.ApplyDeclaration:
+    return c.ApplyDeclaration(
+        Revision(base), RequestId(request), OperatorId(author), declaration, time_s
+    )
+
+
+def register(
+    vm: str = "vm-1", pool: str = "web", data_centre: str = "east", **changes: Any
+) -> c.RegisterVm:
+    command = c.RegisterVm(
+        VmId(vm),
+        DataCentreId(data_centre),
+        RackId("rack-1"),
+        "127.0.0.1:9000",
+        SIZE,
+        8,
+        PoolId(pool),
+    )
+    return replace(command, **changes)
+
+
+def begin(vm: str = "vm-1", epoch: int = 1, pool: str = "spare") -> c.BeginMove:
+    return c.BeginMove(VmId(vm), Epoch(epoch), PoolId(pool))
+
+
+def finish(vm: str = "vm-1", epoch: int = 1, time_s: float = 0.0) -> c.FinishMove:
+    return c.FinishMove(VmId(vm), Epoch(epoch), time_s)
+
+
+def retire(vm: str = "vm-1", epoch: int = 1) -> c.RetireVm:
+    return c.RetireVm(VmId(vm), Epoch(epoch))
+
+
+def maintain(step: c.MaintenanceStep, epoch: int = 1, time_s: float = 0.0) -> c.RecordMaintenance:
+    return c.RecordMaintenance(VmId("vm-1"), Epoch(epoch), step, time_s)
+
+
+def submit(task: str = "t", job: str = "report") -> c.SubmitTask:
+    return c.SubmitTask(TaskId(task), JobId(job))
+
+
+def grant(
+    task: str = "report/0",
+    vm: str = "vm-1",
+    epoch: int = 1,
+    lease_s: float = 45.0,
+    time_s: float = 0.0,
+) -> c.GrantLease:
+    return c.GrantLease(TaskId(task), VmId(vm), Epoch(epoch), lease_s, time_s)
+
+
+def renew(token: int = 1, time_s: float = 0.0, lease_s: float = 45.0) -> c.RenewLease:
+    return c.RenewLease(TaskId("report/0"), FencingToken(token), lease_s, time_s)
+
+
+def end(token: int = 1, phase: TaskPhase = TaskPhase.FINISHED, time_s: float = 0.0) -> c.FinishTask:
+    return c.FinishTask(TaskId("report/0"), FencingToken(token), phase, "", time_s)
+
+
+def claim(
+    key: str = "k",
+    claimant: str = "p1",
+    digest: bytes = b"d",
+    deadline_s: float = 10.0,
+    time_s: float = 0.0,
+) -> c.Claim:
+    return c.Claim(
+        ServiceId("orders"), IdempotencyKey(key), digest, ProcessId(claimant), deadline_s, time_s
+    )
+
+
+def kept(body: bytes | None = b"ok", status: int = 200) -> c.KeptAnswer:
+    return c.KeptAnswer(status, "text/plain", body, b"digest of " + (body or b"")[:8])
+
+
+def answered(
+    claim_id: int, answer: c.KeptAnswer | None, claimant: str = "p1", time_s: float = 0.0
+) -> c.FinishClaim:
+    return c.FinishClaim(ClaimId(claim_id), ProcessId(claimant), answer, time_s)
+
+
+def release(claim_id: int, claimant: str = "p1") -> c.ReleaseClaim:
+    return c.ReleaseClaim(ClaimId(claim_id), ProcessId(claimant))
+
+
+def ask(subject: str = "vm-1 silent", **changes: Any) -> c.OpenQuestion:
+    command = c.OpenQuestion(
+        subject,
+        "Replace vm-1?",
+        (c.Fact("silent for 60 s", 0.0),),
+        (c.Choice("wait", "nothing changes"), c.Choice("replace", "vm-1 is retired")),
+        "wait",
+        60.0,
+    )
+    return replace(command, **changes)
+
+
+def answer(question: str, choice: str = "wait", author: str = "ann") -> c.AnswerQuestion:
+    return c.AnswerQuestion(QuestionId(question), choice, OperatorId(author), RequestId("a"))
+
+
+def apply_all(machine: StateMachine, *commands: Any) -> list[Result]:
+    """Apply the commands at the next indexes and return their results."""
+    return [machine.apply(LogIndex(machine.index + 1), command) for command in commands]
