Read templates and organisation files into declarations

Cause: operators declare their organisation in a template and an organisation file, and have to see all mistakes at once. Change: read_declaration merges overrides, fills in parameters, checks keys, types, ranges, references, the spare pool, floors, quotas and job sizes, and raises DeclarationError with every problem.

--- a/packages/core/src/marigolddoor_core/declaration/__init__.py
+++ b/packages/core/src/marigolddoor_core/declaration/__init__.py
@@ -1,5 +1,6 @@
 """Declarations of operators: the model, templates, checks and the plan of a change."""
 
+from marigolddoor_core.declaration.errors import DeclarationError, DeclarationProblem
 from marigolddoor_core.declaration.organisation import (
     Declaration,
     Job,
@@ -8,5 +9,16 @@
     Team,
     Weights,
 )
+from marigolddoor_core.declaration.reader import read_declaration
 
-__all__ = ["Declaration", "Job", "Pool", "Service", "Team", "Weights"]
+__all__ = [
+    "Declaration",
+    "DeclarationError",
+    "DeclarationProblem",
+    "Job",
+    "Pool",
+    "Service",
+    "Team",
+    "Weights",
+    "read_declaration",
+]
--- a/packages/core/src/marigolddoor_core/declaration/structure.py
+++ b/packages/core/src/marigolddoor_core/declaration/structure.py
@@ -10,7 +10,7 @@
 
 from marigolddoor_core.declaration.organisation import Declaration, Job, Pool, Service, Team
 
-__all__ = ["StructureProblem", "structure_problems"]
+__all__ = ["PartProblem", "structure_problems"]
 
 RETRY_WINDOW_LIMIT_S = 86_400.0
 # A declaration creates the tasks of its jobs at once, in one command.
@@ -18,28 +18,33 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StructureProblem:
-    """What is wrong with one key of one part, such as `pools`, `web`, `floor`."""
+class PartProblem:
+    """What is wrong with one key of one part, such as `pools`, `web`, `floor`.
+
+    `depends` names other keys of the part that `allowed` follows from.
+    """
 
     section: str
     name: str
     key: str
     value: object
     allowed: str
+    depends: tuple[str, ...] = ()
 
     def __str__(self) -> str:
         """Return the problem as one clause."""
-        return f"{self.section}.{self.name}.{self.key} is {self.value!r}; allowed: {self.allowed}"
+        path = ".".join(part for part in (self.section, self.name, self.key) if part)
+        return f"{path} is {self.value!r}; allowed: {self.allowed}"
 
 
-def structure_problems(declaration: Declaration) -> tuple[StructureProblem, ...]:
+def structure_problems(declaration: Declaration) -> tuple[PartProblem, ...]:
     """Return every broken rule that makes the declaration unusable."""
     return tuple(_problems(declaration))
 
 
-def _problems(declaration: Declaration) -> Iterator[StructureProblem]:
+def _problems(declaration: Declaration) -> Iterator[PartProblem]:
     if not declaration.organisation:
-        yield StructureProblem("organisation", "", "name", "", "a name")
+        yield PartProblem("organisation", "", "", "", "a name")
     yield from _id_problems("services", declaration.services)
     yield from _id_problems("pools", declaration.pools)
     yield from _id_problems("teams", declaration.teams)
@@ -54,30 +59,30 @@
         yield from _team_problems(team)
     for job in declaration.jobs:
         yield from _job_problems(job, pools, teams)
-    tasks = sum(job.tasks for job in declaration.jobs)
-    if tasks > TASKS_LIMIT:
-        yield StructureProblem("jobs", "*", "tasks", tasks, f"at most {TASKS_LIMIT} in all jobs")
+    tasks = [job.tasks for job in declaration.jobs]
+    if sum(tasks) > TASKS_LIMIT >= max(tasks):
+        yield PartProblem("jobs", "", "", sum(tasks), f"at most {TASKS_LIMIT} tasks in all jobs")
     weights = declaration.weights
     for key in ("buffer", "flood", "rollout", "moves"):
         value = getattr(weights, key)
         if value < 0.0:
-            yield StructureProblem("weights", "", key, value, "at least 0")
+            yield PartProblem("weights", "", key, value, "at least 0")
 
 
 def _id_problems(
     section: str, parts: Sequence[Service | Pool | Team | Job]
-) -> Iterator[StructureProblem]:
+) -> Iterator[PartProblem]:
     for name, count in Counter(str(part.id) for part in parts).items():
         # The ids of tasks and outcomes use `/` as their separator.
         if not name or "/" in name:
-            yield StructureProblem(section, name, "id", name, "a name without `/`")
+            yield PartProblem(section, name, "id", name, "a name without `/`")
         if count > 1:
-            yield StructureProblem(section, name, "id", name, f"one of {section} with this name")
+            yield PartProblem(section, name, "id", name, f"one of {section} with this name")
 
 
-def _service_problems(service: Service, pools: set[str]) -> Iterator[StructureProblem]:
-    def problem(key: str, value: object, allowed: str) -> StructureProblem:
-        return StructureProblem("services", service.id, key, value, allowed)
+def _service_problems(service: Service, pools: set[str]) -> Iterator[PartProblem]:
+    def problem(key: str, value: object, allowed: str) -> PartProblem:
+        return PartProblem("services", service.id, key, value, allowed)
 
     if service.pool not in pools:
         yield problem("pool", service.pool, _one_of(pools))
@@ -91,32 +96,36 @@
         yield problem("retry_window_s", service.retry_window_s, "0 to 86400 s")
 
 
-def _pool_problems(pool: Pool) -> Iterator[StructureProblem]:
-    def problem(key: str, value: object, allowed: str) -> StructureProblem:
-        return StructureProblem("pools", pool.id, key, value, allowed)
+def _pool_problems(pool: Pool) -> Iterator[PartProblem]:
+    def problem(key: str, value: object, allowed: str, *depends: str) -> PartProblem:
+        return PartProblem("pools", pool.id, key, value, allowed, depends)
 
+    if pool.maintenance_interval_s <= 0.0:
+        yield problem("maintenance_interval_s", pool.maintenance_interval_s, "more than 0 s")
     if pool.size < 1:
         yield problem("size", pool.size, "at least 1 VM")
+        return
     if not 0 <= pool.floor <= pool.size:
-        yield problem("floor", pool.floor, f"0 to the size of the pool, {pool.size} VMs")
-    if not 0 <= pool.max_unavailable < max(pool.size, 1):
+        yield problem("floor", pool.floor, f"0 to the size of the pool, {pool.size} VMs", "size")
+    if not 0 <= pool.max_unavailable < pool.size:
         yield problem(
-            "max_unavailable", pool.max_unavailable, f"0 to {pool.size - 1} VMs, below the size"
+            "max_unavailable",
+            pool.max_unavailable,
+            f"0 to {pool.size - 1} VMs, below the size of the pool",
+            "size",
         )
-    if pool.maintenance_interval_s <= 0.0:
-        yield problem("maintenance_interval_s", pool.maintenance_interval_s, "more than 0 s")
 
 
-def _team_problems(team: Team) -> Iterator[StructureProblem]:
+def _team_problems(team: Team) -> Iterator[PartProblem]:
     if team.slots < 0:
-        yield StructureProblem("teams", team.id, "slots", team.slots, "at least 0")
+        yield PartProblem("teams", team.id, "slots", team.slots, "at least 0")
     if team.cores < 0.0:
-        yield StructureProblem("teams", team.id, "cores", team.cores, "at least 0")
+        yield PartProblem("teams", team.id, "cores", team.cores, "at least 0")
 
 
-def _job_problems(job: Job, pools: set[str], teams: set[str]) -> Iterator[StructureProblem]:
-    def problem(key: str, value: object, allowed: str) -> StructureProblem:
-        return StructureProblem("jobs", job.id, key, value, allowed)
+def _job_problems(job: Job, pools: set[str], teams: set[str]) -> Iterator[PartProblem]:
+    def problem(key: str, value: object, allowed: str) -> PartProblem:
+        return PartProblem("jobs", job.id, key, value, allowed)
 
     if job.pool not in pools:
         yield problem("pool", job.pool, _one_of(pools))
