Add the plan of a change of the declaration

Cause: operators read what a change does before they apply it. Change: plan() returns typed items, each with one sentence, for objects, VMs and tasks; an item is blocked where the state machine refuses the change. Conclusion: the plan is not re-exported by the declaration package, because it needs the objects of the state, which import the declaration.

--- /dev/null
+++ b/packages/core/src/marigolddoor_core/declaration/plan.py
@@ -0,0 +1,263 @@
+"""What a new declaration would change, for operators to read before they apply it."""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, fields
+from enum import Enum
+from typing import TypeVar
+
+from marigolddoor_core.declaration.organisation import (
+    Declaration,
+    Job,
+    Pool,
+    Service,
+    Team,
+    Weights,
+)
+from marigolddoor_core.ids import VmId
+from marigolddoor_core.state.objects import ObjectKind, VmRecord
+from marigolddoor_core.targets import Resources
+
+__all__ = ["Effect", "Plan", "PlanItem", "plan"]
+
+Part = Service | Pool | Team | Job
+# Keys whose changes have items of their own.
+ITEM_KEYS: dict[ObjectKind, frozenset[str]] = {
+    ObjectKind.SERVICE: frozenset({"pool"}),
+    ObjectKind.POOL: frozenset({"size"}),
+    ObjectKind.JOB: frozenset({"pool", "tasks", "version"}),
+}
+K = TypeVar("K")
+
+
+class Effect(Enum):
+    """The kind of a change."""
+
+    ADD = "add"
+    REMOVE = "remove"
+    CHANGE = "change"
+    RESIZE = "resize"
+    MOVE = "move"
+    DRAIN = "drain"
+    START = "start"
+    STOP = "stop"
+    ROLL_OUT = "roll out"
+    BLOCKED = "blocked"
+
+
+@dataclass(frozen=True, slots=True)
+class PlanItem:
+    """One effect of a change on the object `key`.
+
+    `count` is the number of VMs or tasks that are affected, 0 where neither is.
+    """
+
+    effect: Effect
+    kind: ObjectKind
+    key: str
+    count: int
+    sentence: str
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The effects of a change. A change with a blocked item is refused when it is applied."""
+
+    items: tuple[PlanItem, ...]
+
+    @property
+    def blocked(self) -> bool:
+        """Return whether the state machine would refuse the change."""
+        return any(item.effect is Effect.BLOCKED for item in self.items)
+
+
+def plan(current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]) -> Plan:
+    """Return what replacing `current` by `proposed` would do to objects, VMs and tasks.
+
+    VMs and tasks change after the declaration is in force, in waves within the budgets. Counts of
+    VMs follow the assignments in `vms`; a VM on its way counts for the pool that it moves to.
+    """
+    items: list[PlanItem] = []
+    if current.organisation and current.organisation != proposed.organisation:
+        items.append(
+            PlanItem(
+                Effect.BLOCKED,
+                ObjectKind.REVISION,
+                str(proposed.organisation),
+                0,
+                f"The organisation is {current.organisation} and cannot become"
+                f" {proposed.organisation}.",
+            )
+        )
+    items.extend(_service_items(current, proposed))
+    items.extend(_pool_items(current, proposed, vms))
+    items.extend(_team_items(current, proposed))
+    items.extend(_job_items(current, proposed))
+    items.extend(_changes(ObjectKind.WEIGHTS, "weights", current.weights, proposed.weights))
+    return Plan(tuple(items))
+
+
+def _service_items(current: Declaration, proposed: Declaration) -> Iterator[PlanItem]:
+    kind = ObjectKind.SERVICE
+    before = {service.id: service for service in current.services}
+    after = {service.id: service for service in proposed.services}
+    for key, service in after.items():
+        old = before.get(key)
+        if old is None:
+            sentence = f"Service {key} is added and uses the executors of pool {service.pool}."
+            yield PlanItem(Effect.ADD, kind, key, 0, sentence)
+            continue
+        yield from _changes(kind, key, old, service)
+        if old.pool != service.pool:
+            sentence = (
+                f"Requests of service {key} go to the executors of pool {service.pool} instead of"
+                f" pool {old.pool}."
+            )
+            yield PlanItem(Effect.MOVE, kind, key, 0, sentence)
+    for key in _missing(before, after):
+        sentence = f"Service {key} is removed and its requests are refused."
+        yield PlanItem(Effect.REMOVE, kind, key, 0, sentence)
+
+
+def _pool_items(
+    current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]
+) -> Iterator[PlanItem]:
+    kind = ObjectKind.POOL
+    before = {pool.id: pool for pool in current.pools}
+    after = {pool.id: pool for pool in proposed.pools}
+    spare = next((pool for pool in proposed.pools if pool.spare), None)
+    have = Counter(vm.pool if vm.next_pool is None else vm.next_pool for vm in vms.values())
+    lendable = 0 if spare is None else max(have[spare.id] - spare.floor, 0)
+    for key, pool in after.items():
+        old = before.get(key)
+        if old is None:
+            sentence = f"Pool {key} is added with a size of {_count(pool.size, 'VM')}."
+            yield PlanItem(Effect.ADD, kind, key, 0, sentence)
+        else:
+            yield from _changes(kind, key, old, pool)
+            if old.size == pool.size:
+                continue
+            sentence = f"Pool {key} goes from {old.size} to {_count(pool.size, 'VM')}."
+            yield PlanItem(Effect.RESIZE, kind, key, abs(pool.size - old.size), sentence)
+        lacking = pool.size - have[key]
+        if spare is not None and pool is not spare:
+            moved = min(max(lacking, 0), lendable)
+            lendable -= moved
+            lacking -= moved
+            yield from _move_items(pool, spare, moved, -lacking)
+        if lacking > 0:
+            sentence = f"Pool {key} lacks {_count(lacking, 'VM')} that have to be provided."
+            yield PlanItem(Effect.ADD, ObjectKind.VM, key, lacking, sentence)
+    for key in _missing(before, after):
+        held = sum(key in (vm.pool, vm.next_pool) for vm in vms.values())
+        if held:
+            sentence = (
+                f"Pool {key} cannot be removed while {_count(held, 'VM')} belong to it or move to"
+                " it; move or retire them first."
+            )
+            yield PlanItem(Effect.BLOCKED, kind, key, held, sentence)
+        else:
+            yield PlanItem(Effect.REMOVE, kind, key, 0, f"Pool {key} is removed.")
+
+
+def _move_items(pool: Pool, spare: Pool, gained: int, surplus: int) -> Iterator[PlanItem]:
+    kind = ObjectKind.POOL
+    if gained > 0:
+        vms = _count(gained, "VM")
+        sentence = f"Spare pool {spare.id} drains {vms} for pool {pool.id}."
+        yield PlanItem(Effect.DRAIN, kind, spare.id, gained, sentence)
+        sentence = f"Pool {pool.id} gets {vms} from spare pool {spare.id}."
+        yield PlanItem(Effect.MOVE, kind, pool.id, gained, sentence)
+    if surplus > 0:
+        vms = _count(surplus, "VM")
+        sentence = f"Pool {pool.id} drains {vms} within its budget."
+        yield PlanItem(Effect.DRAIN, kind, pool.id, surplus, sentence)
+        sentence = f"Spare pool {spare.id} gets {vms} from pool {pool.id}."
+        yield PlanItem(Effect.MOVE, kind, pool.id, surplus, sentence)
+
+
+def _team_items(current: Declaration, proposed: Declaration) -> Iterator[PlanItem]:
+    kind = ObjectKind.TEAM
+    before = {team.id: team for team in current.teams}
+    after = {team.id: team for team in proposed.teams}
+    for key, team in after.items():
+        old = before.get(key)
+        if old is None:
+            sentence = (
+                f"Team {key} is added with a quota of {_count(team.slots, 'slot')} and"
+                f" {team.cores:g} cores."
+            )
+            yield PlanItem(Effect.ADD, kind, key, 0, sentence)
+        else:
+            yield from _changes(kind, key, old, team)
+    for key in _missing(before, after):
+        sentence = f"Team {key} is removed and its requests are refused."
+        yield PlanItem(Effect.REMOVE, kind, key, 0, sentence)
+
+
+def _job_items(current: Declaration, proposed: Declaration) -> Iterator[PlanItem]:
+    kind = ObjectKind.JOB
+    before = {job.id: job for job in current.jobs}
+    after = {job.id: job for job in proposed.jobs}
+    for key, job in after.items():
+        old = before.get(key)
+        if old is None:
+            yield PlanItem(Effect.ADD, kind, key, 0, f"Job {key} is added on pool {job.pool}.")
+        else:
+            yield from _changes(kind, key, old, job)
+        yield from _task_items(job, 0 if old is None else old.tasks, job.tasks)
+        if old is not None and old.pool != job.pool:
+            sentence = f"Runs of job {key} start on pool {job.pool}; those on {old.pool} end there."
+            yield PlanItem(Effect.MOVE, kind, key, min(old.tasks, job.tasks), sentence)
+        if old is not None and old.version != job.version:
+            sentence = (
+                f"Job {key} goes from version {old.version} to {job.version} in a wave over"
+                f" {_count(min(old.tasks, job.tasks), 'task')}."
+            )
+            yield PlanItem(Effect.ROLL_OUT, kind, key, min(old.tasks, job.tasks), sentence)
+    for key in _missing(before, after):
+        yield PlanItem(Effect.REMOVE, kind, key, 0, f"Job {key} is removed.")
+        yield from _task_items(before[key], before[key].tasks, 0)
+
+
+def _task_items(job: Job, before: int, after: int) -> Iterator[PlanItem]:
+    kind = ObjectKind.TASK
+    if after > before:
+        sentence = f"Job {job.id} starts {_count(after - before, 'task')}."
+        yield PlanItem(Effect.START, kind, job.id, after - before, sentence)
+    elif after < before:
+        sentence = f"Job {job.id} stops {_count(before - after, 'task')}, which are cancelled."
+        yield PlanItem(Effect.STOP, kind, job.id, before - after, sentence)
+
+
+def _changes(
+    kind: ObjectKind, key: str, before: Part | Weights, after: Part | Weights
+) -> Iterator[PlanItem]:
+    changes = [
+        f"{field.name} {_text(getattr(before, field.name))} to {_text(getattr(after, field.name))}"
+        for field in fields(after)
+        if field.name not in ITEM_KEYS.get(kind, frozenset())
+        and getattr(before, field.name) != getattr(after, field.name)
+    ]
+    if not changes:
+        return
+    start = (
+        "Weights change" if kind is ObjectKind.WEIGHTS else f"{kind.value.title()} {key} changes"
+    )
+    yield PlanItem(Effect.CHANGE, kind, key, 0, f"{start}: {', '.join(changes)}.")
+
+
+def _missing(before: Mapping[K, object], after: Mapping[K, object]) -> list[K]:
+    return [key for key in before if key not in after]
+
+
+def _count(count: int, noun: str) -> str:
+    return f"{count} {noun}" if count == 1 else f"{count} {noun}s"
+
+
+def _text(value: object) -> str:
+    if isinstance(value, Resources):
+        return f"({value.cores:g} cores, {value.memory_mb} MB, {value.accelerators} accelerators)"
+    if isinstance(value, float):
+        return f"{value:g}"
+    return str(value)
