Add the timeline: events, hybrid clock, recorder, filters, merge and wire form

Cause: an operator who asks why a VM moved or a request was late needs the events of several processes in one order. Change: the core gets typed events with subjects and cause links, a hybrid logical clock that takes physical time as an argument, a bounded recorder, filters and a merge. The merge orders by hybrid time, but keeps the order of each process and never shows an effect before its cause; a process that was not reached is listed. FetchTimeline and its reply, the IDL and the codec lookup carry it. RequestDrain is added to the commands, because RecordMaintenance would begin maintenance outside the waves and their budget. Conclusion: processes can record now; the control process still has to fetch from its peers.

--- a/packages/core/src/marigolddoor_core/state/commands.py
+++ b/packages/core/src/marigolddoor_core/state/commands.py
@@ -51,6 +51,7 @@
     "RegisterVm",
     "ReleaseClaim",
     "RenewLease",
+    "RequestDrain",
     "RetireVm",
     "SetAsideTask",
     "SubmitTask",
@@ -288,6 +289,21 @@
     time_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestDrain:
+    """Ask for the maintenance of one VM, or of every VM of a pool, before its calendar date.
+
+    Exactly one of `pool` and `vm` is set. The maintenance waves do the work within the pool's
+    budget. A resend with the same `request` changes nothing.
+    """
+
+    pool: PoolId | None
+    vm: VmId | None
+    author: OperatorId
+    request: RequestId
+    time_s: float = 0.0
+
+
 Command = (
     ApplyDeclaration
     | RegisterVm
@@ -308,4 +324,5 @@
     | AnswerQuestion
     | CloseQuestion
     | RecordMaintenance
+    | RequestDrain
 )
--- a/packages/core/src/marigolddoor_core/timeline/__init__.py
+++ b/packages/core/src/marigolddoor_core/timeline/__init__.py
@@ -1,1 +1,31 @@
-"""Events of all processes in one order."""
+"""The timeline: typed events of all processes in one order."""
+
+from marigolddoor_core.timeline.clock import HybridTime, observe, tick
+from marigolddoor_core.timeline.events import Event, EventId, EventKind, Subject
+from marigolddoor_core.timeline.filters import TimelineFilter, select
+from marigolddoor_core.timeline.recorder import Recorder
+from marigolddoor_core.timeline.timelines import (
+    MissingProcess,
+    ProcessTimeline,
+    Timeline,
+    merge,
+    order,
+)
+
+__all__ = [
+    "Event",
+    "EventId",
+    "EventKind",
+    "HybridTime",
+    "MissingProcess",
+    "ProcessTimeline",
+    "Recorder",
+    "Subject",
+    "Timeline",
+    "TimelineFilter",
+    "merge",
+    "observe",
+    "order",
+    "select",
+    "tick",
+]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/timeline/recorder.py
@@ -0,0 +1,61 @@
+"""The events that one process remembers."""
+
+from collections import deque
+
+from marigolddoor_core.ids import ProcessId
+from marigolddoor_core.timeline.clock import START, HybridTime, observe, tick
+from marigolddoor_core.timeline.events import Event, EventId, EventKind, Subject
+from marigolddoor_core.timeline.filters import TimelineFilter, select
+from marigolddoor_core.timeline.timelines import ProcessTimeline
+
+__all__ = ["DEFAULT_CAPACITY", "Recorder"]
+
+# About 4 MB: an event with its texts takes close to 1 KB.
+DEFAULT_CAPACITY = 4096
+
+
+class Recorder:
+    """Keeps the latest `capacity` events of a process and counts the older ones as dropped."""
+
+    def __init__(self, process: ProcessId, capacity: int = DEFAULT_CAPACITY) -> None:
+        self.process = process
+        self.events: deque[Event] = deque(maxlen=capacity)
+        self.last = START
+        self.sequence = 0
+
+    def record(
+        self,
+        kind: EventKind,
+        physical_ms: int,
+        subject: Subject,
+        text: str = "",
+        cause: EventId | None = None,
+    ) -> EventId:
+        """Remember an event and return its id, for use as the cause of later ones."""
+        self.last = tick(self.last, physical_ms)
+        self.sequence += 1
+        event_id = EventId(f"{self.process}/{self.sequence}")
+        self.events.append(
+            Event(event_id, self.process, self.sequence, self.last, kind, subject, text, cause)
+        )
+        return event_id
+
+    def observe(self, remote: HybridTime, physical_ms: int) -> None:
+        """Take over the time of a message, so that what follows is ordered after it."""
+        self.last = observe(self.last, remote, physical_ms)
+
+    def fetch(
+        self, wanted: TimelineFilter, after_sequence: int = 0, limit: int = DEFAULT_CAPACITY
+    ) -> ProcessTimeline:
+        """Return the first `limit` wanted events after `after_sequence`, and the next position."""
+        oldest = self.events[0].sequence if self.events else self.sequence + 1
+        chosen = [
+            event for event in select(tuple(self.events), wanted) if event.sequence > after_sequence
+        ]
+        if len(chosen) > limit:
+            chosen = chosen[:limit]
+            position = chosen[-1].sequence
+        else:
+            position = self.sequence
+        dropped = max(0, oldest - 1 - after_sequence)
+        return ProcessTimeline(self.process, tuple(chosen), position, dropped)
--- a/packages/wire/idl/messages.thrift
+++ b/packages/wire/idl/messages.thrift
@@ -2,6 +2,7 @@
 namespace py marigolddoor_wire.gen.messages
 
 include "state.thrift"
+include "timeline.thrift"
 
 /** What one frame holds. A reply has the correlation of its request; 0 is a one-way message. */
 struct Envelope { 1: i64 correlation, 2: bool reply, 3: string kind, 4: binary body }
@@ -23,3 +24,5 @@
 struct ReportDemand { 1: string process, 2: string data_centre, 3: double interval_s, 4: list<ServiceDemand> services }
 struct TargetDelta { 1: string process, 2: i64 sequence, 3: bool full, 4: list<TargetReport> targets, 5: list<string> gone }
 struct ShareReport { 1: string process, 2: list<ServiceDemand> demand }
+struct FetchTimeline { 1: timeline.TimelineFilter wanted, 2: i64 after_sequence, 3: i64 limit, 4: optional timeline.HybridTime time }
+struct FetchTimelineReply { 1: timeline.ProcessTimeline timeline, 2: optional timeline.HybridTime time }
--- a/packages/wire/idl/state.thrift
+++ b/packages/wire/idl/state.thrift
@@ -35,6 +35,7 @@
 struct AnswerQuestion { 1: string question, 2: string choice, 3: string author, 4: string request, 5: double time_s }
 struct CloseQuestion { 1: string question, 2: string reason, 3: double time_s }
 struct RecordMaintenance { 1: string vm, 2: i64 epoch, 3: string step, 4: double time_s }
+struct RequestDrain { 1: optional string pool, 2: optional string vm, 3: string author, 4: string request, 5: double time_s }
 
 struct Done {}
 struct Refused { 1: string refusal, 2: string detail }
--- a/packages/wire/src/marigolddoor_wire/codec.py
+++ b/packages/wire/src/marigolddoor_wire/codec.py
@@ -24,6 +24,7 @@
 
 from marigolddoor_wire.gen.messages import ttypes as message_types
 from marigolddoor_wire.gen.state import ttypes as state_types
+from marigolddoor_wire.gen.timeline import ttypes as timeline_types
 from marigolddoor_wire.schema import MODULES
 
 __all__ = [
@@ -193,7 +194,7 @@
 
 def _build_codec(message_type: type[Any]) -> StructCodec:
     name = message_type.__name__
-    thrift_type = getattr(message_types, name, None) or getattr(state_types, name, None)
+    thrift_type = _thrift_type(name)
     if thrift_type is None:
         raise DecodeError(f"no thrift struct for {name}")
     hints = get_type_hints(message_type)
@@ -203,6 +204,14 @@
     return StructCodec(message_type, thrift_type, fields)
 
 
+def _thrift_type(name: str) -> type[Any] | None:
+    for generated in (message_types, state_types, timeline_types):
+        thrift_type: type[Any] | None = getattr(generated, name, None)
+        if thrift_type is not None:
+            return thrift_type
+    return None
+
+
 def _field_codec(field: "dataclasses.Field[Any]", hint: Any) -> FieldCodec:
     to_thrift, from_thrift = _converters(hint)
     return FieldCodec(
--- a/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
@@ -12,6 +12,7 @@
 
 import sys
 import marigolddoor_wire.gen.state.ttypes
+import marigolddoor_wire.gen.timeline.ttypes
 
 from thrift.transport import TTransport
 all_structs = []
@@ -1887,6 +1888,194 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class FetchTimeline(object):
+    """
+    Attributes:
+     - wanted
+     - after_sequence
+     - limit
+     - time
+
+    """
+
+    __slots__ = (
+        'wanted',
+        'after_sequence',
+        'limit',
+        'time',
+    )
+
+
+    def __init__(self, wanted=None, after_sequence=None, limit=None, time=None,):
+        self.wanted = wanted
+        self.after_sequence = after_sequence
+        self.limit = limit
+        self.time = time
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.wanted = marigolddoor_wire.gen.timeline.ttypes.TimelineFilter()
+                    self.wanted.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.after_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.limit = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.time = marigolddoor_wire.gen.timeline.ttypes.HybridTime()
+                    self.time.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FetchTimeline')
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.STRUCT, 1)
+            self.wanted.write(oprot)
+            oprot.writeFieldEnd()
+        if self.after_sequence is not None:
+            oprot.writeFieldBegin('after_sequence', TType.I64, 2)
+            oprot.writeI64(self.after_sequence)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I64, 3)
+            oprot.writeI64(self.limit)
+            oprot.writeFieldEnd()
+        if self.time is not None:
+            oprot.writeFieldBegin('time', TType.STRUCT, 4)
+            self.time.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FetchTimelineReply(object):
+    """
+    Attributes:
+     - timeline
+     - time
+
+    """
+
+    __slots__ = (
+        'timeline',
+        'time',
+    )
+
+
+    def __init__(self, timeline=None, time=None,):
+        self.timeline = timeline
+        self.time = time
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.timeline = marigolddoor_wire.gen.timeline.ttypes.ProcessTimeline()
+                    self.timeline.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.time = marigolddoor_wire.gen.timeline.ttypes.HybridTime()
+                    self.time.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FetchTimelineReply')
+        if self.timeline is not None:
+            oprot.writeFieldBegin('timeline', TType.STRUCT, 1)
+            self.timeline.write(oprot)
+            oprot.writeFieldEnd()
+        if self.time is not None:
+            oprot.writeFieldBegin('time', TType.STRUCT, 2)
+            self.time.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2024,5 +2213,19 @@
     (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'demand', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 2
 )
+all_structs.append(FetchTimeline)
+FetchTimeline.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'wanted', [marigolddoor_wire.gen.timeline.ttypes.TimelineFilter, None], None, ),  # 1
+    (2, TType.I64, 'after_sequence', None, None, ),  # 2
+    (3, TType.I64, 'limit', None, None, ),  # 3
+    (4, TType.STRUCT, 'time', [marigolddoor_wire.gen.timeline.ttypes.HybridTime, None], None, ),  # 4
+)
+all_structs.append(FetchTimelineReply)
+FetchTimelineReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'timeline', [marigolddoor_wire.gen.timeline.ttypes.ProcessTimeline, None], None, ),  # 1
+    (2, TType.STRUCT, 'time', [marigolddoor_wire.gen.timeline.ttypes.HybridTime, None], None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
@@ -3269,6 +3269,122 @@
         return not (self == other)
 
 
+class RequestDrain(object):
+    """
+    Attributes:
+     - pool
+     - vm
+     - author
+     - request
+     - time_s
+
+    """
+
+    __slots__ = (
+        'pool',
+        'vm',
+        'author',
+        'request',
+        'time_s',
+    )
+
+
+    def __init__(self, pool=None, vm=None, author=None, request=None, time_s=None,):
+        self.pool = pool
+        self.vm = vm
+        self.author = author
+        self.request = request
+        self.time_s = time_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.author = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.time_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestDrain')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 2)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.author is not None:
+            oprot.writeFieldBegin('author', TType.STRING, 3)
+            oprot.writeString(self.author.encode('utf-8') if sys.version_info[0] == 2 else self.author)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 4)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.time_s is not None:
+            oprot.writeFieldBegin('time_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.time_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Done(object):
 
     __slots__ = (
@@ -5180,6 +5296,15 @@
     (3, TType.STRING, 'step', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'time_s', None, None, ),  # 4
 )
+all_structs.append(RequestDrain)
+RequestDrain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'vm', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'author', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'request', 'UTF8', None, ),  # 4
+    (5, TType.DOUBLE, 'time_s', None, None, ),  # 5
+)
 all_structs.append(Done)
 Done.thrift_spec = (
 )
--- a/packages/wire/src/marigolddoor_wire/messages.py
+++ b/packages/wire/src/marigolddoor_wire/messages.py
@@ -17,11 +17,16 @@
 from marigolddoor_core.state.objects import Change
 from marigolddoor_core.state.results import Result
 from marigolddoor_core.targets import Announcement, TargetState
+from marigolddoor_core.timeline.clock import HybridTime
+from marigolddoor_core.timeline.filters import TimelineFilter
+from marigolddoor_core.timeline.timelines import ProcessTimeline
 
 __all__ = [
     "Acknowledgement",
     "ErrorKind",
     "ErrorReply",
+    "FetchTimeline",
+    "FetchTimelineReply",
     "LeaseRenewal",
     "Propose",
     "ProposeReply",
@@ -185,3 +190,21 @@
 
     process: ProcessId
     demand: tuple[ServiceDemand, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTimeline:
+    """Ask a process for its events after `after_sequence`; `time` is the time of the sender."""
+
+    wanted: TimelineFilter
+    after_sequence: int
+    limit: int
+    time: HybridTime | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTimelineReply:
+    """The events of the process that was asked; `time` is its time."""
+
+    timeline: ProcessTimeline
+    time: HybridTime | None = None
--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -5,9 +5,21 @@
 from marigolddoor_core import targets
 from marigolddoor_core.declaration import organisation
 from marigolddoor_core.state import commands, objects, results
+from marigolddoor_core.timeline import clock, events, filters, timelines
 
 from marigolddoor_wire import messages
 
 __all__ = ["MODULES"]
 
-MODULES: tuple[ModuleType, ...] = (targets, organisation, commands, objects, results, messages)
+MODULES: tuple[ModuleType, ...] = (
+    targets,
+    organisation,
+    commands,
+    objects,
+    results,
+    clock,
+    events,
+    filters,
+    timelines,
+    messages,
+)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -44,10 +44,20 @@
     TaskPhase,
     TaskReport,
 )
+from marigolddoor_core.timeline import (
+    Event,
+    EventId,
+    EventKind,
+    HybridTime,
+    ProcessTimeline,
+    Subject,
+)
 from marigolddoor_wire.codec import DecodeError, decode, encode
 from marigolddoor_wire.gen.messages import ttypes as message_types
 from marigolddoor_wire.gen.state import ttypes as state_types
+from marigolddoor_wire.gen.timeline import ttypes as timeline_types
 from marigolddoor_wire.messages import (
+    FetchTimelineReply,
     Propose,
     ProposeReply,
     ReportTargets,
@@ -130,6 +140,26 @@
             ),
             ("", Propose(Claim(ServiceId("s"), IdempotencyKey("k"), b"", ProcessId("p"), 9.0), 1)),
             ("", ProposeReply(Done())),
+            (
+                "",
+                FetchTimelineReply(
+                    ProcessTimeline(
+                        ProcessId("p"),
+                        (
+                            Event(
+                                EventId("p/1"),
+                                ProcessId("p"),
+                                1,
+                                HybridTime(5, 2),
+                                EventKind.MOVE_BEGUN,
+                                Subject(service=ServiceId("s"), vm=VmId("vm-1")),
+                                cause=EventId("q/9"),
+                            ),
+                        ),
+                        1,
+                    )
+                ),
+            ),
             (
                 "",
                 ReportTargets(
@@ -163,7 +193,11 @@
 
     def test_fields(self) -> None:
         name = self.message_type.__name__
-        struct = getattr(message_types, name, None) or getattr(state_types, name, None)
+        struct = (
+            getattr(message_types, name, None)
+            or getattr(state_types, name, None)
+            or getattr(timeline_types, name, None)
+        )
         self.assertIsNotNone(struct, f"no thrift struct for {name}")
         in_idl = [spec[2].replace("service_id", "service") for spec in struct.thrift_spec if spec]
         self.assertEqual([field.name for field in dataclasses.fields(self.message_type)], in_idl)
