--- /dev/null
+++ b/packages/core/src/marigolddoor_core/operations/reports.py
@@ -0,0 +1,205 @@
+"""What operators are shown."""
+
+from dataclasses import dataclass
+
+from marigolddoor_core.ids import (
+    DataCentreId,
+    Epoch,
+    JobId,
+    LogIndex,
+    OperatorId,
+    OrganisationId,
+    PoolId,
+    ProcessId,
+    QuestionId,
+    RackId,
+    ReplicaId,
+    RequestId,
+    Revision,
+    TaskId,
+    TeamId,
+    VmId,
+)
+from marigolddoor_core.operations.views import InForce
+from marigolddoor_core.state.commands import Choice, MaintenanceStep
+from marigolddoor_core.targets import TargetState
+
+__all__ = [
+    "ApplyReport",
+    "DoneReport",
+    "ErrorReport",
+    "FactReport",
+    "JobReport",
+    "JobsReport",
+    "PlanReport",
+    "PoolReport",
+    "PoolsReport",
+    "QuestionReport",
+    "QuestionsReport",
+    "SetAsideReport",
+    "StatusReport",
+    "VmReport",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReport:
+    """The state of the whole system in a few numbers.
+
+    `behind` lists the entry processes that work with an older revision than the current one.
+    """
+
+    organisation: OrganisationId | None
+    revision: Revision
+    index: LogIndex
+    time_s: float
+    replica: ReplicaId
+    leader: ReplicaId | None
+    vms: int
+    ready: int
+    tasks_waiting: int
+    tasks_leased: int
+    tasks_set_aside: int
+    open_questions: int
+    in_force: tuple[InForce, ...] = ()
+    behind: tuple[ProcessId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VmReport:
+    """One VM of a pool. `state` is None if no process has heard from it."""
+
+    vm: VmId
+    data_centre: DataCentreId
+    rack: RackId
+    epoch: Epoch
+    state: TargetState | None
+    next_pool: PoolId | None
+    maintenance: MaintenanceStep | None
+
+
+@dataclass(frozen=True, slots=True)
+class PoolReport:
+    """A pool against its declaration. `unavailable` counts planned and unplanned losses."""
+
+    pool: PoolId
+    size: int
+    floor: int
+    spare: bool
+    assigned: int
+    available: int
+    unavailable: int
+    max_unavailable: int
+    within_budget: bool
+    vms: tuple[VmReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PoolsReport:
+    """All declared pools."""
+
+    revision: Revision
+    pools: tuple[PoolReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SetAsideReport:
+    """A task that is not placed any more, with the reason."""
+
+    task: TaskId
+    reason: str
+    failures: int
+    failed_on: tuple[VmId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class JobReport:
+    """A job and the number of its tasks in each state."""
+
+    job: JobId
+    pool: PoolId
+    team: TeamId
+    version: str
+    urgent: bool
+    tasks: int
+    waiting: int
+    leased: int
+    finished: int
+    cancelled: int
+    set_aside: tuple[SetAsideReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class JobsReport:
+    """All declared jobs."""
+
+    revision: Revision
+    jobs: tuple[JobReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FactReport:
+    """A fact of a question and its age in seconds."""
+
+    text: str
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuestionReport:
+    """A question. `default_in_s` is the time until the default takes effect."""
+
+    question: QuestionId
+    subject: str
+    sentence: str
+    facts: tuple[FactReport, ...]
+    choices: tuple[Choice, ...]
+    default: str
+    default_in_s: float
+    answer: str | None
+    author: OperatorId | None
+    closed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class QuestionsReport:
+    """The open questions, or all that are remembered."""
+
+    questions: tuple[QuestionReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanReport:
+    """What a declaration would change against `revision`. `plan` is the plan's plain form."""
+
+    revision: Revision
+    plan: object
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyReport:
+    """The declaration is the current revision, or was when `request` was first received."""
+
+    revision: Revision
+    request: RequestId
+    author: OperatorId
+
+
+@dataclass(frozen=True, slots=True)
+class DoneReport:
+    """The operation was accepted."""
+
+    request: RequestId
+    author: OperatorId
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorReport:
+    """An operation that failed. `error` is the name of the error class on the errors page."""
+
+    error: str
+    message: str
+    problems: tuple[str, ...] = ()
+    current_revision: Revision | None = None
+    author: OperatorId | None = None
+    choice: str | None = None
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/operations/summaries.py
@@ -0,0 +1,168 @@
+"""Reports of the state for operators."""
+
+from collections import Counter, defaultdict
+
+from marigolddoor_core.declaration.organisation import Job, Pool
+from marigolddoor_core.ids import JobId, PoolId
+from marigolddoor_core.operations.reports import (
+    FactReport,
+    JobReport,
+    JobsReport,
+    PoolReport,
+    PoolsReport,
+    QuestionReport,
+    QuestionsReport,
+    SetAsideReport,
+    StatusReport,
+    VmReport,
+)
+from marigolddoor_core.operations.views import StateView
+from marigolddoor_core.state.commands import MaintenanceStep
+from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, TaskState, VmRecord
+from marigolddoor_core.targets import TargetState
+
+__all__ = ["is_open", "jobs_report", "pools_report", "questions_report", "status_report"]
+
+
+def status_report(view: StateView) -> StatusReport:
+    """Return the state of the system in a few numbers."""
+    states = Counter(task.state for task in view.tasks.values())
+    in_force = tuple(sorted(view.in_force, key=lambda one: one.process))
+    return StatusReport(
+        organisation=None if view.declaration is None else view.declaration.organisation,
+        revision=view.revision,
+        index=view.index,
+        time_s=view.time_s,
+        replica=view.replica,
+        leader=view.leader,
+        vms=len(view.vms),
+        ready=sum(_is_available(view, vm) for vm in view.vms.values()),
+        tasks_waiting=states[TaskState.WAITING],
+        tasks_leased=states[TaskState.LEASED],
+        tasks_set_aside=states[TaskState.SET_ASIDE],
+        open_questions=sum(is_open(question) for question in view.questions.values()),
+        in_force=in_force,
+        behind=tuple(one.process for one in in_force if one.revision < view.revision),
+    )
+
+
+def pools_report(view: StateView, only: PoolId | None = None) -> PoolsReport:
+    """Return the declared pools, or one of them, with their VMs."""
+    members: dict[PoolId, list[VmRecord]] = defaultdict(list)
+    for vm in view.vms.values():
+        members[vm.pool].append(vm)
+    declared = () if view.declaration is None else view.declaration.pools
+    return PoolsReport(
+        view.revision,
+        tuple(
+            _pool_report(view, pool, members[pool.id])
+            for pool in sorted(declared, key=lambda pool: pool.id)
+            if only is None or pool.id == only
+        ),
+    )
+
+
+def jobs_report(view: StateView, only: JobId | None = None) -> JobsReport:
+    """Return the declared jobs, or one of them, with the states of their tasks."""
+    tasks: dict[JobId, list[TaskRecord]] = defaultdict(list)
+    for task in view.tasks.values():
+        tasks[task.job].append(task)
+    return JobsReport(
+        view.revision,
+        tuple(
+            _job_report(job, tasks[job.id])
+            for job in sorted(view.jobs.values(), key=lambda job: job.id)
+            if only is None or job.id == only
+        ),
+    )
+
+
+def questions_report(view: StateView, with_closed: bool = False) -> QuestionsReport:
+    """Return the open questions, the one whose default comes next first."""
+    chosen = [question for question in view.questions.values() if with_closed or is_open(question)]
+    chosen.sort(key=lambda question: (question.default_at_s, question.question))
+    return QuestionsReport(tuple(_question_report(view, question) for question in chosen))
+
+
+def is_open(question: QuestionRecord) -> bool:
+    """Return whether `question` still waits for an answer."""
+    return question.answer is None and not question.closed
+
+
+def _is_available(view: StateView, vm: VmRecord) -> bool:
+    target = view.targets.get(vm.vm)
+    return (
+        target is not None
+        and target.state is TargetState.READY
+        and vm.next_pool is None
+        and vm.maintenance in (None, MaintenanceStep.DONE)
+    )
+
+
+def _pool_report(view: StateView, pool: Pool, vms: list[VmRecord]) -> PoolReport:
+    available = sum(_is_available(view, vm) for vm in vms)
+    unavailable = len(vms) - available
+    return PoolReport(
+        pool=pool.id,
+        size=pool.size,
+        floor=pool.floor,
+        spare=pool.spare,
+        assigned=len(vms),
+        available=available,
+        unavailable=unavailable,
+        max_unavailable=pool.max_unavailable,
+        within_budget=unavailable <= pool.max_unavailable,
+        vms=tuple(_vm_report(view, vm) for vm in sorted(vms, key=lambda vm: vm.vm)),
+    )
+
+
+def _vm_report(view: StateView, vm: VmRecord) -> VmReport:
+    target = view.targets.get(vm.vm)
+    return VmReport(
+        vm.vm,
+        vm.data_centre,
+        vm.rack,
+        vm.epoch,
+        None if target is None else target.state,
+        vm.next_pool,
+        vm.maintenance,
+    )
+
+
+def _job_report(job: Job, tasks: list[TaskRecord]) -> JobReport:
+    states = Counter(task.state for task in tasks)
+    return JobReport(
+        job=job.id,
+        pool=job.pool,
+        team=job.team,
+        version=job.version,
+        urgent=job.urgent,
+        tasks=job.tasks,
+        waiting=states[TaskState.WAITING],
+        leased=states[TaskState.LEASED],
+        finished=states[TaskState.FINISHED],
+        cancelled=states[TaskState.CANCELLED],
+        set_aside=tuple(
+            SetAsideReport(task.task, task.reason, task.failures, task.failed_on)
+            for task in sorted(tasks, key=lambda task: task.task)
+            if task.state is TaskState.SET_ASIDE
+        ),
+    )
+
+
+def _question_report(view: StateView, question: QuestionRecord) -> QuestionReport:
+    return QuestionReport(
+        question=question.question,
+        subject=question.subject,
+        sentence=question.sentence,
+        facts=tuple(
+            FactReport(fact.text, max(0.0, view.time_s - fact.observed_s))
+            for fact in question.facts
+        ),
+        choices=question.choices,
+        default=question.default,
+        default_in_s=max(0.0, question.default_at_s - view.time_s),
+        answer=question.answer,
+        author=question.author,
+        closed=question.closed,
+    )
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/operations/views.py
@@ -0,0 +1,158 @@
+"""What the operators' side needs to see and to call, as interfaces."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from marigolddoor_core.declaration.organisation import Declaration, Job
+from marigolddoor_core.fleet import ObservedTarget
+from marigolddoor_core.ids import (
+    DataCentreId,
+    JobId,
+    LogIndex,
+    ProcessId,
+    QuestionId,
+    ReplicaId,
+    Revision,
+    TaskId,
+    VmId,
+)
+from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, VmRecord
+from marigolddoor_core.timeline.filters import TimelineFilter
+from marigolddoor_core.timeline.timelines import Timeline
+
+__all__ = [
+    "DeclarationRules",
+    "InForce",
+    "MetricsSource",
+    "StateView",
+    "TimelinePosition",
+    "TimelineSource",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """The revision that an entry process works with, as it said `age_s` seconds ago."""
+
+    process: ProcessId
+    data_centre: DataCentreId
+    revision: Revision
+    age_s: float
+
+
+class StateView(Protocol):
+    """The agreed state as this replica has applied it, with the soft reports that it holds.
+
+    Only the leader has every soft report; another replica shows those of its own watchers.
+    """
+
+    @property
+    def replica(self) -> ReplicaId:
+        """The replica that answers."""
+        ...
+
+    @property
+    def leader(self) -> ReplicaId | None:
+        """The leader as far as this replica knows."""
+        ...
+
+    @property
+    def index(self) -> LogIndex:
+        """The log index up to which the state is applied."""
+        ...
+
+    @property
+    def time_s(self) -> float:
+        """The agreed time."""
+        ...
+
+    @property
+    def revision(self) -> Revision:
+        """The current revision, 0 before the first declaration."""
+        ...
+
+    @property
+    def declaration(self) -> Declaration | None:
+        """The current declaration."""
+        ...
+
+    @property
+    def vms(self) -> Mapping[VmId, VmRecord]:
+        """All registered VMs."""
+        ...
+
+    @property
+    def tasks(self) -> Mapping[TaskId, TaskRecord]:
+        """All tasks."""
+        ...
+
+    @property
+    def jobs(self) -> Mapping[JobId, Job]:
+        """The declared jobs."""
+        ...
+
+    @property
+    def questions(self) -> Mapping[QuestionId, QuestionRecord]:
+        """All questions, open or not."""
+        ...
+
+    @property
+    def in_force(self) -> tuple[InForce, ...]:
+        """The revision in force on each entry process that is known here."""
+        ...
+
+    @property
+    def targets(self) -> Mapping[VmId, ObservedTarget]:
+        """The observed targets."""
+        ...
+
+
+class DeclarationRules(Protocol):
+    """Reads declarations and plans changes. The module `marigolddoor_core.declaration` is one."""
+
+    def read_declaration(
+        self,
+        organisation: Mapping[str, object],
+        template: Mapping[str, object],
+        organisation_file: str,
+        template_file: str,
+    ) -> Declaration:
+        """Return the declaration.
+
+        Raises:
+          InvalidInputError: with all problems.
+        """
+        ...
+
+    def plan(
+        self, current: Declaration | None, proposed: Declaration, vms: Mapping[VmId, VmRecord]
+    ) -> object:
+        """Return the plan of a change, a dataclass."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class TimelinePosition:
+    """How far the events of a process were read."""
+
+    process: ProcessId
+    sequence: int
+
+
+class TimelineSource(Protocol):
+    """Fetches the timeline of all processes of the system."""
+
+    async def fetch(
+        self, wanted: TimelineFilter, after: tuple[TimelinePosition, ...], limit: int
+    ) -> Timeline:
+        """Return the merged events; a process that can't be reached is listed as missing."""
+        ...
+
+
+class MetricsSource(Protocol):
+    """Writes the metrics of a process."""
+
+    def page(self) -> str:
+        """Return the metrics in the text exposition format."""
+        ...
