--- /dev/null
+++ b/packages/daemon/src/marigolddoor_daemon/errors.py
@@ -0,0 +1,39 @@
+"""Errors of the daemon."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from marigolddoor_core.errors import InvalidInputError, MarigolddoorError
+
+__all__ = ["PrivateFileError", "RoleMissingError", "SettingsError", "SettingsProblem"]
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsProblem:
+    """A wrong value. `value` is its text as it is shown; `allowed` says what is right."""
+
+    key: str
+    value: str
+    allowed: str
+
+
+class SettingsError(InvalidInputError):
+    """The settings file has problems; nothing was started."""
+
+    def __init__(self, file: Path, problems: Sequence[SettingsProblem]) -> None:
+        self.file = file
+        self.problems = tuple(problems)
+        lines = (
+            f"{file}: {problem.key} is {problem.value}; allowed: {problem.allowed}"
+            for problem in self.problems
+        )
+        super().__init__("\n".join(lines))
+
+
+class PrivateFileError(InvalidInputError):
+    """A file with a key or tokens can't be read or is open to other users."""
+
+
+class RoleMissingError(MarigolddoorError):
+    """This build of the daemon doesn't contain a role that the settings ask for."""
