--- /dev/null
+++ b/packages/operator/src/marigolddoor_operator/client.py
@@ -0,0 +1,194 @@
+"""Calls of the operators' HTTP with several endpoints.
+
+A read goes to the first endpoint that answers. A change carries a request id, so that sending it
+again after a lost answer is harmless: the system answers the first result.
+"""
+
+import json
+import ssl
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from types import TracebackType
+from typing import Any
+
+import httpx
+from marigolddoor_core.ids import RequestId
+from marigolddoor_core.operations.reports import ErrorReport
+from marigolddoor_core.plain_values import PlainValueError, from_plain, to_plain
+
+from marigolddoor_operator.errors import (
+    OperatorSettingsError,
+    OutcomeUnknownError,
+    RemoteOperationError,
+    UnreachableError,
+)
+from marigolddoor_operator.settings import OperatorSettings
+
+__all__ = ["OperatorClient"]
+
+CONNECT_TIMEOUT_S = 2.0
+# A change with a lost answer is sent in this many rounds, longer than an election of 2 s takes.
+CHANGE_ROUNDS = 3
+ROUND_PAUSE_S = 1.0
+
+# Errors that the consensus group decided: they hold for every earlier attempt, too.
+_DECIDED = frozenset(
+    (
+        "AlreadyAnsweredError",
+        "OperationRefusedError",
+        "RevisionConflictError",
+        "UnknownSubjectError",
+    )
+)
+
+# Nothing of the request reached the other side.
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class Outcome(Enum):
+    """What one attempt shows."""
+
+    ANSWERED = "answered"
+    NOT_DONE = "not done"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """The outcome of one attempt at one endpoint."""
+
+    outcome: Outcome
+    reason: str = ""
+    report: Any = None
+
+
+class OperatorClient:
+    """Calls the system. Use it as an asynchronous context manager."""
+
+    def __init__(
+        self,
+        settings: OperatorSettings,
+        pause: Callable[[float], Awaitable[object]],
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        self.endpoints = settings.endpoints
+        self.pause = pause
+        self.http = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {settings.token}"},
+            timeout=httpx.Timeout(settings.timeout_s, connect=CONNECT_TIMEOUT_S),
+            verify=_tls(settings),
+            trust_env=False,
+            transport=transport,
+        )
+
+    async def __aenter__(self) -> "OperatorClient":
+        await self.http.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.http.__aexit__(exc_type, exc, traceback)
+
+    async def read(self, path: str, query: Mapping[str, str]) -> Any:
+        """Return the plain report at `path`.
+
+        Raises:
+          UnreachableError: no endpoint answered.
+          RemoteOperationError: the system refused.
+        """
+        reasons = []
+        for endpoint in self.endpoints:
+            attempt = await self._attempt(endpoint, "GET", path, query, None)
+            if attempt.outcome is Outcome.ANSWERED:
+                return attempt.report
+            reasons.append(f"{endpoint}: {attempt.reason}")
+        raise UnreachableError("; ".join(reasons))
+
+    async def ask(self, path: str, request: Any) -> Any:
+        """Return the plain report on a request that changes nothing.
+
+        Raises:
+          UnreachableError: no endpoint answered.
+          RemoteOperationError: the system refused.
+        """
+        reasons = []
+        for endpoint in self.endpoints:
+            attempt = await self._attempt(endpoint, "POST", path, {}, to_plain(request))
+            if attempt.outcome is Outcome.ANSWERED:
+                return attempt.report
+            reasons.append(f"{endpoint}: {attempt.reason}")
+        raise UnreachableError("; ".join(reasons))
+
+    async def change(self, path: str, request: Any, request_id: RequestId) -> Any:
+        """Return the plain report on a change, which is sent again while its outcome is unknown.
+
+        Raises:
+          UnreachableError: it did not reach the system, or there is no quorum; nothing changed.
+          OutcomeUnknownError: it was sent, and no attempt brought an answer.
+          RemoteOperationError: the system refused.
+        """
+        body = to_plain(request)
+        unknown = ""
+        reasons: list[str] = []
+        for number in range(CHANGE_ROUNDS):
+            if number > 0:
+                await self.pause(ROUND_PAUSE_S)
+            reasons = []
+            for endpoint in self.endpoints:
+                try:
+                    attempt = await self._attempt(endpoint, "POST", path, {}, body)
+                except RemoteOperationError as error:
+                    if not unknown or error.report.error in _DECIDED:
+                        raise
+                    # This endpoint read nothing, so it can't say what became of the others.
+                    attempt = Attempt(Outcome.NOT_DONE, error.report.message)
+                if attempt.outcome is Outcome.ANSWERED:
+                    return attempt.report
+                reasons.append(f"{endpoint}: {attempt.reason}")
+                if attempt.outcome is Outcome.UNKNOWN:
+                    unknown = reasons[-1]
+            if not unknown:
+                raise UnreachableError("; ".join(reasons))
+        raise OutcomeUnknownError(request_id, unknown)
+
+    async def _attempt(
+        self, endpoint: str, method: str, path: str, query: Mapping[str, str], body: Any
+    ) -> Attempt:
+        try:
+            response = await self.http.request(
+                method, endpoint + path, params=dict(query), json=body
+            )
+        except _NOT_SENT:
+            return Attempt(Outcome.NOT_DONE, "no connection")
+        except httpx.HTTPError as error:
+            return Attempt(Outcome.UNKNOWN, f"no answer ({type(error).__name__})")
+        try:
+            report = response.json()
+            if response.status_code == 200:
+                return Attempt(Outcome.ANSWERED, report=report)
+            failure = from_plain(ErrorReport, report, strict=False)
+        except (json.JSONDecodeError, UnicodeDecodeError, PlainValueError):
+            return Attempt(
+                Outcome.UNKNOWN, f"an answer of another service ({response.status_code})"
+            )
+        if response.status_code == 503:
+            return Attempt(Outcome.NOT_DONE, failure.message)
+        if response.status_code >= 500:
+            return Attempt(Outcome.UNKNOWN, failure.message)
+        raise RemoteOperationError(response.status_code, failure)
+
+
+def _tls(settings: OperatorSettings) -> ssl.SSLContext:
+    try:
+        return ssl.create_default_context(
+            cafile=None if settings.authority is None else str(settings.authority)
+        )
+    except OSError as error:
+        raise OperatorSettingsError(
+            f"authority is {settings.authority}; allowed: a file in PEM format"
+        ) from error
--- /dev/null
+++ b/packages/operator/src/marigolddoor_operator/commands.py
@@ -0,0 +1,303 @@
+"""The commands of the command line."""
+
+import argparse
+import json
+import sys
+import uuid
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TextIO, TypeVar
+
+import anyio
+from marigolddoor_core.errors import MarigolddoorError
+from marigolddoor_core.ids import (
+    JobId,
+    PoolId,
+    QuestionId,
+    RequestId,
+    Revision,
+    VmId,
+)
+from marigolddoor_core.operations.reports import (
+    ApplyReport,
+    DoneReport,
+    ErrorReport,
+    JobsReport,
+    PlanReport,
+    PoolsReport,
+    QuestionsReport,
+    StatusReport,
+)
+from marigolddoor_core.operations.requests import (
+    AnswerRequest,
+    ApplyRequest,
+    DrainRequest,
+    PlanRequest,
+)
+from marigolddoor_core.operations.views import DeclarationRules
+from marigolddoor_core.plain_values import PlainValueError, from_plain, to_plain
+from marigolddoor_core.timeline import Timeline, TimelineFilter
+
+from marigolddoor_operator import texts
+from marigolddoor_operator.client import OperatorClient
+from marigolddoor_operator.declarations import read_declaration_files
+from marigolddoor_operator.errors import (
+    ExitCode,
+    InputFileError,
+    RemoteOperationError,
+    UnreachableError,
+    exit_code,
+)
+from marigolddoor_operator.pictures import html_page, svg_picture
+from marigolddoor_operator.settings import load_operator_settings
+from marigolddoor_operator.timeline_files import read_timeline_files
+
+__all__ = ["Surroundings", "run_command"]
+
+T = TypeVar("T")
+
+FOLLOW_INTERVAL_S = 1.0
+
+
+async def _pause(seconds: float) -> bool:
+    await anyio.sleep(seconds)
+    return True
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a command uses of its process. `pause` returns whether to go on following."""
+
+    rules: DeclarationRules
+    variables: Mapping[str, str]
+    out: TextIO = field(default_factory=lambda: sys.stdout)
+    problems: TextIO = field(default_factory=lambda: sys.stderr)
+    new_request_id: Callable[[], RequestId] = lambda: RequestId(uuid.uuid4().hex)
+    pause: Callable[[float], Awaitable[bool]] = _pause
+
+
+async def run_command(options: argparse.Namespace, around: Surroundings) -> ExitCode:
+    """Run the command that `options` name and return its exit code."""
+    command = Command(options, around)
+    try:
+        if options.command == "validate":
+            command.validate()
+        elif options.command == "timeline" and options.file:
+            command.show_timeline_files()
+        else:
+            await command.run_remote()
+    except MarigolddoorError as error:
+        command.show_error(error)
+        return exit_code(error)
+    return ExitCode.DONE
+
+
+class Command:
+    """One command with its options."""
+
+    def __init__(self, options: argparse.Namespace, around: Surroundings) -> None:
+        self.options = options
+        self.around = around
+        self.shown_gaps = ""
+
+    def show(self, report: Any, text: str) -> None:
+        """Print a report as JSON or as text."""
+        if self.options.json:
+            text = json.dumps(to_plain(report), indent=2) + "\n"
+        self.around.out.write(text)
+
+    def show_error(self, error: MarigolddoorError) -> None:
+        """Print an error: JSON goes to the output, text to the error stream."""
+        if isinstance(error, RemoteOperationError):
+            report = error.report
+        else:
+            problems = tuple(str(problem) for problem in getattr(error, "problems", ()))
+            report = ErrorReport(type(error).__name__, str(error), problems)
+        if self.options.json:
+            self.around.out.write(json.dumps(to_plain(report), indent=2) + "\n")
+        else:
+            self.around.problems.write(texts.error_text(report))
+
+    async def run_remote(self) -> None:
+        """Run a command that calls the system."""
+        settings = load_operator_settings(
+            self.options.settings,
+            self.options.endpoint,
+            self.options.token_file,
+            self.around.variables,
+        )
+        run = {
+            "plan": self.plan,
+            "apply": self.apply,
+            "status": self.status,
+            "pools": self.pools,
+            "jobs": self.jobs,
+            "drain": self.drain,
+            "questions": self.questions,
+            "answer": self.answer,
+            "timeline": self.timeline,
+        }[self.options.command]
+        async with OperatorClient(settings, self.around.pause) as client:
+            await run(client)
+
+    def validate(self) -> None:
+        """Check a declaration without the system."""
+        source = read_declaration_files(self.options.organisation, self.options.template)
+        declaration = self.around.rules.read_declaration(
+            source.organisation, source.template, source.organisation_file, source.template_file
+        )
+        counts = ", ".join(
+            f"{name}: {len(parts)}"
+            for name, parts in (
+                ("services", declaration.services),
+                ("pools", declaration.pools),
+                ("teams", declaration.teams),
+                ("jobs", declaration.jobs),
+            )
+        )
+        self.show(declaration, f"{self.options.organisation.name}: correct ({counts})\n")
+
+    async def plan(self, client: OperatorClient) -> None:
+        """Show what a declaration would change."""
+        source = read_declaration_files(self.options.organisation, self.options.template)
+        report = _report(PlanReport, await client.ask("/v1/plan", PlanRequest(source)))
+        self.show(report, texts.plan_text(report))
+
+    async def apply(self, client: OperatorClient) -> None:
+        """Make a declaration the next revision."""
+        source = read_declaration_files(self.options.organisation, self.options.template)
+        base = self.options.base
+        if base is None:
+            base = _report(StatusReport, await client.read("/v1/status", {})).revision
+        request_id = self.request_id()
+        request = ApplyRequest(source, Revision(base), request_id)
+        report = _report(ApplyReport, await client.change("/v1/apply", request, request_id))
+        self.show(report, texts.apply_text(report))
+
+    async def status(self, client: OperatorClient) -> None:
+        """Show the state of the system."""
+        report = _report(StatusReport, await client.read("/v1/status", {}))
+        self.show(report, texts.status_text(report))
+
+    async def pools(self, client: OperatorClient) -> None:
+        """Show pools."""
+        query = self.query("pool")
+        report = _report(PoolsReport, await client.read("/v1/pools", query))
+        self.show(report, texts.pools_text(report, with_vms=bool(query)))
+
+    async def jobs(self, client: OperatorClient) -> None:
+        """Show jobs."""
+        report = _report(JobsReport, await client.read("/v1/jobs", self.query("job")))
+        self.show(report, texts.jobs_text(report))
+
+    async def questions(self, client: OperatorClient) -> None:
+        """Show questions."""
+        query = {"all": "true"} if self.options.all else {}
+        report = _report(QuestionsReport, await client.read("/v1/questions", query))
+        self.show(report, texts.questions_text(report))
+
+    async def drain(self, client: OperatorClient) -> None:
+        """Ask for maintenance."""
+        request_id = self.request_id()
+        pool, vm = self.options.pool, self.options.vm
+        request = DrainRequest(
+            request_id,
+            None if pool is None else PoolId(pool),
+            None if vm is None else VmId(vm),
+        )
+        report = _report(DoneReport, await client.change("/v1/drain", request, request_id))
+        subject = f"pool {pool}" if vm is None else f"VM {vm}"
+        self.show(report, f"maintenance of {texts.clean(subject)} is requested\n")
+
+    async def answer(self, client: OperatorClient) -> None:
+        """Answer a question."""
+        request_id = self.request_id()
+        question, choice = QuestionId(self.options.question), self.options.choice
+        request = AnswerRequest(question, choice, request_id)
+        report = _report(DoneReport, await client.change("/v1/answer", request, request_id))
+        text = f"{texts.clean(question)} is answered with {texts.clean(choice)}\n"
+        self.show(report, text)
+
+    async def timeline(self, client: OperatorClient) -> None:
+        """Show the timeline, and go on with new events if asked."""
+        query = self.query("request", "vm", "pool", "job", "revision", "question", "limit")
+        positions: dict[str, int] = {}
+        while True:
+            if positions:
+                query["after"] = ",".join(f"{name}/{at}" for name, at in positions.items())
+            try:
+                part = _report(Timeline, await client.read("/v1/timeline", query))
+            except UnreachableError as error:
+                if not self.options.follow or not positions:
+                    raise
+                self.show_error(error)
+            else:
+                positions.update((process.process, process.position) for process in part.processes)
+                self.show_timeline(part)
+            if not self.options.follow or not await self.around.pause(FOLLOW_INTERVAL_S):
+                return
+
+    def show_timeline_files(self) -> None:
+        """Show the timeline of files."""
+        options = self.options
+        wanted = TimelineFilter(
+            request=None if options.request is None else RequestId(options.request),
+            vm=None if options.vm is None else VmId(options.vm),
+            pool=None if options.pool is None else PoolId(options.pool),
+            job=None if options.job is None else JobId(options.job),
+            revision=None if options.revision is None else Revision(options.revision),
+            question=None if options.question is None else QuestionId(options.question),
+        )
+        self.show_timeline(read_timeline_files(options.file, wanted))
+
+    def show_timeline(self, part: Timeline) -> None:
+        """Print events and gaps, or write them as a picture."""
+        title = "timeline"
+        query = self.query("request", "vm", "pool", "job", "revision", "question")
+        if query:
+            title += " of " + ", ".join(f"{name} {value}" for name, value in query.items())
+        pictures = ((self.options.svg, svg_picture), (self.options.html, html_page))
+        for file, draw in pictures:
+            if file is not None:
+                _write(file, draw(part, title))
+                self.around.problems.write(f"{len(part.events)} events are in {file}\n")
+        if self.options.json and self.options.follow:
+            # One value a line, so that a reader can take each as it comes.
+            for event in part.events:
+                self.around.out.write(json.dumps(to_plain(event)) + "\n")
+        elif self.options.json:
+            self.show(part, "")
+        elif not (self.options.svg or self.options.html):
+            self.around.out.write("".join(map(texts.event_text, part.events)))
+        if not self.options.json:
+            gaps = texts.gaps_text(part)
+            if gaps != self.shown_gaps:
+                self.around.problems.write(gaps)
+            self.shown_gaps = gaps
+
+    def query(self, *names: str) -> dict[str, str]:
+        """Return the options that are given as parts of a query."""
+        values = {name: getattr(self.options, name) for name in names}
+        return {name: str(value) for name, value in values.items() if value is not None}
+
+    def request_id(self) -> RequestId:
+        """Return the request id that is given, or a new one."""
+        if self.options.request_id is not None:
+            return RequestId(self.options.request_id)
+        return self.around.new_request_id()
+
+
+def _report(expected: type[T], value: Any) -> T:
+    try:
+        return from_plain(expected, value, strict=False)
+    except PlainValueError as error:
+        report = ErrorReport("PlainValueError", "the answer is of another version", error.problems)
+        raise RemoteOperationError(200, report) from error
+
+
+def _write(file: Path, text: str) -> None:
+    try:
+        file.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise InputFileError(f"{file}: can't be written ({error.strerror})") from error
--- /dev/null
+++ b/packages/operator/src/marigolddoor_operator/main.py
@@ -0,0 +1,37 @@
+"""The command `marigolddoor`."""
+
+import importlib
+import os
+import sys
+from collections.abc import Sequence
+from typing import cast
+
+import anyio
+from marigolddoor_core.operations.views import DeclarationRules
+
+from marigolddoor_operator.arguments import build_parser
+from marigolddoor_operator.commands import Surroundings, run_command
+from marigolddoor_operator.errors import ExitCode
+
+__all__ = ["main"]
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    options = build_parser().parse_args(arguments)
+    # The module has the functions `read_declaration` and `plan`.
+    rules = cast(DeclarationRules, importlib.import_module("marigolddoor_core.declaration"))
+    try:
+        return anyio.run(run_command, options, Surroundings(rules, os.environ))
+    except KeyboardInterrupt:
+        # The usual end of `timeline --follow`; a change that was interrupted has no known outcome.
+        changes = ("apply", "drain", "answer")
+        return ExitCode.UNKNOWN if options.command in changes else ExitCode.DONE
+    except BrokenPipeError:
+        # The reader of the output has closed it, as `head` does.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitCode.DONE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/operator/src/marigolddoor_operator/texts.py
@@ -0,0 +1,238 @@
+"""Reports as text for a terminal."""
+
+from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+from marigolddoor_core.operations.reports import (
+    ApplyReport,
+    ErrorReport,
+    JobsReport,
+    PlanReport,
+    PoolsReport,
+    QuestionReport,
+    QuestionsReport,
+    StatusReport,
+)
+from marigolddoor_core.timeline import Event, Subject, Timeline
+
+__all__ = [
+    "apply_text",
+    "clean",
+    "duration_text",
+    "error_text",
+    "event_text",
+    "gaps_text",
+    "jobs_text",
+    "plan_text",
+    "pools_text",
+    "questions_text",
+    "status_text",
+    "subject_text",
+    "time_text",
+]
+
+_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+
+
+def clean(text: object) -> str:
+    """Return `text` without control characters, which could change the terminal."""
+    return "".join(part if part.isprintable() else "?" for part in str(text))
+
+
+def status_text(report: StatusReport) -> str:
+    """Return a status as text."""
+    leader = "unknown" if report.leader is None else report.leader
+    lines = [
+        f"organisation  {report.organisation or 'none declared'}",
+        f"revision      {report.revision}",
+        f"leader        {leader} (answered by {report.replica} at log index {report.index})",
+        f"VMs           {report.vms}, {report.ready} ready",
+        f"tasks         {report.tasks_leased} running, {report.tasks_waiting} waiting, "
+        f"{report.tasks_set_aside} set aside",
+        f"questions     {report.open_questions} open",
+    ]
+    if report.in_force:
+        lines += ["", "revision in force on each entry process:"]
+        rows = [
+            [one.process, one.data_centre, f"revision {one.revision}", f"{one.age_s:.1f} s ago"]
+            for one in report.in_force
+        ]
+        lines += _table(rows)
+    if report.behind:
+        lines.append(f"behind: {', '.join(report.behind)}")
+    return _joined(lines)
+
+
+def pools_text(report: PoolsReport, with_vms: bool) -> str:
+    """Return pools as a table, and their VMs if asked."""
+    rows = [["POOL", "SIZE", "FLOOR", "ASSIGNED", "AVAILABLE", "UNAVAILABLE", "BUDGET", ""]]
+    for pool in report.pools:
+        notes = [] if pool.within_budget else ["over budget"]
+        if pool.spare:
+            notes.append("spare")
+        counts = (pool.size, pool.floor, pool.assigned, pool.available, pool.unavailable)
+        rows.append([pool.pool, *map(str, counts), str(pool.max_unavailable), ", ".join(notes)])
+    lines = _table(rows)
+    for pool in report.pools if with_vms else ():
+        vms = [["VM", "DATA CENTRE", "RACK", "EPOCH", "STATE", "MOVES TO", "MAINTENANCE"]]
+        vms += [
+            [
+                vm.vm,
+                vm.data_centre,
+                vm.rack,
+                str(vm.epoch),
+                "not heard from" if vm.state is None else vm.state.value,
+                vm.next_pool or "-",
+                "-" if vm.maintenance is None else vm.maintenance.value,
+            ]
+            for vm in pool.vms
+        ]
+        lines += ["", *_table(vms)]
+    return _joined(lines)
+
+
+def jobs_text(report: JobsReport) -> str:
+    """Return jobs as a table, and the tasks that are set aside with their reasons."""
+    rows = [["JOB", "POOL", "TEAM", "VERSION", "TASKS", "RUNNING", "WAITING", "DONE", "ASIDE"]]
+    asides = []
+    for job in report.jobs:
+        counts = (job.tasks, job.leased, job.waiting, job.finished, len(job.set_aside))
+        rows.append([job.job, job.pool, job.team, job.version, *map(str, counts)])
+        for task in job.set_aside:
+            where = f" (on {', '.join(task.failed_on)})" if task.failed_on else ""
+            asides.append(f"{task.task} is set aside: {task.reason}{where}")
+    return _joined(_table(rows) + ([""] if asides else []) + asides)
+
+
+def questions_text(report: QuestionsReport) -> str:
+    """Return questions with their facts and choices."""
+    if not report.questions:
+        return "no open question\n"
+    lines: list[str] = []
+    for question in report.questions:
+        lines += [*_question_lines(question), ""]
+    return _joined(lines[:-1])
+
+
+def _question_lines(question: QuestionReport) -> list[str]:
+    lines = [f"{question.question}  {question.sentence}"]
+    lines += [f"    {fact.text} ({duration_text(fact.age_s)} ago)" for fact in question.facts]
+    lines += _table([[f"    {choice.name}", choice.effect] for choice in question.choices])
+    if question.answer is not None:
+        lines.append(f"    answered by {question.author or 'default'}: {question.answer}")
+    elif question.closed:
+        lines.append("    closed: its reason is gone")
+    else:
+        wait = duration_text(question.default_in_s)
+        lines.append(f"    without an answer: {question.default}, in {wait}")
+    return lines
+
+
+def plan_text(report: PlanReport) -> str:
+    """Return a plan as an indented list."""
+    lines = [f"against revision {report.revision}:", *_plain_lines(report.plan, "  ")]
+    return _joined(lines)
+
+
+def _plain_lines(value: Any, indent: str) -> list[str]:
+    if isinstance(value, Mapping):
+        lines = []
+        for name, part in value.items():
+            label = str(name).replace("_", " ")
+            if isinstance(part, Mapping | list) and part:
+                lines += [f"{indent}{label}:", *_plain_lines(part, indent + "  ")]
+            elif isinstance(part, Mapping | list):
+                lines.append(f"{indent}{label}: none")
+            else:
+                lines.append(f"{indent}{label}: {part}")
+        return lines
+    if isinstance(value, list):
+        lines = []
+        for part in value:
+            nested = _plain_lines(part, indent + "  ")
+            lines += [f"{indent}- {nested[0].strip()}", *nested[1:]] if nested else []
+        return lines
+    return [f"{indent}{value}"]
+
+
+def apply_text(report: ApplyReport) -> str:
+    """Return what was applied."""
+    return _joined([f"revision {report.revision} by {report.author}"])
+
+
+def error_text(report: ErrorReport) -> str:
+    """Return an error with its problems, one a line."""
+    if len(report.problems) == 1 and report.problems[0] == report.message:
+        return _joined([f"{report.error}: {report.message}"])
+    if report.problems:
+        return _joined([f"{report.error}:", *(f"  {problem}" for problem in report.problems)])
+    return _joined([f"{report.error}: {report.message}"])
+
+
+def event_text(event: Event) -> str:
+    """Return an event as one line."""
+    parts = [time_text(event), f"{event.id:<14}", f"{event.kind.value:<20}"]
+    cause = f"<- {event.cause}" if event.cause is not None else ""
+    parts += [part for part in (subject_text(event.subject), event.text, cause) if part]
+    return _joined(["  ".join(parts)])
+
+
+def gaps_text(timeline: Timeline) -> str:
+    """Return what is missing from a timeline, one gap a line."""
+    lines = [
+        f"missing: {process.name} was not reached ({process.reason})"
+        for process in timeline.missing
+    ]
+    lines += [
+        f"missing: {process.process} forgot {process.dropped} older events"
+        for process in timeline.processes
+        if process.dropped
+    ]
+    return _joined(lines) if lines else ""
+
+
+def subject_text(subject: Subject) -> str:
+    """Return what an event is about."""
+    parts = (
+        ("request", subject.request),
+        ("service", subject.service),
+        ("vm", subject.vm),
+        ("pool", subject.pool),
+        ("job", subject.job),
+        ("task", subject.task),
+        ("revision", subject.revision),
+        ("question", subject.question),
+    )
+    return " ".join(f"{name}={value}" for name, value in parts if value is not None)
+
+
+def time_text(event: Event) -> str:
+    """Return the time of an event in UTC."""
+    try:
+        moment = _EPOCH + timedelta(milliseconds=event.time.physical_ms)
+    except OverflowError:
+        return f"{event.time.physical_ms} ms"
+    return moment.strftime("%Y-%m-%d %H:%M:%S.") + f"{moment.microsecond // 1000:03d}"
+
+
+def duration_text(seconds: float) -> str:
+    """Return a duration in its largest fitting unit."""
+    for size, unit in ((86_400, "d"), (3_600, "h"), (60, "min")):
+        if seconds >= size:
+            return f"{seconds / size:.1f}".removesuffix(".0") + f" {unit}"
+    return f"{seconds:.0f} s"
+
+
+def _table(rows: Sequence[Sequence[str]]) -> list[str]:
+    widths = [max(len(clean(row[i])) for row in rows) for i in range(len(rows[0]))]
+    return [
+        "  ".join(
+            clean(cell).ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
+
+
+def _joined(lines: Sequence[str]) -> str:
+    return "".join(f"{clean(line)}\n" for line in lines)
--- /dev/null
+++ b/tests/operator/test_client.py
@@ -0,0 +1,131 @@
+"""Guards against a change that is sent under two ids, or reported as undone when it may be done."""
+
+import json
+from typing import Any
+
+import anyio
+import httpx
+import testtools
+from marigolddoor_core.errors import MarigolddoorError
+from marigolddoor_core.ids import PoolId, RequestId
+from marigolddoor_core.operations.requests import DrainRequest
+from marigolddoor_operator.client import CHANGE_ROUNDS, OperatorClient
+from marigolddoor_operator.errors import ExitCode, exit_code
+from marigolddoor_operator.settings import OperatorSettings
+
+SETTINGS = OperatorSettings(("http://127.0.0.1:1", "http://127.0.0.1:2"), "token", None, 1.0)
+DONE = {"request": "r", "author": "ann"}
+
+ANSWERS: dict[str, Any] = {
+    "done": (200, DONE),
+    "no quorum": (503, {"error": "NoQuorumError", "message": "no leader"}),
+    "lost": (504, {"error": "ProposalOutcomeUnknownError", "message": "no result"}),
+    "internal": (500, {"error": "InternalError", "message": "failed"}),
+    "conflict": (409, {"error": "RevisionConflictError", "message": "another came first"}),
+    "wrong token": (401, {"error": "UnauthorisedError", "message": "unknown token"}),
+    "bad": (400, {"error": "BadRequestError", "message": "bad"}),
+    "other service": (502, "<html>"),
+    "not JSON": (200, b"\xff{"),
+    "refused": httpx.ConnectError("refused"),
+    "cut": httpx.ReadError("cut"),
+    "late": httpx.ReadTimeout("late"),
+}
+
+
+class Network(httpx.AsyncBaseTransport):
+    """Gives the planned answers in their order, and remembers the requests."""
+
+    def __init__(self, plan: list[str]) -> None:
+        self.plan = plan
+        self.requests: list[tuple[int | None, Any]] = []
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Return or raise the next planned answer; the last one repeats."""
+        body = await request.aread()
+        self.requests.append((request.url.port, json.loads(body) if body else None))
+        answer = ANSWERS[self.plan[min(len(self.requests), len(self.plan)) - 1]]
+        if isinstance(answer, Exception):
+            raise answer
+        status, content = answer
+        if isinstance(content, dict):
+            return httpx.Response(status, json=content)
+        return httpx.Response(status, content=content)
+
+
+async def no_pause(seconds: float) -> bool:
+    """Go on at once."""
+    return True
+
+
+class ChangeTest(testtools.TestCase):
+    """The exit code says what is known after all attempts, each with the same request id."""
+
+    scenarios = [
+        (" then ".join(plan), {"plan": plan, "code": code, "sent": sent})
+        for plan, code, sent in [
+            (["done"], ExitCode.DONE, 1),
+            (["refused", "done"], ExitCode.DONE, 2),
+            (["no quorum", "done"], ExitCode.DONE, 2),
+            (["lost", "done"], ExitCode.DONE, 2),
+            (["cut", "refused", "done"], ExitCode.DONE, 3),
+            (["late", "conflict"], ExitCode.CONFLICT, 2),
+            (["conflict"], ExitCode.CONFLICT, 1),
+            (["wrong token"], ExitCode.REFUSED, 1),
+            (["bad"], ExitCode.INVALID, 1),
+            (["refused", "no quorum"], ExitCode.UNREACHABLE, 2),
+            # Only the first attempt may have changed something, and no later one tells.
+            (["cut", "refused"], ExitCode.UNKNOWN, 2 * CHANGE_ROUNDS),
+            (["lost", "no quorum"], ExitCode.UNKNOWN, 2 * CHANGE_ROUNDS),
+            (["lost", "wrong token"], ExitCode.UNKNOWN, 2 * CHANGE_ROUNDS),
+            (["internal"], ExitCode.UNKNOWN, 2 * CHANGE_ROUNDS),
+            (["other service"], ExitCode.UNKNOWN, 2 * CHANGE_ROUNDS),
+            (["not JSON"], ExitCode.UNKNOWN, 2 * CHANGE_ROUNDS),
+        ]
+    ]
+
+    def test_change(self) -> None:
+        network = Network(self.plan)
+        request = DrainRequest(RequestId("r"), pool=PoolId("p"))
+
+        async def change() -> ExitCode:
+            async with OperatorClient(SETTINGS, no_pause, network) as client:
+                try:
+                    self.assertEqual(
+                        DONE, await client.change("/v1/drain", request, request.request)
+                    )
+                except MarigolddoorError as error:
+                    return exit_code(error)
+                return ExitCode.DONE
+
+        self.assertEqual(self.code, anyio.run(change))
+        self.assertEqual(self.sent, len(network.requests))
+        self.assertEqual({"r"}, {body["request"] for _, body in network.requests})
+
+
+class ReadTest(testtools.TestCase):
+    """A read takes the first endpoint that answers, each tried once."""
+
+    scenarios = [
+        (" then ".join(plan), {"plan": plan, "code": code, "sent": sent})
+        for plan, code, sent in [
+            (["done"], ExitCode.DONE, 1),
+            (["late", "done"], ExitCode.DONE, 2),
+            (["internal", "done"], ExitCode.DONE, 2),
+            (["refused", "cut"], ExitCode.UNREACHABLE, 2),
+            (["wrong token"], ExitCode.REFUSED, 1),
+        ]
+    ]
+
+    def test_read(self) -> None:
+        network = Network(self.plan)
+
+        async def read() -> ExitCode:
+            async with OperatorClient(SETTINGS, no_pause, network) as client:
+                try:
+                    await client.read("/v1/status", {})
+                except MarigolddoorError as error:
+                    return exit_code(error)
+                return ExitCode.DONE
+
+        self.assertEqual(self.code, anyio.run(read))
+        self.assertEqual([1, 2][: self.sent], [port for port, _ in network.requests])
