Add metrics: mergeable latencies by service and outcome, counters, text page

Cause: operators and the measurements need latencies and counts over all entry processes, not averages of averages. A histogram has two digits, 17,408 bytes. Conclusion: with 5 services and 4 outcomes the histograms take 348 KB. The page blocks the loop for about 80 ms with 20 such series, so it must become cheaper before it is scraped often.

--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/metrics.py
@@ -0,0 +1,141 @@
+"""Latencies by service and outcome, and counters, of one entry process or of several together."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from hdrh.histogram import HdrHistogram
+from marigolddoor_core.ids import ServiceId
+from marigolddoor_core.metrics import Counters, CounterSnapshot, Labels, Sample, family_text
+
+__all__ = ["LatencySnapshot", "Metrics", "MetricsSnapshot", "RequestOutcome"]
+
+# A unit of 0.1 ms and two digits keep a histogram below 20 KB and its error below 1%.
+UNITS_PER_S = 10_000
+MAX_LATENCY_S = 600.0
+SIGNIFICANT_DIGITS = 2
+# Upper bounds of the buckets on the text page.
+BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
+
+
+class RequestOutcome(Enum):
+    """The outcomes of a request, as the header `Marigolddoor-Outcome` names them."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class LatencySnapshot:
+    """A histogram in the compressed form of hdrhistogram, and the exact sum."""
+
+    service: ServiceId
+    outcome: RequestOutcome
+    histogram: bytes
+    sum_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsSnapshot:
+    """The metrics of one process at one moment."""
+
+    latencies: tuple[LatencySnapshot, ...]
+    counters: tuple[CounterSnapshot, ...]
+
+
+class _Latency:
+    """The latencies of one service with one outcome."""
+
+    def __init__(self) -> None:
+        self.histogram = HdrHistogram(1, int(MAX_LATENCY_S * UNITS_PER_S), SIGNIFICANT_DIGITS)
+        self.sum_s = 0.0
+
+
+class Metrics:
+    """Records what an entry process sees. Snapshots of several processes can be merged."""
+
+    def __init__(self) -> None:
+        self.counters = Counters()
+        self.latencies: dict[tuple[ServiceId, RequestOutcome], _Latency] = {}
+
+    def observe(self, service: ServiceId, outcome: RequestOutcome, latency_s: float) -> None:
+        """Record a request; a latency over `MAX_LATENCY_S` counts as that."""
+        latency = self._latency(service, outcome)
+        clipped_s = min(max(latency_s, 0.0), MAX_LATENCY_S)
+        latency.sum_s += clipped_s
+        latency.histogram.record_value(max(1, round(clipped_s * UNITS_PER_S)))
+
+    def quantile_s(self, service: ServiceId, outcome: RequestOutcome, quantile: float) -> float:
+        """Return the latency that the share `quantile` of the requests doesn't exceed, or 0."""
+        latency = self.latencies.get((service, outcome))
+        if latency is None:
+            return 0.0
+        return float(latency.histogram.get_value_at_percentile(quantile * 100)) / UNITS_PER_S
+
+    def count(self, service: ServiceId, outcome: RequestOutcome) -> int:
+        """Return the number of requests recorded."""
+        latency = self.latencies.get((service, outcome))
+        return 0 if latency is None else int(latency.histogram.get_total_count())
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return everything recorded so far."""
+        return MetricsSnapshot(
+            tuple(
+                LatencySnapshot(service, outcome, latency.histogram.encode(), latency.sum_s)
+                for (service, outcome), latency in self._sorted()
+            ),
+            self.counters.snapshot(),
+        )
+
+    def merge(self, snapshots: Iterable[MetricsSnapshot]) -> None:
+        """Add the metrics of other processes."""
+        for snapshot in snapshots:
+            self.counters.merge(snapshot.counters)
+            for part in snapshot.latencies:
+                latency = self._latency(part.service, part.outcome)
+                latency.histogram.decode_and_add(part.histogram)
+                latency.sum_s += part.sum_s
+
+    def page(self) -> str:
+        """Return the metrics in the text exposition format."""
+        samples: list[Sample] = []
+        for (service, outcome), latency in self._sorted():
+            samples += _samples(service, outcome, latency)
+        return self.counters.page() + family_text(
+            "marigolddoor_request_seconds",
+            "Time from the receipt of a request to the end of its answer.",
+            "histogram",
+            samples,
+        )
+
+    def _latency(self, service: ServiceId, outcome: RequestOutcome) -> _Latency:
+        latency = self.latencies.get((service, outcome))
+        if latency is None:
+            latency = self.latencies[(service, outcome)] = _Latency()
+        return latency
+
+    def _sorted(self) -> list[tuple[tuple[ServiceId, RequestOutcome], _Latency]]:
+        return sorted(self.latencies.items(), key=lambda item: (item[0][0], item[0][1].value))
+
+
+def _samples(service: ServiceId, outcome: RequestOutcome, latency: _Latency) -> list[Sample]:
+    total = int(latency.histogram.get_total_count())
+    counts = [0] * len(BUCKETS_S)
+    for recorded in latency.histogram.get_recorded_iterator():
+        value_s = recorded.value_iterated_to / UNITS_PER_S
+        for i, bound_s in enumerate(BUCKETS_S):
+            if value_s <= bound_s:
+                counts[i] += recorded.count_added_in_this_iter_step
+    samples = [
+        Sample(Labels(service, outcome.value, le=f"{bound_s:g}"), count, "_bucket")
+        for bound_s, count in zip(BUCKETS_S, counts, strict=True)
+    ]
+    labels = Labels(service, outcome.value)
+    return [
+        *samples,
+        Sample(Labels(service, outcome.value, le="+Inf"), total, "_bucket"),
+        Sample(labels, latency.sum_s, "_sum"),
+        Sample(labels, total, "_count"),
+    ]
--- /dev/null
+++ b/tests/entry/test_metrics.py
@@ -0,0 +1,73 @@
+"""Guards against latencies that are lost or shifted when processes are merged."""
+
+import random
+
+import testtools
+from marigolddoor_core.ids import ServiceId
+from marigolddoor_core.metrics import CounterKind, Labels
+from marigolddoor_entry.metrics import MAX_LATENCY_S, Metrics, RequestOutcome
+
+ORDERS = ServiceId("orders")
+ANSWERED = RequestOutcome.ANSWERED
+
+
+class LatencyTest(testtools.TestCase):
+    """Each latency is recorded within 1%, and extremes are neither lost nor refused."""
+
+    scenarios = [
+        ("typical", {"latency_s": 0.0153, "expected_s": 0.0153}),
+        ("long", {"latency_s": 42.0, "expected_s": 42.0}),
+        ("below a unit", {"latency_s": 0.0, "expected_s": 0.0001}),
+        ("clock went back", {"latency_s": -1.0, "expected_s": 0.0001}),
+        ("over the limit", {"latency_s": 1e9, "expected_s": MAX_LATENCY_S}),
+    ]
+
+    def test_observe(self) -> None:
+        metrics = Metrics()
+        metrics.observe(ORDERS, ANSWERED, self.latency_s)
+        found_s = metrics.quantile_s(ORDERS, ANSWERED, 1.0)
+        self.assertLessEqual(abs(found_s - self.expected_s), 0.01 * self.expected_s)
+        self.assertEqual(1, metrics.count(ORDERS, ANSWERED))
+
+
+class MergeTest(testtools.TestCase):
+    """Merged snapshots equal one process that saw everything."""
+
+    scenarios = [(f"{count} processes", {"count": count}) for count in (1, 2, 9)]
+
+    def test_merge(self) -> None:
+        chance = random.Random(7)
+        together, parts = Metrics(), [Metrics() for _ in range(self.count)]
+        for _ in range(500):
+            outcome = chance.choice(list(RequestOutcome))
+            latency_s = chance.expovariate(20.0)
+            for metrics in (together, chance.choice(parts)):
+                metrics.observe(ORDERS, outcome, latency_s)
+                metrics.counters.add(CounterKind.RETRIES, Labels(ORDERS))
+        merged = Metrics()
+        merged.merge(part.snapshot() for part in parts)
+        for outcome in RequestOutcome:
+            self.assertEqual(together.count(ORDERS, outcome), merged.count(ORDERS, outcome))
+            for quantile in (0.5, 0.99, 1.0):
+                self.assertEqual(
+                    together.quantile_s(ORDERS, outcome, quantile),
+                    merged.quantile_s(ORDERS, outcome, quantile),
+                )
+        self.assertEqual(together.counters.snapshot(), merged.counters.snapshot())
+
+
+class PageTest(testtools.TestCase):
+    """Buckets are cumulative and end with the count."""
+
+    def test_page(self) -> None:
+        metrics = Metrics()
+        for latency_s in (0.004, 0.004, 0.3, 70.0):
+            metrics.observe(ORDERS, ANSWERED, latency_s)
+        lines = dict(line.rsplit(" ", 1) for line in metrics.page().splitlines() if line[0] != "#")
+        prefix = 'marigolddoor_request_seconds_bucket{service="orders",outcome="answered",le='
+        shown = {bound: lines[f'{prefix}"{bound}"}}'] for bound in ("0.002", "0.005", "0.5", "60")}
+        self.assertEqual({"0.002": "0", "0.005": "2", "0.5": "3", "60": "3"}, shown)
+        self.assertEqual("4", lines[f'{prefix}"+Inf"}}'])
+        labels = '{service="orders",outcome="answered"}'
+        self.assertEqual("4", lines[f"marigolddoor_request_seconds_count{labels}"])
+        self.assertEqual("70.308", lines[f"marigolddoor_request_seconds_sum{labels}"])
