Count the buckets of the metrics page as latencies are observed

Cause: reading the buckets from the histogram made the text page take 4.2 ms for each series, on the only loop of the process.

--- a/packages/entry/src/marigolddoor_entry/metrics.py
+++ b/packages/entry/src/marigolddoor_entry/metrics.py
@@ -1,8 +1,10 @@
 """Latencies by service and outcome, and counters, of one entry process or of several together."""
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from itertools import accumulate
 
 from hdrh.histogram import HdrHistogram
 from marigolddoor_core.ids import ServiceId
@@ -29,12 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LatencySnapshot:
-    """A histogram in the compressed form of hdrhistogram, and the exact sum."""
+    """A histogram in the compressed form of hdrhistogram, the exact sum and the page's buckets."""
 
     service: ServiceId
     outcome: RequestOutcome
     histogram: bytes
     sum_s: float
+    buckets: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +54,8 @@
     def __init__(self) -> None:
         self.histogram = HdrHistogram(1, int(MAX_LATENCY_S * UNITS_PER_S), SIGNIFICANT_DIGITS)
         self.sum_s = 0.0
+        # Counted on their own: reading them from the histogram takes 4 ms for each page.
+        self.buckets = [0] * (len(BUCKETS_S) + 1)
 
 
 class Metrics:
@@ -65,6 +70,7 @@
         latency = self._latency(service, outcome)
         clipped_s = min(max(latency_s, 0.0), MAX_LATENCY_S)
         latency.sum_s += clipped_s
+        latency.buckets[bisect_left(BUCKETS_S, clipped_s)] += 1
         latency.histogram.record_value(max(1, round(clipped_s * UNITS_PER_S)))
 
     def quantile_s(self, service: ServiceId, outcome: RequestOutcome, quantile: float) -> float:
@@ -83,7 +89,13 @@
         """Return everything recorded so far."""
         return MetricsSnapshot(
             tuple(
-                LatencySnapshot(service, outcome, latency.histogram.encode(), latency.sum_s)
+                LatencySnapshot(
+                    service,
+                    outcome,
+                    latency.histogram.encode(),
+                    latency.sum_s,
+                    tuple(latency.buckets),
+                )
                 for (service, outcome), latency in self._sorted()
             ),
             self.counters.snapshot(),
@@ -97,6 +109,8 @@
                 latency = self._latency(part.service, part.outcome)
                 latency.histogram.decode_and_add(part.histogram)
                 latency.sum_s += part.sum_s
+                for i, count in enumerate(part.buckets):
+                    latency.buckets[i] += count
 
     def page(self) -> str:
         """Return the metrics in the text exposition format."""
@@ -121,21 +135,15 @@
 
 
 def _samples(service: ServiceId, outcome: RequestOutcome, latency: _Latency) -> list[Sample]:
-    total = int(latency.histogram.get_total_count())
-    counts = [0] * len(BUCKETS_S)
-    for recorded in latency.histogram.get_recorded_iterator():
-        value_s = recorded.value_iterated_to / UNITS_PER_S
-        for i, bound_s in enumerate(BUCKETS_S):
-            if value_s <= bound_s:
-                counts[i] += recorded.count_added_in_this_iter_step
+    counts = list(accumulate(latency.buckets))
+    bounds = [f"{bound_s:g}" for bound_s in BUCKETS_S] + ["+Inf"]
     samples = [
-        Sample(Labels(service, outcome.value, le=f"{bound_s:g}"), count, "_bucket")
-        for bound_s, count in zip(BUCKETS_S, counts, strict=True)
+        Sample(Labels(service, outcome.value, le=bound), count, "_bucket")
+        for bound, count in zip(bounds, counts, strict=True)
     ]
     labels = Labels(service, outcome.value)
     return [
         *samples,
-        Sample(Labels(service, outcome.value, le="+Inf"), total, "_bucket"),
         Sample(labels, latency.sum_s, "_sum"),
-        Sample(labels, total, "_count"),
+        Sample(labels, counts[-1], "_count"),
     ]
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -54,6 +54,10 @@
                     merged.quantile_s(ORDERS, outcome, quantile),
                 )
         self.assertEqual(together.counters.snapshot(), merged.counters.snapshot())
+        buckets = [line for line in together.page().splitlines() if "_bucket" in line]
+        self.assertEqual(
+            buckets, [line for line in merged.page().splitlines() if "_bucket" in line]
+        )
 
 
 class PageTest(testtools.TestCase):
