--- /dev/null
+++ b/packages/daemon/src/marigolddoor_daemon/timeline_file.py
@@ -0,0 +1,70 @@
+"""The timeline file of a process: one event a line as JSON, read by `marigolddoor timeline --file`.
+
+The file is for reading after a process has ended. It is not synced, and an event is lost rather
+than that a request waits: no decision depends on it.
+"""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from types import TracebackType
+from typing import BinaryIO
+
+from loguru import logger
+from marigolddoor_core.plain_values import to_plain
+from marigolddoor_core.timeline import Event
+
+__all__ = ["TimelineFile"]
+
+MAX_FILE_BYTES = 64 * 1024 * 1024
+
+
+class TimelineFile:
+    """Appends events. At `MAX_FILE_BYTES` the file is renamed to `FILE.1` and a new one begins."""
+
+    def __init__(self, path: Path, max_bytes: int = MAX_FILE_BYTES) -> None:
+        self.path = path
+        self.max_bytes = max_bytes
+        self.file: BinaryIO | None = None
+        self.failed = False
+
+    def __enter__(self) -> "TimelineFile":
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def append(self, events: Iterable[Event]) -> None:
+        """Write events; a full disk or a missing folder is logged once until a write succeeds."""
+        data = b"".join(json.dumps(to_plain(event)).encode() + b"\n" for event in events)
+        if not data:
+            return
+        try:
+            self._write(data)
+        except OSError as error:
+            self.close()
+            if not self.failed:
+                logger.warning("timeline: can't write {} ({}).", self.path, error.strerror)
+            self.failed = True
+        else:
+            self.failed = False
+
+    def close(self) -> None:
+        """Close the file; a later event opens it again."""
+        if self.file is not None:
+            self.file.close()
+            self.file = None
+
+    def _write(self, data: bytes) -> None:
+        if self.file is None:
+            self.file = open(self.path, "ab", buffering=0)  # noqa: SIM115 (kept open)
+        if self.file.tell() > 0 and self.file.tell() + len(data) > self.max_bytes:
+            self.close()
+            self.path.replace(self.path.with_name(self.path.name + ".1"))
+            self.file = open(self.path, "ab", buffering=0)  # noqa: SIM115 (kept open)
+        self.file.write(data)
--- a/packages/operator/src/marigolddoor_operator/client.py
+++ b/packages/operator/src/marigolddoor_operator/client.py
@@ -163,8 +163,10 @@
             response = await self.http.request(
                 method, endpoint + path, params=dict(query), json=body
             )
-        except _NOT_SENT:
-            return Attempt(Outcome.NOT_DONE, "no connection")
+        except _NOT_SENT as error:
+            trusted = "CERTIFICATE_VERIFY_FAILED" not in str(error)
+            reason = "no connection" if trusted else "its certificate is not trusted"
+            return Attempt(Outcome.NOT_DONE, reason)
         except httpx.HTTPError as error:
             return Attempt(Outcome.UNKNOWN, f"no answer ({type(error).__name__})")
         try:
--- /dev/null
+++ b/tests/daemon/test_logs.py
@@ -0,0 +1,60 @@
+"""Guards against log lines that show a token, break into two, or can't be read by a machine."""
+
+import io
+import json
+import logging
+
+import testtools
+from loguru import logger
+from marigolddoor_daemon.logs import set_up_logs
+from marigolddoor_daemon.settings import LogFormat, LogLevel, LogSettings
+
+
+class LogTest(testtools.TestCase):
+    """One event is one line with its part, whatever the message holds."""
+
+    scenarios = [
+        (f"{name} {form.value}", {"form": form, "message": message, "part": part, "shown": shown})
+        for form in LogFormat
+        for name, message, part, shown in [
+            ("plain", "entry: vm-1 joined.", "entry", "vm-1 joined."),
+            ("line end", "control: a\nERROR b", "control", "a\\nERROR b"),
+            ("token", "entry: Authorization: Bearer secret", "entry", "Authorization: Bearer ..."),
+            ("no part", "Something else.", "", "Something else."),
+            ("braces", "entry: {x} {0}", "entry", "{x} {0}"),
+        ]
+    ]
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.stream = io.StringIO()
+        set_up_logs(LogSettings(LogLevel.INFO, self.form), "entry-1", self.stream)
+        self.addCleanup(logger.remove)
+
+    def test_line(self) -> None:
+        logger.info(self.message)
+        logger.debug("entry: not shown.")
+        (line,) = self.stream.getvalue().splitlines()
+        if self.form is LogFormat.JSON:
+            fields = json.loads(line)
+            expected = ("info", "entry-1", self.part, self.shown)
+            names = ("level", "process", "part", "message")
+            self.assertEqual(expected, tuple(fields[name] for name in names))
+        else:
+            prefix = f"{self.part}: " if self.part else ""
+            self.assertTrue(line.endswith(f" INFO    {prefix}{self.shown}"), line)
+
+    def test_exception_without_values(self) -> None:
+        try:
+            raise ValueError("secret-body")
+        except ValueError:
+            logger.exception("entry: a request failed.")
+        (line,) = self.stream.getvalue().splitlines()
+        self.assertIn("a request failed. (ValueError)", line)
+        self.assertNotIn("secret-body", line)
+
+    def test_library(self) -> None:
+        logging.getLogger("some.library").warning("odd %s", "thing")
+        logging.getLogger("some.library").info("not shown")
+        (line,) = self.stream.getvalue().splitlines()
+        self.assertIn("some.library: odd thing", line)
--- /dev/null
+++ b/tests/daemon/test_timeline_file.py
@@ -0,0 +1,52 @@
+"""Guards against a timeline file that stops the process, grows without end or can't be read."""
+
+import tempfile
+from pathlib import Path
+
+import testtools
+from marigolddoor_core.ids import ProcessId, VmId
+from marigolddoor_core.timeline import EventKind, Recorder, Subject, TimelineFilter
+from marigolddoor_daemon.timeline_file import TimelineFile
+from marigolddoor_operator.timeline_files import read_timeline_files
+
+
+def recorded(count: int) -> Recorder:
+    """Return a recorder with `count` events."""
+    recorder = Recorder(ProcessId("entry-1"))
+    for i in range(count):
+        recorder.record(EventKind.TARGET_JOINED, i, Subject(vm=VmId("vm-1")), "line\nend")
+    return recorder
+
+
+class TimelineFileTest(testtools.TestCase):
+    """What is written is read back; a file at its limit is set aside and the next one begins."""
+
+    scenarios = [
+        ("one file", {"max_bytes": 10_000, "kept": 6, "older": 0}),
+        ("two files", {"max_bytes": 1_000, "kept": 3, "older": 3}),
+        ("an event over the limit", {"max_bytes": 10, "kept": 1, "older": 1}),
+    ]
+
+    def test_append(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name) / "events.jsonl"
+            events = list(recorded(6).events)
+            with TimelineFile(path, self.max_bytes) as file:
+                for event in events:
+                    file.append([event])
+            older = path.with_name("events.jsonl.1")
+            files = [older, path] if older.exists() else [path]
+            counts = [len(read_timeline_files([one], TimelineFilter()).events) for one in files]
+            self.assertEqual([self.older, self.kept][-len(counts) :], counts)
+            found = read_timeline_files(files, TimelineFilter()).events
+            self.assertEqual(tuple(events[-len(found) :]), found)
+
+    def test_missing_folder(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name) / "later" / "events.jsonl"
+            with TimelineFile(path) as file:
+                file.append(recorded(1).events)
+                self.assertFalse(path.exists())
+                path.parent.mkdir()
+                file.append(recorded(2).events)
+            self.assertEqual(2, len(read_timeline_files([path], TimelineFilter()).events))
--- a/tests/operator/test_client.py
+++ b/tests/operator/test_client.py
@@ -27,6 +27,7 @@
     "other service": (502, "<html>"),
     "not JSON": (200, b"\xff{"),
     "refused": httpx.ConnectError("refused"),
+    "untrusted": httpx.ConnectError("[SSL: CERTIFICATE_VERIFY_FAILED] self-signed certificate"),
     "cut": httpx.ReadError("cut"),
     "late": httpx.ReadTimeout("late"),
 }
@@ -129,3 +130,24 @@
 
         self.assertEqual(self.code, anyio.run(read))
         self.assertEqual([1, 2][: self.sent], [port for port, _ in network.requests])
+
+
+class ReasonTest(testtools.TestCase):
+    """An endpoint with a wrong certificate isn't reported as one that is down."""
+
+    scenarios = [
+        ("down", {"plan": ["refused"], "reason": "http://127.0.0.1:2: no connection"}),
+        ("certificate", {"plan": ["untrusted"], "reason": "certificate is not trusted"}),
+        ("no quorum", {"plan": ["no quorum"], "reason": "no leader"}),
+    ]
+
+    def test_reason(self) -> None:
+        async def read() -> str:
+            async with OperatorClient(SETTINGS, no_pause, Network(self.plan)) as client:
+                try:
+                    await client.read("/v1/status", {})
+                except MarigolddoorError as error:
+                    return str(error)
+                return ""
+
+        self.assertIn(self.reason, anyio.run(read))
