--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -7,6 +7,7 @@
 from marigolddoor_core.consensus import messages as consensus_messages
 from marigolddoor_core.declaration import organisation
 from marigolddoor_core.state import commands, objects, results, snapshots
+from marigolddoor_core.timeline import clock, events, filters, timelines
 
 from marigolddoor_wire import agreement, messages
 
@@ -25,4 +26,8 @@
     stored,
     agreement,
     snapshots,
+    clock,
+    events,
+    filters,
+    timelines,
 )
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -44,8 +44,17 @@
     TaskPhase,
     TaskReport,
 )
+from marigolddoor_core.timeline import (
+    Event,
+    EventId,
+    EventKind,
+    HybridTime,
+    ProcessTimeline,
+    Subject,
+)
 from marigolddoor_wire.codec import THRIFT_MODULES, DecodeError, decode, encode
 from marigolddoor_wire.messages import (
+    FetchTimelineReply,
     Propose,
     ProposeReply,
     ReportTargets,
@@ -128,6 +137,26 @@
             ),
             ("", Propose(Claim(ServiceId("s"), IdempotencyKey("k"), b"", ProcessId("p"), 9.0), 1)),
             ("", ProposeReply(Done())),
+            (
+                "",
+                FetchTimelineReply(
+                    ProcessTimeline(
+                        ProcessId("p"),
+                        (
+                            Event(
+                                EventId("p/1"),
+                                ProcessId("p"),
+                                1,
+                                HybridTime(5, 2),
+                                EventKind.MOVE_BEGUN,
+                                Subject(service=ServiceId("s"), vm=VmId("vm-1")),
+                                cause=EventId("q/9"),
+                            ),
+                        ),
+                        1,
+                    )
+                ),
+            ),
             (
                 "",
                 ReportTargets(
