--- a/packages/core/src/marigolddoor_core/fleet.py
+++ b/packages/core/src/marigolddoor_core/fleet.py
@@ -8,7 +8,7 @@
 from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, VmRecord
 from marigolddoor_core.targets import Announcement, TargetState
 
-__all__ = ["Demand", "Fleet", "ObservedTarget"]
+__all__ = ["Demand", "Fleet", "FleetDelta", "ObservedTarget"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +37,20 @@
     slots: float
 
 
+@dataclass(frozen=True, slots=True)
+class FleetDelta:
+    """The keys whose values differ between two fleets that were built one after the other.
+
+    `sequence` numbers the fleet that carries the delta; the delta is relative to the fleet with the
+    number before it. A decision that missed a fleet looks at everything instead.
+    """
+
+    sequence: int
+    vms: frozenset[VmId]
+    tasks: frozenset[TaskId]
+    targets: frozenset[VmId]
+
+
 @dataclass(frozen=True, slots=True)
 class Fleet:
     """The input of every decision on the leader. `now_s` is the agreed time in seconds."""
@@ -50,3 +64,4 @@
     targets: Mapping[VmId, ObservedTarget] = field(default_factory=dict)
     demand: Mapping[ServiceId, Demand] = field(default_factory=dict)
     silent_data_centres: frozenset[DataCentreId] = frozenset()
+    delta: FleetDelta | None = None
--- a/packages/core/src/marigolddoor_core/maintenance/__init__.py
+++ b/packages/core/src/marigolddoor_core/maintenance/__init__.py
@@ -1,1 +1,14 @@
 """Waves that take VMs out of service within the availability budgets."""
+
+from marigolddoor_core.maintenance.budget import BudgetLedger
+from marigolddoor_core.maintenance.maintenance import DrainProgress, Maintenance
+from marigolddoor_core.maintenance.waves import BudgetWave, OneAtATime, WavePolicy
+
+__all__ = [
+    "BudgetLedger",
+    "BudgetWave",
+    "DrainProgress",
+    "Maintenance",
+    "OneAtATime",
+    "WavePolicy",
+]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/maintenance/budget.py
@@ -0,0 +1,113 @@
+"""How many VMs of each pool are out of service, and how many more may be taken."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from marigolddoor_core.declaration.organisation import Pool
+from marigolddoor_core.fleet import Fleet, ObservedTarget
+from marigolddoor_core.ids import DataCentreId, PoolId, RackId, VmId
+from marigolddoor_core.state.commands import MaintenanceStep
+from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.targets import TargetState
+
+__all__ = ["BudgetLedger", "Loss", "PoolLoss", "loss_of"]
+
+# A proposal whose outcome is unknown may still be committed; after this long it is not.
+TAKE_PATIENCE_S = 30.0
+
+
+@dataclass(slots=True)
+class Loss:
+    """The VMs of a pool that are out of service. `missing` counts VMs that the pool lacks."""
+
+    planned: set[VmId] = field(default_factory=set)
+    unplanned: set[VmId] = field(default_factory=set)
+    missing: int = 0
+
+    def total(self) -> int:
+        """Return the number of VMs out of service, each counted once."""
+        return len(self.planned | self.unplanned) + self.missing
+
+
+@dataclass(slots=True)
+class PoolLoss:
+    """A pool with its members and its loss."""
+
+    pool: Pool
+    members: dict[VmId, VmRecord] = field(default_factory=dict)
+    loss: Loss = field(default_factory=Loss)
+
+    def headroom(self) -> int:
+        """Return how many more VMs may be taken; negative if the budget is exceeded."""
+        return self.pool.max_unavailable - self.loss.total()
+
+    def domains(self) -> set[tuple[DataCentreId, RackId]]:
+        """Return the racks that already have a VM out of service."""
+        out = self.loss.planned | self.loss.unplanned
+        return {(self.members[vm].data_centre, self.members[vm].rack) for vm in out}
+
+
+def is_planned_loss(record: VmRecord) -> bool:
+    """Return whether a VM is out of service because the system took it."""
+    return record.next_pool is not None or record.maintenance not in (None, MaintenanceStep.DONE)
+
+
+def is_unplanned_loss(record: VmRecord, target: ObservedTarget | None) -> bool:
+    """Return whether a VM is out of service by itself: silent, unknown or on its way out."""
+    if target is None or target.announcement.leaving:
+        return True
+    return target.state in (TargetState.SUSPECTED, TargetState.DEAD, TargetState.LEAVING)
+
+
+def loss_of(
+    fleet: Fleet, set_aside: Iterable[VmId], taken: Iterable[VmId]
+) -> dict[PoolId, PoolLoss]:
+    """Return the loss of every pool.
+
+    Args:
+      fleet: the fleet now.
+      set_aside: workers that get no tasks because they fail them.
+      taken: VMs whose planned loss is proposed but not committed yet.
+    """
+    pools = {pool.id: PoolLoss(pool) for pool in fleet.declaration.pools}
+    aside, under_way = frozenset(set_aside), frozenset(taken)
+    for vm, record in fleet.vms.items():
+        entry = pools.get(record.pool)
+        if entry is None:
+            continue
+        entry.members[vm] = record
+        if vm in under_way or is_planned_loss(record):
+            entry.loss.planned.add(vm)
+        if (
+            vm in aside
+            or record.data_centre in fleet.silent_data_centres
+            or is_unplanned_loss(record, fleet.targets.get(vm))
+        ):
+            entry.loss.unplanned.add(vm)
+    for entry in pools.values():
+        needed = entry.pool.floor if entry.pool.spare else entry.pool.size
+        entry.loss.missing = max(0, needed - len(entry.members))
+    return pools
+
+
+class BudgetLedger:
+    """Counts the VMs that decisions took in rounds whose commands are not committed yet.
+
+    All decisions that take VMs share one ledger, so that two of them cannot use the same headroom
+    in one round.
+    """
+
+    def __init__(self) -> None:
+        self.taken_s: dict[VmId, float] = {}
+
+    def take(self, vm: VmId, now_s: float) -> None:
+        """Count a VM as planned loss from now on."""
+        self.taken_s[vm] = now_s
+
+    def settle(self, vms: Mapping[VmId, VmRecord], now_s: float) -> None:
+        """Drop what is committed, and what will not be any more."""
+        for vm, taken_s in tuple(self.taken_s.items()):
+            record = vms.get(vm)
+            is_committed = record is not None and is_planned_loss(record)
+            if record is None or is_committed or now_s - taken_s >= TAKE_PATIENCE_S:
+                del self.taken_s[vm]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/maintenance/concerns.py
@@ -0,0 +1,51 @@
+"""What maintenance asks the operators about."""
+
+from marigolddoor_core.ids import PoolId, VmId
+from marigolddoor_core.questions.book import Concern
+from marigolddoor_core.state.commands import Choice, Fact
+
+__all__ = ["NOT_BACK", "STUCK_DRAIN", "drain_stuck", "vm_not_back"]
+
+NOT_BACK = "vm-not-back:"
+STUCK_DRAIN = "vm-not-drained:"
+
+# The pool lacks the VM in the meantime, so another reboot is not left for long.
+REBOOT_AGAIN_AFTER_S = 1_800.0
+DAY_S = 86_400.0
+
+
+def vm_not_back(vm: VmId, pool: PoolId, waited_s: float, now_s: float) -> Concern:
+    """Return the question about a VM that did not come back in order after its reboot."""
+    return Concern(
+        f"{NOT_BACK}{vm}",
+        f"VM {vm} did not come back from its reboot. What should happen?",
+        (
+            Fact(f"It was rebooted {waited_s:.0f} s ago.", now_s),
+            Fact(f"It counts against the budget of pool {pool}.", now_s),
+        ),
+        (
+            Choice("reboot", "The platform is asked to reboot it once more."),
+            Choice("retire", "The VM is removed, and the pool lacks it until another joins."),
+            Choice("wait", "The VM stays out of service until it comes back."),
+        ),
+        "reboot",
+        REBOOT_AGAIN_AFTER_S,
+    )
+
+
+def drain_stuck(vm: VmId, tasks: int, busy_slots: int, waited_s: float, now_s: float) -> Concern:
+    """Return the question about a VM that does not get drained."""
+    return Concern(
+        f"{STUCK_DRAIN}{vm}",
+        f"VM {vm} does not get free for its maintenance. Should the wave wait for it?",
+        (
+            Fact(f"It has been draining for {waited_s:.0f} s.", now_s),
+            Fact(f"{tasks} tasks and {busy_slots} requests are left on it.", now_s),
+        ),
+        (
+            Choice("wait", "The VM keeps draining and the wave waits."),
+            Choice("stop-tasks", "The tasks left on the VM are stopped and placed elsewhere."),
+        ),
+        "wait",
+        DAY_S,
+    )
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/maintenance/maintenance.py
@@ -0,0 +1,339 @@
+"""Takes VMs out of service, reboots them and brings them back, within the pools' budgets."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from marigolddoor_core.actions import Action, OrderTask, ProposeCommand, RebootVm
+from marigolddoor_core.changes import Tracker
+from marigolddoor_core.fleet import Fleet, ObservedTarget
+from marigolddoor_core.ids import PoolId, TaskId, VmId
+from marigolddoor_core.maintenance import concerns
+from marigolddoor_core.maintenance.budget import (
+    BudgetLedger,
+    PoolLoss,
+    is_planned_loss,
+    is_unplanned_loss,
+    loss_of,
+)
+from marigolddoor_core.maintenance.calendar import due_since_s
+from marigolddoor_core.maintenance.waves import BudgetWave, Candidate, WavePolicy
+from marigolddoor_core.placement.blame import Blame
+from marigolddoor_core.placement.concerns import workers_answered
+from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S, Concern, QuestionBook
+from marigolddoor_core.state.commands import MaintenanceStep, RecordMaintenance, RetireVm
+from marigolddoor_core.state.objects import TaskRecord, TaskState, VmRecord
+from marigolddoor_core.targets import TargetState, TaskOrder, TaskOrderKind
+
+__all__ = ["DrainProgress", "Maintenance"]
+
+# A reboot request is idempotent, so it is repeated in case the platform lost it.
+REBOOT_REPEAT_S = 10.0
+STOP_REPEAT_S = 5.0
+# A VM boots within a minute or two; one that takes longer than this needs a person.
+REBOOT_PATIENCE_S = 300.0
+# A VM that came back must announce itself steadily for this long.
+VERIFY_S = 3.0
+# Tasks checkpoint and requests end within their deadlines, so a drain takes far less.
+DRAIN_PATIENCE_S = 600.0
+# Operators' requests go before the calendar, whose orders are times.
+REQUESTED_ORDER = float("-inf")
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What this leader has seen of the current step of a VM."""
+
+    step: MaintenanceStep
+    since_s: float
+    incarnation: str | None = None
+    attempt: str = "first"
+    was_silent: bool = False
+    steady_since_s: float | None = None
+    rebooted_s: float | None = None
+    stopped_s: float = float("-inf")
+    proposed: MaintenanceStep | None = None
+    proposed_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class DrainProgress:
+    """How far an operator's request has come."""
+
+    waiting: tuple[VmId, ...]
+    under_way: tuple[VmId, ...]
+
+
+class Maintenance:
+    """The maintenance decision: the calendar, operators' requests, reboots and their repair.
+
+    Args:
+      ledger: shared with every decision that takes VMs out of service.
+      policy: chooses the VMs that are taken next.
+    """
+
+    def __init__(
+        self, ledger: BudgetLedger | None = None, policy: WavePolicy | None = None
+    ) -> None:
+        self.ledger = ledger or BudgetLedger()
+        self.policy = policy or BudgetWave()
+        self.blame = Blame()
+        self.tasks: Tracker[TaskId, TaskRecord] = Tracker()
+        self.questions = QuestionBook((concerns.NOT_BACK, concerns.STUCK_DRAIN))
+        self.progress: dict[VmId, _Progress] = {}
+        self.requested: dict[VmId, float] = {}
+
+    def request(self, vms: Iterable[VmId], now_s: float) -> None:
+        """Maintain these VMs soon, as an operator asked; a VM that is under way is not repeated."""
+        for vm in vms:
+            self.requested.setdefault(vm, now_s)
+
+    def drain_progress(self, fleet: Fleet, vms: Iterable[VmId]) -> DrainProgress:
+        """Return how far the maintenance of these VMs has come."""
+        named = [vm for vm in vms if vm in fleet.vms]
+        under_way = tuple(vm for vm in named if is_planned_loss(fleet.vms[vm]))
+        waiting = tuple(vm for vm in named if vm in self.requested and vm not in under_way)
+        return DrainProgress(waiting, under_way)
+
+    def decide(self, fleet: Fleet) -> tuple[Action, ...]:
+        """Return the next steps of the VMs under maintenance, and the VMs that are taken now."""
+        now_s = fleet.now_s
+        self.ledger.settle(fleet.vms, now_s)
+        self.questions.read(fleet)
+        actions: list[Action] = []
+        asked: list[Concern] = []
+        tasks_left = _tasks_left(fleet)
+        for vm, record in fleet.vms.items():
+            progress = self._progress_of(vm, record, now_s)
+            if progress is not None:
+                actions += self._advance(fleet, record, progress, tasks_left.get(vm, 0), asked)
+        for vm in [vm for vm in self.progress if vm not in fleet.vms]:
+            del self.progress[vm]
+        actions += self._take(fleet)
+        actions += self.questions.reconcile(now_s, asked)
+        return tuple(actions)
+
+    def _progress_of(self, vm: VmId, record: VmRecord, now_s: float) -> _Progress | None:
+        step = record.maintenance
+        if step is None or step is MaintenanceStep.DONE:
+            if self.progress.pop(vm, None) is not None:
+                self.requested.pop(vm, None)
+            return None
+        progress = self.progress.get(vm)
+        if progress is None or progress.step is not step:
+            old = progress
+            progress = self.progress[vm] = _Progress(step, now_s)
+            if old is not None:
+                progress.incarnation = old.incarnation
+                progress.attempt = old.attempt
+        return progress
+
+    def _advance(
+        self,
+        fleet: Fleet,
+        record: VmRecord,
+        progress: _Progress,
+        tasks_left: int,
+        asked: list[Concern],
+    ) -> list[Action]:
+        target = fleet.targets.get(record.vm)
+        if record.maintenance is MaintenanceStep.DRAINING:
+            return self._drain(fleet, record, progress, tasks_left, asked)
+        if record.maintenance is MaintenanceStep.REBOOTING:
+            return self._reboot(fleet, record, progress, target)
+        if record.maintenance is MaintenanceStep.VERIFYING:
+            return self._verify(fleet, record, progress, target)
+        return self._repair(fleet, record, progress, target, asked)
+
+    def _drain(
+        self,
+        fleet: Fleet,
+        record: VmRecord,
+        progress: _Progress,
+        tasks_left: int,
+        asked: list[Concern],
+    ) -> list[Action]:
+        now_s = fleet.now_s
+        target = fleet.targets.get(record.vm)
+        is_dead = target is not None and target.state is TargetState.DEAD
+        if target is not None:
+            progress.incarnation = target.announcement.incarnation
+        is_drained = (
+            target is not None
+            and target.announcement.drained
+            and target.announcement.epoch == record.epoch
+        )
+        if tasks_left == 0 and (is_drained or is_dead):
+            return self._record(record, progress, MaintenanceStep.REBOOTING, now_s)
+        waited_s = now_s - progress.since_s
+        if waited_s >= DRAIN_PATIENCE_S:
+            busy = 0 if target is None else target.announcement.busy_slots
+            concern = concerns.drain_stuck(record.vm, tasks_left, busy, waited_s, now_s)
+            asked.append(concern)
+            if self.questions.answer(concern.subject) == "stop-tasks":
+                return self._stop_tasks(fleet, record, progress)
+        return []
+
+    @staticmethod
+    def _stop_tasks(fleet: Fleet, record: VmRecord, progress: _Progress) -> list[Action]:
+        if fleet.now_s - progress.stopped_s < STOP_REPEAT_S:
+            return []
+        progress.stopped_s = fleet.now_s
+        return [
+            OrderTask(
+                record.vm,
+                record.epoch,
+                TaskOrder(TaskOrderKind.STOP, task.task, task.job, task.token),
+            )
+            for task in fleet.tasks.values()
+            if task.vm == record.vm and task.state is TaskState.LEASED
+        ]
+
+    def _reboot(
+        self,
+        fleet: Fleet,
+        record: VmRecord,
+        progress: _Progress,
+        target: ObservedTarget | None,
+    ) -> list[Action]:
+        """Ask for the reboot until the VM is back under another incarnation.
+
+        The request names the incarnation that is to end, so that a resend by a new leader ends the
+        same one. A leader that never saw it takes a VM that was silent and is back as rebooted.
+        """
+        now_s = fleet.now_s
+        if target is None or is_unplanned_loss(record, target):
+            progress.was_silent = progress.was_silent or target is not None
+        elif progress.incarnation is None and not progress.was_silent:
+            progress.incarnation = target.announcement.incarnation
+        elif target.announcement.incarnation != progress.incarnation:
+            return self._record(record, progress, MaintenanceStep.VERIFYING, now_s)
+        if now_s - progress.since_s >= REBOOT_PATIENCE_S:
+            return self._record(record, progress, MaintenanceStep.FAILED, now_s)
+        if progress.incarnation is None:
+            return []
+        if progress.rebooted_s is not None and now_s - progress.rebooted_s < REBOOT_REPEAT_S:
+            return []
+        progress.rebooted_s = now_s
+        request = f"{record.vm}:{record.epoch}:{progress.incarnation}:{progress.attempt}"
+        return [RebootVm(record.vm, request)]
+
+    def _verify(
+        self,
+        fleet: Fleet,
+        record: VmRecord,
+        progress: _Progress,
+        target: ObservedTarget | None,
+    ) -> list[Action]:
+        now_s = fleet.now_s
+        is_steady = (
+            target is not None
+            and not is_unplanned_loss(record, target)
+            and target.announcement.epoch == record.epoch
+            and record.capacity.fits(target.announcement.capacity)
+        )
+        if not is_steady or target is None:
+            progress.steady_since_s = None
+        elif (
+            progress.steady_since_s is None
+            or progress.incarnation != target.announcement.incarnation
+        ):
+            progress.incarnation = target.announcement.incarnation
+            progress.steady_since_s = now_s
+        elif now_s - progress.steady_since_s >= VERIFY_S:
+            return self._record(record, progress, MaintenanceStep.DONE, now_s)
+        if now_s - progress.since_s >= REBOOT_PATIENCE_S:
+            return self._record(record, progress, MaintenanceStep.FAILED, now_s)
+        return []
+
+    def _repair(
+        self,
+        fleet: Fleet,
+        record: VmRecord,
+        progress: _Progress,
+        target: ObservedTarget | None,
+        asked: list[Concern],
+    ) -> list[Action]:
+        """Wait for a failed VM, ask about it and do what the operators say."""
+        now_s = fleet.now_s
+        is_back = target is not None and not is_unplanned_loss(record, target)
+        if (
+            target is not None
+            and is_back
+            and progress.incarnation != target.announcement.incarnation
+        ):
+            return self._record(record, progress, MaintenanceStep.VERIFYING, now_s)
+        concern = concerns.vm_not_back(record.vm, record.pool, now_s - progress.since_s, now_s)
+        asked.append(concern)
+        answer = self.questions.answer(concern.subject)
+        if answer == "reboot":
+            progress.attempt = self.questions.standing[concern.subject].question
+            return self._record(record, progress, MaintenanceStep.REBOOTING, now_s)
+        if answer == "retire" and self._may_propose(progress, MaintenanceStep.DONE, now_s):
+            return [ProposeCommand(RetireVm(record.vm, record.epoch, now_s))]
+        return []
+
+    def _record(
+        self, record: VmRecord, progress: _Progress, step: MaintenanceStep, now_s: float
+    ) -> list[Action]:
+        if not self._may_propose(progress, step, now_s):
+            return []
+        return [ProposeCommand(RecordMaintenance(record.vm, record.epoch, step, now_s))]
+
+    @staticmethod
+    def _may_propose(progress: _Progress, step: MaintenanceStep, now_s: float) -> bool:
+        if progress.proposed is step and now_s - progress.proposed_s < PROPOSAL_PATIENCE_S:
+            return False
+        progress.proposed, progress.proposed_s = step, now_s
+        return True
+
+    def _take(self, fleet: Fleet) -> list[Action]:
+        actions: list[Action] = []
+        losses = loss_of(fleet, self._set_aside(fleet), self.ledger.taken_s)
+        candidates = self._candidates(fleet, losses)
+        for pool, waiting in candidates.items():
+            for vm in self.policy.choose(losses[pool], waiting):
+                self.ledger.take(vm, fleet.now_s)
+                record = fleet.vms[vm]
+                step = RecordMaintenance(vm, record.epoch, MaintenanceStep.DRAINING, fleet.now_s)
+                actions.append(ProposeCommand(step))
+        return actions
+
+    def _candidates(
+        self, fleet: Fleet, losses: dict[PoolId, PoolLoss]
+    ) -> dict[PoolId, list[Candidate]]:
+        ordered = workers_answered(fleet.questions.values(), "reboot")
+        candidates: dict[PoolId, list[Candidate]] = {}
+        for pool, loss in losses.items():
+            for vm, record in loss.members.items():
+                if vm in loss.loss.planned or record.data_centre in fleet.silent_data_centres:
+                    continue
+                if vm in self.requested or vm in ordered:
+                    candidates.setdefault(pool, []).append(Candidate(vm, REQUESTED_ORDER))
+                    continue
+                due_s = due_since_s(record, loss.pool, fleet.now_s)
+                if due_s is not None and vm not in loss.loss.unplanned and loss.headroom() > 0:
+                    candidates.setdefault(pool, []).append(Candidate(vm, due_s))
+        return candidates
+
+    def _set_aside(self, fleet: Fleet) -> list[VmId]:
+        for change in self.tasks.changes(fleet.tasks, None):
+            self.blame.take(change.old, change.new)
+        trusted = workers_answered(fleet.questions.values(), "trust")
+        return [
+            vm
+            for vm in self.blame.by_vm
+            if vm in fleet.vms and vm not in trusted and self.blame.is_worker_bad(fleet.vms[vm])
+        ]
+
+
+def _tasks_left(fleet: Fleet) -> dict[VmId, int]:
+    """Count the leased tasks of each VM that drains."""
+    draining = {
+        vm for vm, record in fleet.vms.items() if record.maintenance is MaintenanceStep.DRAINING
+    }
+    left: dict[VmId, int] = {}
+    if draining:
+        for task in fleet.tasks.values():
+            if task.state is TaskState.LEASED and task.vm in draining and task.vm is not None:
+                left[task.vm] = left.get(task.vm, 0) + 1
+    return left
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/placement/board.py
@@ -0,0 +1,322 @@
+"""What runs and waits where, kept up to date from the changes between two fleets."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from marigolddoor_core.changes import Changed, Tracker
+from marigolddoor_core.declaration.organisation import Declaration, Job, Team
+from marigolddoor_core.fleet import Fleet, ObservedTarget
+from marigolddoor_core.ids import JobId, PoolId, RackId, TaskId, TeamId, VmId
+from marigolddoor_core.placement.blame import Blame
+from marigolddoor_core.placement.estimates import Estimates
+from marigolddoor_core.placement.room import RoomIndex
+from marigolddoor_core.state.commands import MaintenanceStep
+from marigolddoor_core.state.objects import TaskRecord, TaskState, VmRecord
+from marigolddoor_core.targets import Resources, TargetState, TaskPhase
+
+__all__ = ["Board", "Charge", "PoolRoom", "Worker", "is_in_service", "is_leaving"]
+
+NOTHING = Resources(0.0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """The room that a task takes on its worker."""
+
+    job: Job
+    size: Resources
+    rack: RackId
+
+
+@dataclass(slots=True)
+class Worker:
+    """A worker as placement sees it.
+
+    `announced_s` is the agreed time of its latest announcement. `holds` is room kept free for
+    urgent tasks.
+    """
+
+    record: VmRecord
+    target: ObservedTarget | None = None
+    announced_s: float = 0.0
+    charges: dict[TaskId, Charge] = field(default_factory=dict)
+    holds: dict[TaskId, Resources] = field(default_factory=dict)
+    charged: Resources = NOTHING
+    charged_urgent: Resources = NOTHING
+    held: Resources = NOTHING
+    reported: Resources = NOTHING
+
+    def room(self) -> Resources:
+        """Return what is free, by the larger of the estimated and the reported use."""
+        used = Resources(
+            max(self.charged.cores, self.reported.cores),
+            max(self.charged.memory_mb, self.reported.memory_mb),
+            self.charged.accelerators,
+        )
+        return self.record.capacity - used - self.held
+
+    def preemptible_room(self) -> Resources:
+        """Return what would be free if only urgent tasks ran."""
+        return self.record.capacity - self.charged_urgent - self.held
+
+
+@dataclass(slots=True)
+class PoolRoom:
+    """The free room of a pool, and the room that preemption could make."""
+
+    free: RoomIndex = field(default_factory=RoomIndex)
+    preemptible: RoomIndex = field(default_factory=RoomIndex)
+    members: dict[VmId, Resources] = field(default_factory=dict)
+    membership: int = 0
+
+
+def is_in_service(record: VmRecord, target: ObservedTarget | None) -> bool:
+    """Return whether a VM may be given new work: ready, in its epoch and not on its way out."""
+    if target is None or target.state is not TargetState.READY:
+        return False
+    if record.next_pool is not None or record.maintenance not in (None, MaintenanceStep.DONE):
+        return False
+    report = target.announcement
+    return report.epoch == record.epoch and not report.leaving
+
+
+def is_leaving(record: VmRecord) -> bool:
+    """Return whether the tasks of a VM are to leave it, for a move or for maintenance."""
+    return record.next_pool is not None or record.maintenance is MaintenanceStep.DRAINING
+
+
+def _is_same_target(old: ObservedTarget, new: ObservedTarget) -> bool:
+    return old.announcement is new.announcement and old.state is new.state
+
+
+class Board:
+    """Indexes workers and tasks. Each call of `update` costs what changed since the last one."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, Job] = {}
+        self.teams: dict[TeamId, Team] = {}
+        self.workers: dict[VmId, Worker] = {}
+        self.pools: dict[PoolId, PoolRoom] = {}
+        self.tasks: Tracker[TaskId, TaskRecord] = Tracker()
+        self.vms: Tracker[VmId, VmRecord] = Tracker()
+        self.targets: Tracker[VmId, ObservedTarget] = Tracker(_is_same_target)
+        self.waiting: dict[JobId, dict[TaskId, TaskRecord]] = {}
+        self.location: dict[TaskId, VmId] = {}
+        self.by_job: dict[JobId, dict[TaskId, None]] = {}
+        self.racks: dict[JobId, dict[RackId, int]] = {}
+        self.team_cores: dict[TeamId, float] = {}
+        self.estimates = Estimates()
+        self.blame = Blame()
+        self.trusted: set[VmId] = set()
+        self.leaving: set[VmId] = set()
+        self.declaration: Declaration | None = None
+        self.sequence = -1
+
+    def update(
+        self, fleet: Fleet
+    ) -> tuple[list[Changed[TaskId, TaskRecord]], list[Changed[VmId, ObservedTarget]]]:
+        """Take in a fleet; return the tasks and the targets that changed."""
+        delta = fleet.delta
+        if delta is not None and delta.sequence != self.sequence + 1:
+            delta = None
+        self.sequence = -1 if fleet.delta is None else fleet.delta.sequence
+        if fleet.declaration is not self.declaration:
+            self._declare(fleet.declaration)
+        stale: set[VmId] = set()
+        for vm_change in self.vms.changes(fleet.vms, None if delta is None else delta.vms):
+            self._take_vm(vm_change)
+            stale.add(vm_change.key)
+        targets = list(
+            self.targets.changes(fleet.targets, None if delta is None else delta.targets)
+        )
+        for target_change in targets:
+            worker = self.workers.get(target_change.key)
+            if worker is not None:
+                worker.target = target_change.new
+                if target_change.new is not None:
+                    worker.announced_s = fleet.now_s - target_change.new.age_s
+                worker.reported = _reported(target_change.new)
+                stale.add(target_change.key)
+        tasks = list(self.tasks.changes(fleet.tasks, None if delta is None else delta.tasks))
+        for task_change in tasks:
+            self._take_task(task_change)
+            stale |= self.blame.take(task_change.old, task_change.new)
+        for vm in stale:
+            self.refresh(vm)
+        return tasks, targets
+
+    def is_usable(self, vm: VmId) -> bool:
+        """Return whether new tasks may be placed on a worker."""
+        worker = self.workers.get(vm)
+        return (
+            worker is not None
+            and is_in_service(worker.record, worker.target)
+            and not self.is_set_aside(vm)
+        )
+
+    def is_set_aside(self, vm: VmId) -> bool:
+        """Return whether a worker gets no tasks because it fails those of several jobs."""
+        worker = self.workers.get(vm)
+        return (
+            worker is not None
+            and vm not in self.trusted
+            and self.blame.is_worker_bad(worker.record)
+        )
+
+    def size(self, job: Job) -> Resources:
+        """Return what a task of the job is expected to need."""
+        return self.estimates.size(job)
+
+    def charge(self, task: TaskId, job: Job, vm: VmId) -> None:
+        """Take room for a task on a worker, in place of the room that it took before."""
+        self.release(task)
+        worker = self.workers.get(vm)
+        if worker is None:
+            return
+        charge = Charge(job, self.size(job), worker.record.rack)
+        worker.charges[task] = charge
+        worker.charged += charge.size
+        if job.urgent:
+            worker.charged_urgent += charge.size
+        self.location[task] = vm
+        self.team_cores[job.team] = self.team_cores.get(job.team, 0.0) + charge.size.cores
+        racks = self.racks.setdefault(job.id, {})
+        racks[worker.record.rack] = racks.get(worker.record.rack, 0) + 1
+        self.refresh(vm)
+
+    def release(self, task: TaskId) -> None:
+        """Give back the room of a task."""
+        vm = self.location.pop(task, None)
+        worker = None if vm is None else self.workers.get(vm)
+        if vm is None or worker is None:
+            return
+        charge = worker.charges.pop(task)
+        worker.charged -= charge.size
+        if charge.job.urgent:
+            worker.charged_urgent -= charge.size
+        if not worker.charges:
+            # Sums of floats drift; an empty worker is exactly empty.
+            worker.charged = worker.charged_urgent = NOTHING
+        self.team_cores[charge.job.team] -= charge.size.cores
+        self.racks[charge.job.id][charge.rack] -= 1
+        self.refresh(vm)
+
+    def hold(self, task: TaskId, size: Resources, vm: VmId) -> None:
+        """Keep room on a worker for an urgent task that waits for others to leave."""
+        worker = self.workers[vm]
+        worker.holds[task] = size
+        worker.held += size
+        self.refresh(vm)
+
+    def unhold(self, task: TaskId, vm: VmId) -> None:
+        """Give back held room."""
+        worker = self.workers.get(vm)
+        size = None if worker is None else worker.holds.pop(task, None)
+        if worker is not None and size is not None:
+            worker.held -= size
+            self.refresh(vm)
+
+    def recharge(self, job: Job) -> None:
+        """Charge the running tasks of a job by its new size."""
+        for task in self.by_job.get(job.id, ()):
+            vm = self.location.get(task)
+            if vm is not None:
+                self.charge(task, job, vm)
+
+    def trust(self, vms: set[VmId]) -> None:
+        """Use these workers in spite of their failures, because an operator said so."""
+        changed = self.trusted ^ vms
+        self.trusted = vms
+        for vm in changed:
+            self.refresh(vm)
+
+    def refresh(self, vm: VmId) -> None:
+        """Bring the room of a worker in the index of its pool up to date."""
+        worker = self.workers.get(vm)
+        if worker is None:
+            return
+        room = self.pools[worker.record.pool]
+        if self.is_usable(vm):
+            room.free.put(vm, worker.room())
+            room.preemptible.put(vm, worker.preemptible_room())
+        else:
+            room.free.drop(vm)
+            room.preemptible.drop(vm)
+
+    def running_on(self, vm: VmId) -> Iterator[TaskId]:
+        """Yield the tasks that take room on a worker."""
+        worker = self.workers.get(vm)
+        if worker is not None:
+            yield from tuple(worker.charges)
+
+    def _declare(self, declaration: Declaration) -> None:
+        self.declaration = declaration
+        self.jobs = {job.id: job for job in declaration.jobs}
+        self.teams = {team.id: team for team in declaration.teams}
+
+    def _take_vm(self, change: Changed[VmId, VmRecord]) -> None:
+        old, new = change.old, change.new
+        if new is not None and is_leaving(new):
+            self.leaving.add(change.key)
+        else:
+            self.leaving.discard(change.key)
+        if old is not None and (new is None or new.pool != old.pool or new.rack != old.rack):
+            room = self.pools[old.pool]
+            room.free.drop(change.key)
+            room.preemptible.drop(change.key)
+            room.members.pop(change.key, None)
+            room.membership += 1
+        if new is None:
+            for task in self.running_on(change.key):
+                self.release(task)
+            self.workers.pop(change.key, None)
+            return
+        room = self.pools.setdefault(new.pool, PoolRoom())
+        if room.members.get(change.key) != new.capacity:
+            room.members[change.key] = new.capacity
+            room.membership += 1
+        worker = self.workers.get(change.key)
+        if worker is None:
+            self.workers[change.key] = Worker(new)
+        else:
+            worker.record = new
+
+    def _take_task(self, change: Changed[TaskId, TaskRecord]) -> None:
+        old, new = change.old, change.new
+        if old is not None and old.state is TaskState.WAITING:
+            self._unwait(old)
+        if new is None:
+            self.release(change.key)
+            if old is not None:
+                self.by_job.get(old.job, {}).pop(change.key, None)
+            return
+        if new.state is TaskState.LEASED and new.vm is not None:
+            job = self.jobs.get(new.job)
+            if job is not None and self.location.get(change.key) != new.vm:
+                self.charge(change.key, job, new.vm)
+            self.by_job.setdefault(new.job, {})[change.key] = None
+            return
+        if new.state is TaskState.WAITING:
+            self.waiting.setdefault(new.job, {})[change.key] = new
+        else:
+            self.by_job.get(new.job, {}).pop(change.key, None)
+            self.estimates.forget(change.key)
+        if new.state is not TaskState.CANCELLED:
+            self.release(change.key)
+
+    def _unwait(self, record: TaskRecord) -> None:
+        waiting = self.waiting.get(record.job)
+        if waiting is not None:
+            waiting.pop(record.task, None)
+            if not waiting:
+                del self.waiting[record.job]
+
+
+def _reported(target: ObservedTarget | None) -> Resources:
+    if target is None:
+        return NOTHING
+    total = NOTHING
+    for report in target.announcement.tasks:
+        if report.phase is TaskPhase.RUNNING:
+            total += report.usage
+    return total
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/placement/pressure.py
@@ -0,0 +1,106 @@
+"""Keeps workers from being overrun: throttle first, then checkpoint, then stop."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from marigolddoor_core.ids import TaskId, VmId
+from marigolddoor_core.placement.board import Worker
+from marigolddoor_core.targets import Resources, TaskPhase, TaskReport
+
+__all__ = ["Pressure", "Relief", "Stage"]
+
+# Reports lag, so relief starts before the worker is full.
+START_SHARE = 0.9
+# Nothing is left for the next report interval above this, so throttling alone is too slow.
+URGENT_SHARE = 0.97
+ROUNDING_CORES = 1e-6
+# A throttle shows in the report after next.
+ESCALATE_S = 3.0
+
+
+class Stage(IntEnum):
+    """How hard a worker is relieved. The order of the values is the order of the steps."""
+
+    THROTTLE = 1
+    CHECKPOINT = 2
+    STOP = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Relief:
+    """What to do with the least urgent tasks of a worker."""
+
+    vm: VmId
+    stage: Stage
+    tasks: tuple[TaskId, ...]
+
+
+@dataclass(slots=True)
+class _State:
+    stage: Stage
+    since_s: float
+
+
+class Pressure:
+    """Decides from each new report of a worker whether and how to relieve it."""
+
+    def __init__(self) -> None:
+        self.states: dict[VmId, _State] = {}
+
+    def look(self, worker: Worker, now_s: float) -> Relief | None:
+        """Return the relief that a new report of the worker calls for."""
+        vm = worker.record.vm
+        target = worker.target
+        if target is None:
+            return None
+        excess = _excess(worker, START_SHARE)
+        if excess is None:
+            self.states.pop(vm, None)
+            return None
+        stage = self._next_stage(worker, now_s)
+        running = [r for r in target.announcement.tasks if r.phase is TaskPhase.RUNNING]
+        tasks = _least_urgent(running, worker, excess)
+        return Relief(vm, stage, tasks) if tasks else None
+
+    def _next_stage(self, worker: Worker, now_s: float) -> Stage:
+        vm = worker.record.vm
+        state = self.states.get(vm)
+        if state is None:
+            state = self.states[vm] = _State(Stage.THROTTLE, now_s)
+        elif state.stage < Stage.STOP and worker.announced_s >= state.since_s + ESCALATE_S:
+            self.states[vm] = state = _State(Stage(state.stage + 1), now_s)
+        if state.stage is Stage.THROTTLE and (_excess(worker, URGENT_SHARE) is not None):
+            self.states[vm] = state = _State(Stage.CHECKPOINT, now_s)
+        return state.stage
+
+
+def _excess(worker: Worker, share: float) -> Resources | None:
+    """Return the use above `share` of the worker; what its tasks were promised is no excess."""
+    capacity, charged = worker.record.capacity, worker.charged
+    cores_limit = max(share * capacity.cores, min(charged.cores, capacity.cores))
+    memory_limit_mb = max(share * capacity.memory_mb, min(charged.memory_mb, capacity.memory_mb))
+    cores = worker.reported.cores - cores_limit
+    memory_mb = worker.reported.memory_mb - int(memory_limit_mb)
+    return Resources(cores, memory_mb) if cores > ROUNDING_CORES or memory_mb > 0 else None
+
+
+def _least_urgent(
+    running: list[TaskReport], worker: Worker, excess: Resources
+) -> tuple[TaskId, ...]:
+    def rank(report: TaskReport) -> tuple[bool, float]:
+        charge = worker.charges.get(report.task)
+        over_mb = report.usage.memory_mb - (0 if charge is None else charge.size.memory_mb)
+        return (charge is not None and charge.job.urgent, -over_mb)
+
+    chosen: list[TaskId] = []
+    cores, memory_mb = excess.cores, excess.memory_mb
+    for report in sorted(running, key=rank):
+        if cores <= 0.0 and memory_mb <= 0:
+            break
+        if len(running) == 1 and worker.reported.fits(worker.record.capacity):
+            # A task that is alone and fits disturbs nobody.
+            break
+        chosen.append(report.task)
+        cores -= report.usage.cores
+        memory_mb -= report.usage.memory_mb
+    return tuple(chosen)
