Serve a caller's request end to end through the entry process

Cause: nothing accepts requests yet; the lead needs a first path from a caller to a target. Change: the contract with callers, admission with floors, routing by two choices, claims, and the entry process with hypercorn and httpx around them. Conclusion: the path is complete for one request; refusals and faults are not tested yet.

--- /dev/null
+++ b/packages/core/src/marigolddoor_core/admission/queues.py
@@ -0,0 +1,60 @@
+"""The queue of one service, ordered by priority class, then deadline."""
+
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Iterator
+
+from marigolddoor_core.admission.policies import Ticket
+from marigolddoor_core.ids import TeamId
+from marigolddoor_core.requests.contract import Priority
+
+__all__ = ["ServiceQueue"]
+
+
+class ServiceQueue:
+    """Waiting tickets in the order in which they get slots."""
+
+    def __init__(self) -> None:
+        self.tickets: list[Ticket] = []
+        self.by_team: Counter[TeamId] = Counter()
+
+    def __len__(self) -> int:
+        return len(self.tickets)
+
+    def __iter__(self) -> Iterator[Ticket]:
+        return iter(self.tickets)
+
+    def position(self, ticket: Ticket) -> int:
+        """Return how many tickets are ahead of `ticket`, which need not be in the queue."""
+        return bisect_left(self.tickets, ticket.order(), key=Ticket.order)
+
+    def add(self, ticket: Ticket) -> None:
+        """Insert a ticket at its place."""
+        insort(self.tickets, ticket, key=Ticket.order)
+        self.by_team[ticket.team] += 1
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a ticket that is in the queue."""
+        index = self.position(ticket)
+        assert self.tickets[index] is ticket
+        del self.tickets[index]
+        self.by_team[ticket.team] -= 1
+        if self.by_team[ticket.team] == 0:
+            del self.by_team[ticket.team]
+
+    def slack_behind(self, position: int, seconds_each: float, now: float) -> float:
+        """Return the least slack in seconds of the tickets of the same class from `position` on.
+
+        A ticket at index i is expected to start `(i + 1) * seconds_each` from now. The slack is
+        infinite if there is none behind.
+        """
+        if position >= len(self.tickets):
+            return float("inf")
+        priority: Priority = self.tickets[position].priority
+        least = float("inf")
+        for index in range(position, len(self.tickets)):
+            ticket = self.tickets[index]
+            if ticket.priority is not priority:
+                break
+            least = min(least, ticket.deadline - now - (index + 1) * seconds_each)
+        return least
--- a/packages/core/src/marigolddoor_core/requests/__init__.py
+++ b/packages/core/src/marigolddoor_core/requests/__init__.py
@@ -1,1 +1,31 @@
-"""The contract with callers: what a request says and how it can end."""
+"""The contract with callers: what a request says, and the four outcomes that it can have."""
+
+from marigolddoor_core.requests.answers import (
+    ForeignAnswerError,
+    TargetAnswer,
+    TruncatedAnswerError,
+)
+from marigolddoor_core.requests.claims import ClaimBook, ClaimKey, ClaimNextStep, ClaimPhase
+from marigolddoor_core.requests.contract import CallerRequest, Priority, parse_request
+from marigolddoor_core.requests.outcomes import Outcome
+from marigolddoor_core.requests.refusals import RequestError, RequestRefusedError
+from marigolddoor_core.requests.retries import AttemptEnd, RetryBudget, may_retry
+
+__all__ = [
+    "AttemptEnd",
+    "CallerRequest",
+    "ClaimBook",
+    "ClaimKey",
+    "ClaimNextStep",
+    "ClaimPhase",
+    "ForeignAnswerError",
+    "Outcome",
+    "Priority",
+    "RequestError",
+    "RequestRefusedError",
+    "RetryBudget",
+    "TargetAnswer",
+    "TruncatedAnswerError",
+    "may_retry",
+    "parse_request",
+]
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -0,0 +1,474 @@
+"""Serves the requests of callers: admission, claim, dispatch, and one of the four outcomes."""
+
+import hashlib
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+from marigolddoor_core.admission.policies import AdmissionPolicy, Ticket, TicketState
+from marigolddoor_core.ids import IdempotencyKey, RequestId, ServiceId, VmId
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.ports import NoQuorumError
+from marigolddoor_core.requests.answers import TargetAnswer
+from marigolddoor_core.requests.catalogue import Catalogue
+from marigolddoor_core.requests.claims import ClaimKey, ClaimNextStep
+from marigolddoor_core.requests.contract import MAX_BODY_BYTES, CallerRequest, parse_request
+from marigolddoor_core.requests.outcomes import Outcome
+from marigolddoor_core.requests.refusals import (
+    BodyTooLargeError,
+    ClaimMemoryFullError,
+    ClientDisconnectedError,
+    DeadlineExpiredError,
+    KeyReusedError,
+    NoQuorumForClaimError,
+    NoTargetError,
+    OutcomeUnknownError,
+    RequestError,
+    RequestRefusedError,
+    RunFailedError,
+)
+from marigolddoor_core.requests.retries import AttemptEnd, RetryBudget, may_retry
+from marigolddoor_core.routing.policies import RoutingPolicy
+from marigolddoor_core.state.commands import KeptAnswer
+from marigolddoor_core.state.results import ClaimFinished, ClaimPending, Result
+
+from marigolddoor_entry.claimant import FAILED_CONTENT_TYPE, Claimant
+from marigolddoor_entry.demand import DemandMeter
+from marigolddoor_entry.dispatcher import Dispatcher, Forwarded
+from marigolddoor_entry.ports import ClaimReader
+from marigolddoor_entry.replies import Reply, answer_reply, claim_outcome_reply, error_reply
+
+__all__ = ["CallersService"]
+
+Receive = Callable[[], Awaitable[Any]]
+
+# A body that is too large is read and dropped up to this size, so that the caller, who sends before
+# it reads, gets the refusal instead of a broken connection.
+MAX_DROPPED_BYTES = 16 * MAX_BODY_BYTES
+# A claimed request may go on this long after its caller's deadline; its answer is kept.
+CLAIMED_GRACE_S = 30.0
+# A resend asks for the claim of another process again after these waits.
+FIRST_CLAIM_WAIT_S = 0.05
+MAX_CLAIM_WAIT_S = 1.0
+NO_TARGET_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """A request on its way through this process."""
+
+    request: CallerRequest
+    forwarded: Forwarded
+    ticket: Ticket
+    digest: bytes = b""
+    # Whether a run whose answer is not known may have happened, here or at another process.
+    may_have_run: bool = False
+    # Whether the time that it held its slot tells how long requests of the service take.
+    is_timed: bool = False
+
+    def claim_key(self) -> ClaimKey | None:
+        if self.request.key is None:
+            return None
+        return ClaimKey(self.request.service.id, self.request.key)
+
+
+class _Run:
+    """A claimed run that the caller waits for, but does not own."""
+
+    def __init__(self) -> None:
+        self.done = anyio.Event()
+        self.answer: TargetAnswer | None = None
+        self.error: RequestError | None = None
+
+
+class CallersService:
+    """Turns a caller's request into a reply."""
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        admission: AdmissionPolicy,
+        routing: RoutingPolicy,
+        dispatcher: Dispatcher,
+        claimant: Claimant,
+        reader: ClaimReader,
+        group: TaskGroup,
+        agreed_time: Callable[[], float],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.catalogue = catalogue
+        self.admission = admission
+        self.routing = routing
+        self.dispatcher = dispatcher
+        self.claimant = claimant
+        self.reader = reader
+        self.group = group
+        self.agreed_time = agreed_time
+        self.clock = clock
+        self.rng = rng
+        self.budget = RetryBudget()
+        self.meters: dict[ServiceId, DemandMeter] = {}
+        self.waiters: dict[Ticket, anyio.Event] = {}
+        self.active = 0
+        self.idle = anyio.Event()
+        self.sequence = 0
+
+    async def handle(
+        self, method: str, path: bytes, headers: list[tuple[bytes, bytes]], receive: Receive
+    ) -> Reply:
+        """Return the reply to one request of a caller."""
+        self.sequence += 1
+        request_id = RequestId(f"{self.claimant.process}-{self.sequence}")
+        key: ClaimKey | None = None
+        meter: DemandMeter | None = None
+        self.active += 1
+        try:
+            request = parse_request(
+                headers, self.catalogue.services.get, self._is_team, self._now()
+            )
+            meter = self.meter(request.service.id)
+            meter.arrived += 1
+            if request.key is not None:
+                key = ClaimKey(request.service.id, request.key)
+            body = await read_body(receive, request.deadline - self._now())
+            forwarded = Forwarded(
+                request_id, request.service.id, method, path, tuple(headers), body
+            )
+            ticket = Ticket(
+                request.service.id,
+                request.team,
+                request.priority,
+                request.deadline,
+                request.received,
+            )
+            exchange = _Exchange(request, forwarded, ticket)
+            answer = await self._answer(exchange, receive)
+            meter.answered += 1
+            if self._now() > request.deadline:
+                meter.late += 1
+            return answer_reply(answer, request_id, method)
+        except RequestError as error:
+            if meter is not None and isinstance(error, RequestRefusedError):
+                meter.refused += 1
+            return error_reply(error, request_id, key)
+        finally:
+            self.active -= 1
+            if not self.active:
+                self.idle.set()
+
+    async def outcome(self, service: ServiceId, key: IdempotencyKey) -> Reply:
+        """Return what is known of a claimed request."""
+        try:
+            found: ClaimPending | ClaimFinished | None = None
+            local = self.claimant.book.entries.get(ClaimKey(service, key))
+            if local is not None and local.answer is not None and local.claim is not None:
+                found = ClaimFinished(local.claim, local.answer)
+            else:
+                found = await self.reader.read_claim(service, key)
+        except NoQuorumError:
+            error = NoQuorumForClaimError("the claims can't be read", NO_TARGET_RETRY_S)
+            return claim_outcome_reply(Outcome.UNKNOWN, 503, {"error": error.code})
+        return _claim_reply(found)
+
+    def wake(self, tickets: "list[Ticket] | tuple[Ticket, ...] | Any") -> None:
+        """Wake the requests whose tickets have started or were refused."""
+        for ticket in tickets:
+            waiter = self.waiters.get(ticket)
+            if waiter is not None:
+                waiter.set()
+
+    def meter(self, service: ServiceId) -> DemandMeter:
+        """Return the counters of a service."""
+        meter = self.meters.get(service)
+        if meter is None:
+            meter = self.meters[service] = DemandMeter(counted_at=self._now())
+        return meter
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self.active:
+            self.idle = anyio.Event()
+            await self.idle.wait()
+
+    def _now(self) -> Instant:
+        return Instant(self.clock())
+
+    def _is_team(self, team: Any) -> bool:
+        return team in self.catalogue.teams
+
+    async def _answer(self, exchange: _Exchange, receive: Receive) -> TargetAnswer:
+        if exchange.request.key is None:
+            await self._admit(exchange, receive)
+            try:
+                return await self._run(exchange, exchange.request.deadline)
+            finally:
+                self._free(exchange)
+        forwarded = exchange.forwarded
+        hasher = hashlib.sha256(b"%s %s\n" % (forwarded.method.encode(), forwarded.path))
+        hasher.update(forwarded.body)
+        exchange.digest = hasher.digest()
+        try:
+            return await self._answer_claimed(exchange, receive)
+        except RequestRefusedError as error:
+            if exchange.may_have_run and not isinstance(error, KeyReusedError):
+                raise OutcomeUnknownError("the claimed request may be running") from error
+            raise
+
+    async def _answer_claimed(self, exchange: _Exchange, receive: Receive) -> TargetAnswer:
+        key = exchange.claim_key()
+        assert key is not None
+        wait_s = FIRST_CLAIM_WAIT_S
+        while True:
+            await self._admit(exchange, receive)
+            try:
+                step, result = await self._claim(exchange, key)
+            except BaseException:
+                self._free(exchange)
+                raise
+            if step is ClaimNextStep.RUN:
+                return await self._run_claimed(exchange, key)
+            self._free(exchange)
+            if step is not ClaimNextStep.WAIT:
+                return _kept(step, result)
+            # Another request holds the claim, so from now on "not run" would not be certain.
+            exchange.may_have_run = True
+            remaining_s = exchange.request.deadline - self._now()
+            if remaining_s <= wait_s:
+                await anyio.sleep(max(0.0, remaining_s))
+                raise OutcomeUnknownError("the first request with this key has not ended")
+            await anyio.sleep(wait_s)
+            wait_s = min(wait_s * 2, MAX_CLAIM_WAIT_S)
+            exchange.ticket = _again(exchange.ticket)
+
+    async def _claim(self, exchange: _Exchange, key: ClaimKey) -> tuple[ClaimNextStep, Result]:
+        request = exchange.request
+        now = self._now()
+        remaining_s = request.deadline - now
+        if remaining_s <= 0:
+            raise DeadlineExpiredError("the deadline passed before the claim")
+        return await self.claimant.claim(
+            key,
+            exchange.digest,
+            self.agreed_time() + remaining_s,
+            remaining_s,
+            Instant(request.deadline + request.service.retry_window_s),
+        )
+
+    async def _run_claimed(self, exchange: _Exchange, key: ClaimKey) -> TargetAnswer:
+        run = _Run()
+        self.active += 1
+        self.group.start_soon(self._finish_claimed, exchange, key, run)
+        with anyio.move_on_after(exchange.request.deadline - self._now()):
+            await run.done.wait()
+        if run.answer is not None:
+            return run.answer
+        raise run.error or OutcomeUnknownError("the request is still running")
+
+    async def _finish_claimed(self, exchange: _Exchange, key: ClaimKey, run: _Run) -> None:
+        """Run a claimed request to its end, even if its caller has gone, and record the end."""
+        book = self.claimant.book
+        try:
+            run.answer = await self._run(
+                exchange, Instant(exchange.request.deadline + CLAIMED_GRACE_S)
+            )
+            self.claimant.finish(key, exchange.digest, run.answer, ran=True)
+        except RequestRefusedError as error:
+            run.error = error
+            self.claimant.release(key)
+        except RequestError as error:
+            run.error = error
+            self.claimant.finish(
+                key, exchange.digest, None, ran=not isinstance(error, RunFailedError)
+            )
+        except BaseException:
+            phase = book.phase(key)
+            logger.error("entry: a claimed run ended while its claim was {}", phase)
+            raise
+        finally:
+            self._free(exchange)
+            run.done.set()
+            self.active -= 1
+            if not self.active:
+                self.idle.set()
+
+    async def _admit(self, exchange: _Exchange, receive: Receive) -> None:
+        """Return when the request holds a slot.
+
+        Raises:
+          RequestRefusedError: it gets none.
+        """
+        ticket = exchange.ticket
+        meter = self.meter(ticket.service)
+        changed = self.admission.offer(ticket, self._now())
+        if changed:
+            self.wake(changed)
+        if ticket.state is TicketState.WAITING:
+            meter.queued += 1
+            try:
+                await self._wait(ticket, receive)
+            finally:
+                meter.queued -= 1
+        if ticket.state is TicketState.REFUSED:
+            raise ticket.refusal or NoTargetError("refused", NO_TARGET_RETRY_S)
+        meter.admitted += 1
+        meter.hold(1, self._now())
+
+    async def _wait(self, ticket: Ticket, receive: Receive) -> None:
+        waiter = self.waiters[ticket] = anyio.Event()
+        disconnected = False
+
+        async def watch(scope: anyio.CancelScope) -> None:
+            nonlocal disconnected
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            disconnected = True
+            scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch, group.cancel_scope)
+                with anyio.move_on_after(ticket.deadline - self._now()):
+                    await waiter.wait()
+                group.cancel_scope.cancel()
+        finally:
+            del self.waiters[ticket]
+            if ticket.state is TicketState.WAITING:
+                self.wake(self.admission.withdraw(ticket, self._now()))
+        if disconnected:
+            if ticket.state is TicketState.RUNNING:
+                self.wake(self.admission.finish(ticket, False, self._now()))
+            raise ClientDisconnectedError("the caller closed the connection")
+        if ticket.state is TicketState.DONE:
+            raise DeadlineExpiredError("the deadline passed in the queue", NO_TARGET_RETRY_S)
+
+    def _free(self, exchange: _Exchange) -> None:
+        now = self._now()
+        self.meter(exchange.ticket.service).hold(-1, now)
+        changed = self.admission.finish(exchange.ticket, exchange.is_timed, now)
+        if changed:
+            self.wake(changed)
+
+    async def _run(self, exchange: _Exchange, give_up: Instant) -> TargetAnswer:
+        """Send the request to targets until an attempt counts; the time ends at `give_up`."""
+        request = exchange.request
+        key = exchange.claim_key()
+        pool = exchange.ticket.pool
+        assert pool is not None
+        self.budget.count_request()
+        tried: frozenset[VmId] = frozenset()
+        lost = False
+        while True:
+            now = self._now()
+            if now >= request.deadline:
+                if lost:
+                    raise OutcomeUnknownError("no answer came before the deadline")
+                raise DeadlineExpiredError("the deadline passed before the dispatch")
+            dispatch = self.routing.choose(pool, now, self.rng, tried)
+            if dispatch is None:
+                if lost:
+                    raise OutcomeUnknownError("the answer was lost, and no target is left")
+                raise NoTargetError(f"no target of {pool!r} takes work", NO_TARGET_RETRY_S)
+            if key is not None:
+                self.claimant.book.dispatch(key)
+            end, failed = AttemptEnd.LOST, False
+            try:
+                attempt = await self.dispatcher.send(dispatch, exchange.forwarded, give_up - now)
+                end, failed = attempt.end, attempt.failed
+            finally:
+                after = self._now()
+                self.routing.finish(dispatch, end, failed, after - now, after)
+            exchange.is_timed = not failed or attempt.timed_out
+            if attempt.refused:
+                self.routing.refused(dispatch)
+            if end is AttemptEnd.ANSWERED:
+                assert attempt.answer is not None
+                return attempt.answer
+            if end is AttemptEnd.FAILED:
+                raise RunFailedError(attempt.reason)
+            if end is AttemptEnd.LOST:
+                lost = True
+            elif key is not None:
+                self.claimant.book.not_started(key)
+            if not may_retry(end, key is None, request.deadline, after, self.budget):
+                if lost:
+                    raise OutcomeUnknownError(f"the answer was lost: {attempt.reason}")
+                raise NoTargetError(f"a target did not start: {attempt.reason}", NO_TARGET_RETRY_S)
+            tried |= {dispatch.vm}
+
+
+async def read_body(receive: Receive, timeout_s: float) -> bytes:
+    """Return the whole body of a request.
+
+    Raises:
+      BodyTooLargeError: it is larger than `MAX_BODY_BYTES`.
+      ClientDisconnectedError: the connection was closed first.
+      DeadlineExpiredError: it took longer than `timeout_s`.
+    """
+    parts: list[bytes] = []
+    size = 0
+    with anyio.move_on_after(timeout_s):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise ClientDisconnectedError("the caller closed the connection")
+            part = message.get("body", b"")
+            size += len(part)
+            if size <= MAX_BODY_BYTES:
+                parts.append(part)
+            elif size > MAX_DROPPED_BYTES:
+                break
+            if not message.get("more_body", False):
+                break
+        if size > MAX_BODY_BYTES:
+            raise BodyTooLargeError(f"the body must be at most {MAX_BODY_BYTES} bytes")
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+    raise DeadlineExpiredError("the body did not arrive before the deadline")
+
+
+def _again(ticket: Ticket) -> Ticket:
+    return Ticket(ticket.service, ticket.team, ticket.priority, ticket.deadline, ticket.offered)
+
+
+def _kept(step: ClaimNextStep, result: Result) -> TargetAnswer:
+    if step is ClaimNextStep.REFUSE_BODY:
+        raise KeyReusedError("the key belongs to a request with another body")
+    if step is ClaimNextStep.REFUSE_FULL:
+        raise ClaimMemoryFullError("no memory is left for claims", NO_TARGET_RETRY_S)
+    assert isinstance(result, ClaimFinished)
+    kept = result.answer
+    if kept is None:
+        raise OutcomeUnknownError("the outcome of the first request is not known")
+    if kept.content_type == FAILED_CONTENT_TYPE:
+        raise RunFailedError("the first request with this key ran and failed")
+    if kept.body is None:
+        raise OutcomeUnknownError("the answer was too large to be kept; its status is at Location")
+    headers: list[tuple[bytes, bytes]] = []
+    if kept.content_type:
+        headers.append((b"content-type", kept.content_type.encode("latin-1")))
+    return TargetAnswer(kept.status, tuple(headers), kept.body)
+
+
+def _claim_reply(found: ClaimPending | ClaimFinished | None) -> Reply:
+    if found is None:
+        return claim_outcome_reply(Outcome.UNKNOWN, 404, {"claim": "none is kept"})
+    if isinstance(found, ClaimPending):
+        return claim_outcome_reply(Outcome.UNKNOWN, 200, {"claim": "pending"})
+    if found.answer is None:
+        return claim_outcome_reply(Outcome.UNKNOWN, 200, {"claim": "finished"})
+    return _answer_outcome(found.answer)
+
+
+def _answer_outcome(answer: KeptAnswer) -> Reply:
+    if answer.content_type == FAILED_CONTENT_TYPE:
+        return claim_outcome_reply(Outcome.FAILED, 200, {"claim": "finished"})
+    fields: dict[str, str | int] = {
+        "claim": "finished",
+        "status": answer.status,
+        "request_digest": answer.body_digest.hex(),
+    }
+    return claim_outcome_reply(Outcome.ANSWERED, 200, fields)
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/demand.py
@@ -0,0 +1,74 @@
+"""Counters of the demand for each service in this process."""
+
+from dataclasses import dataclass
+
+from marigolddoor_core.ids import ServiceId
+from marigolddoor_core.instants import Instant
+from marigolddoor_wire.messages import ServiceDemand
+
+__all__ = ["DemandMeter", "DemandReporter"]
+
+
+@dataclass(slots=True)
+class DemandMeter:
+    """Counts since the start of the process. `slot_seconds` is up to date at `counted_at`."""
+
+    arrived: int = 0
+    admitted: int = 0
+    refused: int = 0
+    answered: int = 0
+    late: int = 0
+    in_flight: int = 0
+    queued: int = 0
+    slot_seconds: float = 0.0
+    counted_at: Instant = Instant(0.0)
+
+    def hold(self, slots: int, now: Instant) -> None:
+        """Count `slots` more slots in use from now on; a negative number frees them."""
+        self.slot_seconds += self.in_flight * (now - self.counted_at)
+        self.counted_at = now
+        self.in_flight += slots
+
+
+class DemandReporter:
+    """Turns the counts into what happened since the last report."""
+
+    def __init__(self) -> None:
+        self.last: dict[ServiceId, ServiceDemand] = {}
+
+    def report(
+        self, meters: dict[ServiceId, DemandMeter], now: Instant
+    ) -> tuple[ServiceDemand, ...]:
+        """Return the demand for each service since the last call."""
+        reports = []
+        for service, meter in meters.items():
+            meter.hold(0, now)
+            total = ServiceDemand(
+                service=service,
+                arrived=meter.arrived,
+                admitted=meter.admitted,
+                refused=meter.refused,
+                answered=meter.answered,
+                late=meter.late,
+                in_flight=meter.in_flight,
+                queued=meter.queued,
+                slot_seconds=meter.slot_seconds,
+            )
+            last = self.last.get(service)
+            self.last[service] = total
+            reports.append(total if last is None else _since(last, total))
+        return tuple(reports)
+
+
+def _since(last: ServiceDemand, total: ServiceDemand) -> ServiceDemand:
+    return ServiceDemand(
+        service=total.service,
+        arrived=total.arrived - last.arrived,
+        admitted=total.admitted - last.admitted,
+        refused=total.refused - last.refused,
+        answered=total.answered - last.answered,
+        late=total.late - last.late,
+        in_flight=total.in_flight,
+        queued=total.queued,
+        slot_seconds=total.slot_seconds - last.slot_seconds,
+    )
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/dispatcher.py
@@ -0,0 +1,186 @@
+"""Sends one attempt of a request to a target and reads the whole answer."""
+
+import ssl
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import anyio
+import httpx
+from marigolddoor_core.ids import RequestId, ServiceId
+from marigolddoor_core.requests.answers import (
+    MAX_ANSWER_BYTES,
+    ForeignAnswerError,
+    TargetAnswer,
+    TruncatedAnswerError,
+    check_echo,
+    check_length,
+    reported_outcome,
+)
+from marigolddoor_core.requests.outcomes import Outcome
+from marigolddoor_core.requests.retries import AttemptEnd
+from marigolddoor_core.routing.policies import Dispatch
+
+__all__ = ["Attempt", "Dispatcher", "Forwarded"]
+
+# A target on the same network accepts a connection in milliseconds or is overloaded or gone.
+CONNECT_TIMEOUT_S = 1.0
+# Less than the 5 s after which servers commonly close idle connections, so that a request rarely
+# meets a connection that the target closes at that moment.
+KEEPALIVE_EXPIRY_S = 4.0
+MAX_IDLE_CONNECTIONS = 64
+# The status with which a target refuses another epoch, or any new work while it drains.
+REFUSED_STATUS = 409
+
+# Headers that belong to one connection, and those that the dispatcher sets itself.
+_NOT_FORWARDED = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"marigolddoor-deadline-ms",
+        b"marigolddoor-epoch",
+        b"marigolddoor-remaining-ms",
+        b"marigolddoor-request-id",
+        b"marigolddoor-service",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout, httpx.LocalProtocolError)
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """The parts of a caller's request that go to the target."""
+
+    id: RequestId
+    service: ServiceId
+    method: str
+    path: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """How an attempt ended. `failed` says that it speaks against the target.
+
+    `refused` says that the target takes no work of this epoch.
+    A run that timed out shows how long requests take, unlike one that failed.
+    """
+
+    end: AttemptEnd
+    failed: bool
+    answer: TargetAnswer | None = None
+    refused: bool = False
+    timed_out: bool = False
+    reason: str = ""
+
+
+class _Link:
+    """The connections to one target."""
+
+    def __init__(self, address: str, tls: ssl.SSLContext) -> None:
+        self.transport = httpx.AsyncHTTPTransport(
+            verify=tls,
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+                keepalive_expiry=KEEPALIVE_EXPIRY_S,
+            ),
+        )
+        self.url = httpx.URL(f"http://{address}/")
+        self.host = address.encode()
+
+
+class Dispatcher:
+    """Forwards requests to targets by HTTP."""
+
+    def __init__(self) -> None:
+        # Shared by all links: a context of its own for each target takes memory for nothing.
+        self.tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        self.links: dict[str, _Link] = {}
+
+    async def send(self, dispatch: Dispatch, request: Forwarded, remaining_s: float) -> Attempt:
+        """Return the end of one attempt, after `remaining_s` seconds at the latest."""
+        link = self.links.get(dispatch.address)
+        if link is None:
+            link = self.links[dispatch.address] = _Link(dispatch.address, self.tls)
+        message = _message(link, dispatch, request, remaining_s)
+        try:
+            with anyio.move_on_after(remaining_s):
+                return await _exchange(link, message, request)
+        except _NOT_SENT as error:
+            failed = not isinstance(error, httpx.LocalProtocolError)
+            return Attempt(AttemptEnd.NOT_STARTED, failed, reason=type(error).__name__)
+        except (httpx.HTTPError, ForeignAnswerError, TruncatedAnswerError) as error:
+            return Attempt(AttemptEnd.LOST, True, reason=type(error).__name__)
+        return Attempt(AttemptEnd.LOST, True, timed_out=True, reason="timeout")
+
+    async def keep(self, addresses: Iterable[str]) -> None:
+        """Close the links to all addresses but these."""
+        kept = frozenset(addresses)
+        for address in [address for address in self.links if address not in kept]:
+            await self.links.pop(address).transport.aclose()
+
+    async def close(self) -> None:
+        """Close all links."""
+        await self.keep(())
+
+
+def _message(
+    link: _Link, dispatch: Dispatch, request: Forwarded, remaining_s: float
+) -> httpx.Request:
+    headers = [(b"host", link.host)]
+    headers += [header for header in request.headers if header[0] not in _NOT_FORWARDED]
+    headers += [
+        (b"marigolddoor-service", request.service.encode()),
+        (b"marigolddoor-request-id", request.id.encode()),
+        (b"marigolddoor-epoch", b"%d" % dispatch.epoch),
+        (b"marigolddoor-remaining-ms", b"%d" % max(1, int(remaining_s * 1000))),
+    ]
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers.append((b"content-length", b"%d" % len(request.body)))
+    return httpx.Request(
+        request.method,
+        link.url,
+        headers=headers,
+        stream=httpx.ByteStream(request.body),
+        extensions={
+            "target": request.path,
+            "timeout": {"connect": min(CONNECT_TIMEOUT_S, remaining_s)},
+        },
+    )
+
+
+async def _exchange(link: _Link, message: httpx.Request, request: Forwarded) -> Attempt:
+    response = await link.transport.handle_async_request(message)
+    try:
+        headers = tuple((name.lower(), value) for name, value in response.headers.raw)
+        check_echo(headers, request.id)
+        outcome = reported_outcome(headers)
+        if response.status_code == REFUSED_STATUS and outcome is Outcome.NOT_RUN:
+            return Attempt(AttemptEnd.NOT_STARTED, False, refused=True, reason="epoch refused")
+        assert isinstance(response.stream, httpx.AsyncByteStream)
+        parts = []
+        size = 0
+        async for part in response.stream:
+            parts.append(part)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                return Attempt(AttemptEnd.FAILED, False, reason="answer too large")
+    finally:
+        await response.aclose()
+    check_length(headers, response.status_code, request.method, size)
+    answer = TargetAnswer(response.status_code, headers, b"".join(parts))
+    if outcome is Outcome.FAILED:
+        return Attempt(AttemptEnd.FAILED, True, answer, reason="the target reports a failed run")
+    return Attempt(AttemptEnd.ANSWERED, answer.status >= 500, answer)
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/json_forms.py
@@ -0,0 +1,109 @@
+"""The JSON forms of announcements and their replies.
+
+A dataclass is an object with its field names, an enum its value, a tuple an array. Fields with a
+default may be left out, and unknown fields are ignored, so that versions can mix.
+"""
+
+import dataclasses
+import functools
+import json
+import types
+import typing
+from enum import Enum
+from typing import Any
+
+from marigolddoor_core.errors import InvalidInputError
+from marigolddoor_core.targets import Announcement, AnnouncementReply
+
+__all__ = [
+    "JsonFormError",
+    "announcement_from_json",
+    "announcement_reply_from_json",
+    "to_json",
+]
+
+
+class JsonFormError(InvalidInputError):
+    """The JSON is not the form of the type."""
+
+
+def to_json(message: Announcement | AnnouncementReply) -> bytes:
+    """Return the JSON form of a message."""
+    return json.dumps(_plain(message), separators=(",", ":")).encode()
+
+
+def announcement_from_json(text: bytes) -> Announcement:
+    """Return the announcement with this JSON form.
+
+    Raises:
+      JsonFormError: the text is none.
+    """
+    return typing.cast(Announcement, _parse(Announcement, text))
+
+
+def announcement_reply_from_json(text: bytes) -> AnnouncementReply:
+    """Return the reply with this JSON form.
+
+    Raises:
+      JsonFormError: the text is none.
+    """
+    return typing.cast(AnnouncementReply, _parse(AnnouncementReply, text))
+
+
+def _plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value):
+        return {item.name: _plain(getattr(value, item.name)) for item in dataclasses.fields(value)}
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
+def _parse(kind: type, text: bytes) -> Any:
+    try:
+        return _typed(kind, json.loads(text), kind.__name__)
+    except (ValueError, RecursionError) as error:
+        raise JsonFormError(f"not the JSON of {kind.__name__}: {error}") from error
+
+
+@functools.cache
+def _hints(kind: type) -> dict[str, Any]:
+    return typing.get_type_hints(kind)
+
+
+def _typed(kind: Any, value: Any, where: str) -> Any:
+    kind = getattr(kind, "__supertype__", kind)
+    if typing.get_origin(kind) in (types.UnionType, typing.Union):
+        if value is None:
+            return None
+        kind = next(each for each in typing.get_args(kind) if each is not type(None))
+        return _typed(kind, value, where)
+    if typing.get_origin(kind) is tuple:
+        if not isinstance(value, list):
+            raise JsonFormError(f"{where} must be an array")
+        item = typing.get_args(kind)[0]
+        return tuple(_typed(item, each, where) for each in value)
+    if dataclasses.is_dataclass(kind):
+        return _object(typing.cast(type, kind), value, where)
+    if isinstance(kind, type) and issubclass(kind, Enum):
+        return kind(value)
+    if kind is float and isinstance(value, int) and not isinstance(value, bool):
+        return float(value)
+    # A bool is an int in Python, but no number in JSON.
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise JsonFormError(f"{where} must be {kind.__name__}")
+    return value
+
+
+def _object(kind: type, value: Any, where: str) -> Any:
+    if not isinstance(value, dict):
+        raise JsonFormError(f"{where} must be an object")
+    hints = _hints(kind)
+    arguments = {}
+    for item in dataclasses.fields(kind):
+        if item.name in value:
+            arguments[item.name] = _typed(hints[item.name], value[item.name], item.name)
+        elif item.default is dataclasses.MISSING:
+            raise JsonFormError(f"{where} lacks {item.name}")
+    return kind(**arguments)
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/local_targets.py
@@ -0,0 +1,92 @@
+"""Holder and directory of a process that is alone in its data centre."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from marigolddoor_core.ids import Epoch, ServiceId, VmId
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.routing.policies import TargetView
+from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.targets import Announcement, AnnouncementReply, TargetState
+
+__all__ = ["LocalTargets"]
+
+INTERVAL_S = 1.0
+SILENT_INTERVALS = 3
+
+
+@dataclass(slots=True)
+class _Held:
+    announcement: Announcement
+    heard: Instant
+    state: TargetState
+
+
+class LocalTargets:
+    """Knows the targets that announce themselves here, and no others."""
+
+    def __init__(self) -> None:
+        self.held: dict[VmId, _Held] = {}
+        self.records: dict[VmId, VmRecord] = {}
+
+    def assign(self, records: Sequence[VmRecord]) -> None:
+        """Replace the committed assignments of the VMs of the data centre."""
+        self.records = {record.vm: record for record in records}
+
+    def announce(self, announcement: Announcement, now: Instant) -> AnnouncementReply:
+        """Record an announcement and return the assignment."""
+        state = TargetState.LEAVING if announcement.leaving else TargetState.READY
+        self.held[announcement.vm] = _Held(announcement, now, state)
+        record = self.records.get(announcement.vm)
+        if record is None:
+            return AnnouncementReply(INTERVAL_S)
+        return AnnouncementReply(
+            INTERVAL_S,
+            pool=record.pool,
+            service=ServiceId(""),
+            epoch=record.epoch,
+            drain=record.next_pool is not None,
+        )
+
+    def leave(self, vm: VmId, now: Instant) -> bool:
+        """Record that a target leaves; return whether it was known."""
+        held = self.held.get(vm)
+        if held is not None:
+            held.state = TargetState.LEAVING
+        return held is not None
+
+    def suspect(self, now: Instant) -> bool:
+        """Mark the targets that are silent for too long; return whether any changed."""
+        changed = False
+        for held in self.held.values():
+            silent = now - held.heard > SILENT_INTERVALS * INTERVAL_S
+            if silent and held.state is TargetState.READY:
+                held.state = TargetState.SUSPECTED
+                changed = True
+        return changed
+
+    def targets(self) -> Sequence[TargetView]:
+        """Return the targets whose VM has a pool."""
+        views = []
+        for vm, held in self.held.items():
+            record = self.records.get(vm)
+            if record is not None:
+                views.append(_view(held, record))
+        return views
+
+
+def _view(held: _Held, record: VmRecord) -> TargetView:
+    state = held.state
+    follows = held.announcement.epoch in (Epoch(0), record.epoch)
+    if state is TargetState.READY and (record.next_pool is not None or not follows):
+        state = TargetState.DRAINING
+    return TargetView(
+        vm=record.vm,
+        pool=record.pool,
+        address=held.announcement.address,
+        slots=held.announcement.slots,
+        busy_slots=held.announcement.busy_slots,
+        epoch=record.epoch,
+        state=state,
+        incarnation=held.announcement.incarnation,
+    )
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/ports.py
@@ -0,0 +1,94 @@
+"""Interfaces of the entry process with the rest of the system."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from marigolddoor_core.ids import IdempotencyKey, ServiceId, VmId
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.ports import NoQuorumError, Proposer
+from marigolddoor_core.routing.policies import TargetView
+from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.state.results import ClaimFinished, ClaimPending
+from marigolddoor_core.targets import Announcement, AnnouncementReply
+from marigolddoor_wire.messages import ReportDemand, ShareReport
+
+__all__ = ["ClaimReader", "Directory", "EntryPorts", "Holder", "NoReader"]
+
+
+class Directory(Protocol):
+    """The targets of the data centre."""
+
+    def targets(self) -> Sequence[TargetView]:
+        """Return all known targets that have a pool."""
+        ...
+
+
+class Holder(Protocol):
+    """Keeps the targets that announce themselves to this process."""
+
+    def announce(self, announcement: Announcement, now: Instant) -> AnnouncementReply:
+        """Record an announcement and return the reply."""
+        ...
+
+    def leave(self, vm: VmId, now: Instant) -> bool:
+        """Record that a target leaves; return whether it was known."""
+        ...
+
+    def suspect(self, now: Instant) -> bool:
+        """Mark the targets that are silent for too long; return whether any changed."""
+        ...
+
+    def assign(self, records: Sequence[VmRecord]) -> None:
+        """Replace the committed assignments of the VMs of the data centre."""
+        ...
+
+
+class ClaimReader(Protocol):
+    """Reads the claims of the consensus group without claiming."""
+
+    async def read_claim(
+        self, service: ServiceId, key: IdempotencyKey
+    ) -> ClaimPending | ClaimFinished | None:
+        """Return the claim, or None if none is kept.
+
+        Raises:
+          NoQuorumError: the group can't be read now.
+        """
+        ...
+
+
+class NoReader:
+    """Stands for a claim reader where none is connected."""
+
+    async def read_claim(
+        self, service: ServiceId, key: IdempotencyKey
+    ) -> ClaimPending | ClaimFinished | None:
+        """Raise `NoQuorumError`."""
+        raise NoQuorumError("no reader of claims is connected")
+
+
+async def _drop(message: object) -> None:
+    """Drop a report that nobody wants."""
+
+
+def _no_time() -> float:
+    return 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPorts:
+    """What an entry process needs from outside.
+
+    `agreed_time` returns an estimate of the agreed time of the group in seconds, for the deadlines
+    of claims. `report_demand` takes the demand of each second for the leader, `exchange_demand`
+    that of each half second for the entry processes of the data centre.
+    """
+
+    proposer: Proposer
+    directory: Directory
+    holder: Holder
+    claims: ClaimReader = NoReader()
+    agreed_time: Callable[[], float] = _no_time
+    report_demand: Callable[[ReportDemand], Awaitable[None]] = _drop
+    exchange_demand: Callable[[ShareReport], Awaitable[None]] = _drop
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -0,0 +1,292 @@
+"""The entry process: listeners, timers and the state that they share."""
+
+import random
+import socket
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from loguru import logger
+from marigolddoor_core.admission import FloorAdmission, PeerDemands, PoolSlots, divide_slots
+from marigolddoor_core.ids import LogIndex, PoolId, ProcessId, Revision
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.requests.catalogue import Catalogue
+from marigolddoor_core.routing import TwoChoices
+from marigolddoor_core.routing.policies import TargetView
+from marigolddoor_core.state.objects import Change
+from marigolddoor_core.targets import TargetState
+from marigolddoor_wire.messages import ReportDemand, ServiceDemand, ShareReport
+from marigolddoor_wire.peers import Address, parse_address
+
+from marigolddoor_entry.application import Application, ListenerKind
+from marigolddoor_entry.callers import CallersService
+from marigolddoor_entry.claimant import Claimant
+from marigolddoor_entry.demand import DemandReporter
+from marigolddoor_entry.dispatcher import Dispatcher
+from marigolddoor_entry.ports import EntryPorts
+from marigolddoor_entry.settings import EntrySettings
+
+__all__ = ["BoundAddresses", "EntryProcess"]
+
+EXCHANGE_INTERVAL_S = 0.5
+REPORT_INTERVAL_S = 1.0
+SUSPECT_INTERVAL_S = 0.25
+KEEP_ALIVE_S = 75.0
+BACKLOG = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class BoundAddresses:
+    """The addresses on which an entry process listens, with the ports in use."""
+
+    callers: Address
+    targets: Address
+
+
+class EntryProcess:
+    """Serves callers and targets until it is stopped."""
+
+    def __init__(
+        self, settings: EntrySettings, ports: EntryPorts, rng: random.Random | None = None
+    ) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.rng = rng if rng is not None else random.Random()
+        self.clock = time.monotonic
+        self.catalogue = Catalogue()
+        self.admission = FloorAdmission()
+        self.routing = TwoChoices()
+        self.dispatcher = Dispatcher()
+        self.peers = PeerDemands()
+        self.callers: CallersService | None = None
+        self.stop_requested = anyio.Event()
+        self.close_listeners = anyio.Event()
+        self.slots: dict[PoolId, int] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force."""
+        return self.catalogue.revision
+
+    @property
+    def index(self) -> LogIndex:
+        """Return the index up to which changes are in force."""
+        return self.catalogue.index
+
+    def apply_changes(self, index: LogIndex, changes: Iterable[Change], snapshot: bool) -> bool:
+        """Put changes into force at once; return False if they are old and were ignored."""
+        if not self.catalogue.apply(index, changes, snapshot):
+            return False
+        catalogue = self.catalogue
+        self.admission.configure(
+            catalogue.services.values(), catalogue.pools.values(), catalogue.teams.values()
+        )
+        data_centre = self.settings.data_centre
+        self.ports.holder.assign(
+            [record for record in catalogue.vms.values() if record.data_centre == data_centre]
+        )
+        self.targets_changed()
+        return True
+
+    def targets_changed(self) -> None:
+        """Take over what the directory knows now; call this on every change of it."""
+        by_pool: dict[PoolId, list[TargetView]] = {pool: [] for pool in self.catalogue.pools}
+        for view in self.ports.directory.targets():
+            by_pool.setdefault(view.pool, []).append(view)
+        for pool_id, views in by_pool.items():
+            pool = self.catalogue.pools.get(pool_id)
+            self.routing.update(pool_id, views, pool.max_unavailable if pool else 0)
+        slots = {
+            pool_id: sum(view.slots for view in views if view.state is TargetState.READY)
+            for pool_id, views in by_pool.items()
+        }
+        if slots != self.slots:
+            self.slots = slots
+            self._divide()
+
+    def receive_share(self, report: ShareReport) -> None:
+        """Take the demand of another entry process of the data centre."""
+        if report.process != self.settings.process:
+            self._note_demand(report.process, report.demand)
+            self._divide()
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; `run` returns when the last request has its answer."""
+        self.stop_requested.set()
+
+    async def run(
+        self, *, task_status: TaskStatus[BoundAddresses] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until `request_stop`; report the addresses once both listeners accept.
+
+        Raises:
+          OSError: an address can't be used.
+        """
+        settings = self.settings
+        callers_socket = _listen(settings.callers)
+        targets_socket = _listen(settings.targets) if settings.targets else None
+        async with anyio.create_task_group() as group:
+            callers = self._callers(group)
+            kind = ListenerKind.CALLERS if targets_socket else ListenerKind.BOTH
+            async with anyio.create_task_group() as listeners:
+                listeners.start_soon(self._serve, kind, callers, callers_socket)
+                if targets_socket is not None:
+                    listeners.start_soon(self._serve, ListenerKind.TARGETS, callers, targets_socket)
+                group.start_soon(self._exchange_demand)
+                group.start_soon(self._report_demand)
+                group.start_soon(self._suspect)
+                bound = _address(callers_socket)
+                task_status.started(
+                    BoundAddresses(bound, _address(targets_socket) if targets_socket else bound)
+                )
+                logger.info("entry: serving callers on {}", bound)
+                await self.stop_requested.wait()
+                logger.info("entry: stopping, {} requests in progress", callers.active)
+                await anyio.sleep(settings.drain_s)
+                self.close_listeners.set()
+            with anyio.move_on_after(settings.stop_timeout_s):
+                await callers.wait_idle()
+            await self.dispatcher.close()
+            group.cancel_scope.cancel()
+        logger.info("entry: stopped")
+
+    def _callers(self, group: TaskGroup) -> CallersService:
+        ports = self.ports
+        self.callers = CallersService(
+            catalogue=self.catalogue,
+            admission=self.admission,
+            routing=self.routing,
+            dispatcher=self.dispatcher,
+            claimant=Claimant(self.settings.process, ports.proposer, group),
+            reader=ports.claims,
+            group=group,
+            agreed_time=ports.agreed_time,
+            clock=self.clock,
+            rng=self.rng,
+        )
+        return self.callers
+
+    async def _serve(
+        self, kind: ListenerKind, callers: CallersService, listener: socket.socket
+    ) -> None:
+        application = Application(
+            kind=kind,
+            callers=callers,
+            holder=self.ports.holder,
+            targets_changed=self.targets_changed,
+            is_ready=self._is_ready,
+            is_stopping=self.stop_requested.is_set,
+            clock=self.clock,
+        )
+        config = _hypercorn_config(listener, self.settings.stop_timeout_s)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._close_when_cancelled, config)
+            # hypercorn fails if it is cancelled while it closes connections.
+            with anyio.CancelScope(shield=True):
+                await serve(
+                    application, config, shutdown_trigger=self.close_listeners.wait, mode="asgi"
+                )
+            group.cancel_scope.cancel()
+
+    async def _close_when_cancelled(self, config: Config) -> None:
+        """Close the listener without waiting for requests if the process is cancelled."""
+        try:
+            await anyio.sleep_forever()
+        finally:
+            if not self.close_listeners.is_set():
+                config.graceful_timeout = 0.0
+                self.close_listeners.set()
+
+    def _is_ready(self) -> bool:
+        return bool(self.catalogue.services) and not self.stop_requested.is_set()
+
+    def _note_demand(self, process: ProcessId, demand: Sequence[ServiceDemand]) -> None:
+        slots: dict[str, float] = {}
+        for service in demand:
+            declared = self.catalogue.services.get(service.service)
+            if declared is not None:
+                wanted = service.slot_seconds / EXCHANGE_INTERVAL_S + service.queued
+                slots[declared.pool] = slots.get(declared.pool, 0.0) + wanted
+        self.peers.report(process, slots, Instant(self.clock()))
+
+    def _divide(self) -> None:
+        now = Instant(self.clock())
+        own = self.settings.process
+        shares = []
+        everything = self.peers.total()
+        for pool_id, slots in self.slots.items():
+            pool = self.catalogue.pools.get(pool_id)
+            # A spare pool serves the bursts of every service.
+            demand = everything if pool and pool.spare else self.peers.demand(pool_id)
+            demand.setdefault(own, 0.0)
+            shares.append(PoolSlots(pool_id, slots, divide_slots(slots, demand)[own]))
+        changed = self.admission.set_slots(shares, now)
+        if self.callers is not None:
+            self.callers.wake(changed)
+
+    async def _exchange_demand(self) -> None:
+        reporter = DemandReporter()
+        while True:
+            await anyio.sleep(EXCHANGE_INTERVAL_S)
+            assert self.callers is not None
+            now = Instant(self.clock())
+            demand = reporter.report(self.callers.meters, now)
+            self._note_demand(self.settings.process, demand)
+            self.peers.forget_stale(now)
+            self._divide()
+            self.callers.claimant.book.forget_expired(now)
+            await self.ports.exchange_demand(ShareReport(self.settings.process, demand))
+
+    async def _report_demand(self) -> None:
+        reporter = DemandReporter()
+        last = self.clock()
+        while True:
+            await anyio.sleep(REPORT_INTERVAL_S)
+            assert self.callers is not None
+            now = self.clock()
+            demand = reporter.report(self.callers.meters, Instant(now))
+            settings = self.settings
+            report = ReportDemand(settings.process, settings.data_centre, now - last, demand)
+            last = now
+            await self.ports.report_demand(report)
+
+    async def _suspect(self) -> None:
+        while True:
+            await anyio.sleep(SUSPECT_INTERVAL_S)
+            if self.ports.holder.suspect(Instant(self.clock())):
+                self.targets_changed()
+
+
+def _listen(address: Address) -> socket.socket:
+    host, port = parse_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    # Accepted connections inherit it: an answer must not wait for the delayed acknowledgement.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setblocking(False)
+    return listener
+
+
+def _address(listener: socket.socket) -> Address:
+    host, port = listener.getsockname()[:2]
+    return Address(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+
+
+def _hypercorn_config(listener: socket.socket, stop_timeout_s: float) -> Config:
+    config = Config()
+    # hypercorn takes over the file descriptor and closes it.
+    config.bind = [f"fd://{listener.detach()}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = BACKLOG
+    config.graceful_timeout = stop_timeout_s
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = 1_000_000
+    # A full queue would block the connection's reader and hide a caller that hangs up.
+    config.max_app_queue_size = 0
+    config.include_server_header = False
+    return config
