--- a/packages/core/src/marigolddoor_core/routing/two_choices.py
+++ b/packages/core/src/marigolddoor_core/routing/two_choices.py
@@ -121,11 +121,15 @@
             usable = [target for target in usable if target.view.vm not in exclude]
         if not usable:
             return None
-        first = usable[int(rng.random() * len(usable))]
-        second = usable[int(rng.random() * len(usable))]
-        chosen = first if first is second or first.score() >= second.score() else second
-        if chosen.free_slots() <= 0:
-            chosen = max(usable, key=_Target.score)
+        count = len(usable)
+        index = int(rng.random() * count)
+        chosen = usable[index]
+        if count > 1:
+            other = usable[(index + 1 + int(rng.random() * (count - 1))) % count]
+            if other.score() > chosen.score():
+                chosen = other
+            if chosen.free_slots() <= 0:
+                chosen = max(usable, key=_Target.score)
         return _dispatch(chosen, probe=False)
 
     def finish(
--- /dev/null
+++ b/tests/core/test_routing.py
@@ -0,0 +1,192 @@
+"""Guards against work for targets that fail, leave or belong to another pool by now."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import testtools
+from marigolddoor_core.ids import Epoch, PoolId, VmId
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.requests.retries import AttemptEnd
+from marigolddoor_core.routing import (
+    Dispatch,
+    EjectionState,
+    LeastLoaded,
+    RoutingPolicy,
+    TargetHealth,
+    TargetView,
+    TwoChoices,
+)
+from marigolddoor_core.routing.ejection import FAILURES_TO_EJECT, FIRST_BACKOFF_S, MAX_BACKOFF_S
+from marigolddoor_core.targets import TargetState
+
+POOL = PoolId("p")
+NOW = Instant(10.0)
+
+
+def view(name: str, slots: int = 8, busy: int = 0, **more: object) -> TargetView:
+    base = TargetView(VmId(name), POOL, name, slots, busy, Epoch(3), TargetState.READY)
+    return replace(base, **more)  # type: ignore[arg-type]
+
+
+def three() -> list[TargetView]:
+    return [view("a"), view("b"), view("c")]
+
+
+def choose(routing: RoutingPolicy, now: float = NOW) -> Dispatch:
+    dispatch = routing.choose(POOL, Instant(now), random.Random(4))
+    assert dispatch is not None
+    return dispatch
+
+
+def fail(routing: TwoChoices, name: str, times: int, now: float = NOW) -> None:
+    dispatch = Dispatch(VmId(name), POOL, name, Epoch(3))
+    for _ in range(times):
+        routing.finish(dispatch, AttemptEnd.LOST, True, 0.1, Instant(now))
+
+
+class UnusableTargetTest(testtools.TestCase):
+    """A target that leaves, drains or is silent gets nothing new."""
+
+    scenarios = [
+        (state.value, {"state": state}) for state in TargetState if state is not TargetState.READY
+    ]
+
+    def test_state(self) -> None:
+        routing = TwoChoices()
+        routing.update(POOL, [view("a", state=self.state), view("b")], 1)
+        rng = random.Random(1)
+        chosen = {routing.choose(POOL, NOW, rng).vm for _ in range(50)}  # type: ignore[union-attr]
+        self.assertEqual({"b"}, chosen)
+        routing.update(POOL, [view("a", state=self.state)], 1)
+        self.assertEqual(None, routing.choose(POOL, NOW, rng))
+
+
+class RefusedEpochTest(testtools.TestCase):
+    """A target that refused its epoch gets nothing until its epoch or state has changed."""
+
+    scenarios = [
+        ("same", {"change": {"busy_slots": 1}, "due": False}),
+        ("new epoch", {"change": {"epoch": Epoch(4)}, "due": True}),
+        ("restarted", {"change": {"incarnation": "two"}, "due": True}),
+    ]
+
+    def test_refused(self) -> None:
+        routing = TwoChoices()
+        routing.update(POOL, [view("a")], 1)
+        dispatch = choose(routing)
+        self.assertEqual(3, dispatch.epoch)
+        routing.finish(dispatch, AttemptEnd.NOT_STARTED, False, 0.01, NOW)
+        routing.refused(dispatch)
+        routing.update(POOL, [view("a", **self.change)], 1)
+        again = routing.choose(POOL, NOW, random.Random(1))
+        self.assertEqual(self.due, again is not None)
+
+
+class FreeSlotsTest(testtools.TestCase):
+    """Work goes where slots are free, own requests and others' reported ones counted."""
+
+    scenarios = [
+        ("idle", {"busy": (0, 0), "most": 0.65}),
+        ("others busy", {"busy": (7, 0), "most": 0.3}),
+    ]
+
+    def test_share(self) -> None:
+        routing = TwoChoices()
+        routing.update(POOL, [view("a", busy=self.busy[0]), view("b", busy=self.busy[1])], 1)
+        rng = random.Random(2)
+        counts = Counter(routing.choose(POOL, NOW, rng).vm for _ in range(9))  # type: ignore[union-attr]
+        self.assertTrue(counts[VmId("a")] / 9 <= self.most, counts)
+
+
+class FastFailureTest(testtools.TestCase):
+    """A target that fails at once is always free, and must not get most of the work for it."""
+
+    scenarios = [
+        ("real", {"policy": TwoChoices, "most": 0.1}),
+        # The baseline shows that the check can fail.
+        ("baseline", {"policy": LeastLoaded, "most": None}),
+    ]
+
+    def test_share(self) -> None:
+        routing = self.policy()
+        routing.update(POOL, three(), 1)
+        rng = random.Random(3)
+        running: list[Dispatch] = []
+        to_bad = 0
+        for step in range(400):
+            now = Instant(NOW + step * 0.01)
+            dispatch = routing.choose(POOL, now, rng)
+            assert dispatch is not None
+            if dispatch.vm == "a":
+                to_bad += 1
+                routing.finish(dispatch, AttemptEnd.ANSWERED, True, 0.001, now)
+            else:
+                running.append(dispatch)
+            if len(running) > 8:
+                routing.finish(running.pop(0), AttemptEnd.ANSWERED, False, 0.1, now)
+        if self.most is None:
+            self.assertTrue(to_bad / 400 > 0.9, to_bad)
+        else:
+            self.assertTrue(to_bad / 400 <= self.most, to_bad)
+
+
+class EjectionBudgetTest(testtools.TestCase):
+    """Ejections leave the pool what its budget promises, however many targets fail."""
+
+    scenarios = [
+        ("none allowed", {"max_unavailable": 0, "draining": 0, "due": 3}),
+        ("one allowed", {"max_unavailable": 1, "draining": 0, "due": 2}),
+        ("one allowed, one drains", {"max_unavailable": 1, "draining": 1, "due": 2}),
+    ]
+
+    def test_budget(self) -> None:
+        routing = TwoChoices()
+        views = three()
+        routing.update(POOL, views, self.max_unavailable)
+        for name in ("a", "b", "c"):
+            fail(routing, name, FAILURES_TO_EJECT)
+        for index in range(self.draining):
+            # The drain comes after the ejection: an ejected target must return for it.
+            views[2 - index] = replace(views[2 - index], state=TargetState.DRAINING)
+        routing.update(POOL, views, self.max_unavailable)
+        self.assertEqual(self.due, len(routing.pools[POOL].usable))
+
+
+class ProbeTest(testtools.TestCase):
+    """After the backoff one request tries the target; a failure doubles the backoff."""
+
+    scenarios = [
+        ("success", {"failed": False, "state": EjectionState.IN}),
+        ("failure", {"failed": True, "state": EjectionState.EJECTED}),
+    ]
+
+    def test_probe(self) -> None:
+        routing = TwoChoices()
+        routing.update(POOL, three(), 1)
+        fail(routing, "a", FAILURES_TO_EJECT)
+        rng = random.Random(5)
+        early = {routing.choose(POOL, NOW, rng).vm for _ in range(30)}  # type: ignore[union-attr]
+        self.assertFalse("a" in early)
+        due = NOW + FIRST_BACKOFF_S
+        probe = choose(routing, due)
+        self.assertEqual(("a", True), (probe.vm, probe.probe))
+        self.assertFalse(choose(routing, due).vm == "a")
+        routing.finish(probe, AttemptEnd.ANSWERED, self.failed, 0.1, Instant(due))
+        health = routing.pools[POOL].targets[VmId("a")].health
+        self.assertEqual(self.state, health.state)
+        if self.failed:
+            self.assertFalse(health.probe_due(Instant(due + FIRST_BACKOFF_S)))
+            self.assertTrue(health.probe_due(Instant(due + 2 * FIRST_BACKOFF_S)))
+
+
+class BackoffTest(testtools.TestCase):
+    """The backoff has a bound: a target that has recovered is found again."""
+
+    def test_bound(self) -> None:
+        health = TargetHealth()
+        health.eject(NOW)
+        for _ in range(50):
+            health.state = EjectionState.PROBING
+            health.failed(NOW)
+        self.assertTrue(health.probe_due(Instant(NOW + MAX_BACKOFF_S)))
