Add the control process

Cause: replica, decisions and operators' HTTP exist apart from each other. Change: ControlProcess with requests of other processes, leadership state, view for operators, events of commands on the timeline; RequestDrain in the state. Conclusion: a follower forwards reports, so an entry process needs one address.

--- /dev/null
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -0,0 +1,113 @@
+"""The soft state of one leadership: reports and decisions, from election to the next one."""
+
+from collections.abc import Callable, Sequence
+
+from marigolddoor_core.actions import Decision
+from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.maintenance import BudgetLedger, Maintenance
+from marigolddoor_core.placement import Placement
+from marigolddoor_core.registration import Registrar
+from marigolddoor_core.reports import EntryReport, FleetReports
+from marigolddoor_core.state.expiry import ClaimExpiry
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_wire.messages import (
+    LeaseRenewal,
+    ReportDemand,
+    ReportTargets,
+    ReportTargetsReply,
+    ServiceDemand,
+)
+
+from marigolddoor_control.agreement import Agreement
+
+__all__ = ["Leadership"]
+
+
+class Leadership:
+    """Takes the reports of entry processes and builds the fleet that decisions look at."""
+
+    def __init__(
+        self, state: StateMachine, agreement: Agreement, clock: Callable[[], float]
+    ) -> None:
+        self.state = state
+        self.agreement = agreement
+        self.clock = clock
+        self.reports = FleetReports()
+        self.placement = Placement()
+
+    def decisions(self) -> Sequence[Decision]:
+        """Return new decisions for a leadership that begins."""
+        self.reports.clear()
+        self.placement = Placement()
+        return (Registrar(), self.placement, Maintenance(BudgetLedger()), ClaimExpiry())
+
+    def look(self) -> Fleet | None:
+        """Return the fleet as it is now, or None while this process does not lead."""
+        if not self.agreement.is_leader or not self.state.revision:
+            return None
+        now = Instant(self.clock())
+        return Fleet(
+            self.agreement.agreed_time(),
+            self.state.revision,
+            self.state.declaration,
+            self.state.vms,
+            self.state.tasks,
+            self.state.questions,
+            self.reports.targets(now),
+            self.reports.demand(now),
+            self.reports.silent_data_centres(now),
+        )
+
+    def take_targets(self, message: ReportTargets) -> ReportTargetsReply:
+        """Take a holder's report; return renewed leases and whether a full list is wanted."""
+        want_full = self.reports.record_targets(
+            message.process,
+            message.sequence,
+            message.full,
+            [
+                ObservedTarget(report.announcement, report.state, report.age_s)
+                for report in message.targets
+            ],
+            message.gone,
+            Instant(self.clock()),
+        )
+        renewals = self.placement.renewals(
+            [report.announcement for report in message.targets], self.agreement.agreed_time()
+        )
+        return ReportTargetsReply(
+            tuple(
+                LeaseRenewal(renewal.vm, renewal.task, renewal.token, renewal.lease_s)
+                for renewal in renewals
+            ),
+            want_full,
+        )
+
+    def take_demand(self, message: ReportDemand) -> None:
+        """Take the demand report of an entry process."""
+        self.reports.record_entry(
+            EntryReport(
+                message.process,
+                message.data_centre,
+                Instant(self.clock()),
+                message.in_force,
+                {
+                    part.service: _demand(part, message.interval_s)
+                    for part in message.services
+                    if message.interval_s > 0
+                },
+                message.address,
+            )
+        )
+
+
+def _demand(part: ServiceDemand, interval_s: float) -> Demand:
+    return Demand(
+        interval_s,
+        part.arrived,
+        part.admitted,
+        part.refused,
+        part.late,
+        part.queued,
+        part.slot_seconds / interval_s,
+    )
--- a/packages/control/src/marigolddoor_control/manager.py
+++ b/packages/control/src/marigolddoor_control/manager.py
@@ -29,7 +29,8 @@
     """Runs the decisions while this process leads.
 
     Args:
-      decisions: called in order in each round.
+      make_decisions: returns the decisions, called in order in each round. A new leader starts with
+        new ones, since what an earlier leadership remembered is out of date.
       look: returns the fleet as it is now, or None while this process does not lead.
       proposer: takes the commands.
       workers: takes the orders to workers.
@@ -38,13 +39,14 @@
 
     def __init__(
         self,
-        decisions: Sequence[Decision],
+        make_decisions: Callable[[], Sequence[Decision]],
         look: Callable[[], Fleet | None],
         proposer: Proposer,
         workers: Workers,
         platform: Platform,
     ) -> None:
-        self.decisions = decisions
+        self.make_decisions = make_decisions
+        self.decisions: Sequence[Decision] = ()
         self.look = look
         self.proposer = proposer
         self.workers = workers
@@ -63,13 +65,17 @@
             while True:
                 self.wake = anyio.Event()
                 fleet = self.look()
-                if fleet is not None:
+                if fleet is None:
+                    self.decisions = ()
+                else:
                     self._round(group, fleet)
                 await anyio.sleep(MIN_ROUND_S)
                 with anyio.move_on_after(ROUND_S - MIN_ROUND_S):
                     await self.wake.wait()
 
     def _round(self, group: TaskGroup, fleet: Fleet) -> None:
+        if not self.decisions:
+            self.decisions = self.make_decisions()
         for decision in self.decisions:
             for action in decision.decide(fleet):
                 if action in self.under_way:
--- a/packages/control/src/marigolddoor_control/platform.py
+++ b/packages/control/src/marigolddoor_control/platform.py
@@ -6,7 +6,7 @@
 from marigolddoor_core.errors import UnavailableError
 from marigolddoor_core.ids import VmId
 
-__all__ = ["HttpPlatform", "Platform", "PlatformError"]
+__all__ = ["HttpPlatform", "NoPlatform", "Platform", "PlatformError"]
 
 TIMEOUT_S = 5.0
 
@@ -27,6 +27,14 @@
         ...
 
 
+class NoPlatform:
+    """Stands for the platform where the settings name none."""
+
+    async def reboot(self, vm: VmId, request: str) -> None:
+        """Raise `PlatformError`."""
+        raise PlatformError(f"reboot of {vm}: the settings name no platform")
+
+
 class HttpPlatform:
     """The platform's HTTP interface at `url`."""
 
--- /dev/null
+++ b/packages/control/src/marigolddoor_control/process.py
@@ -0,0 +1,213 @@
+"""The control process: a replica, the leader's work and the operators' HTTP on one loop."""
+
+import random
+import ssl
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+from anyio.abc import TaskStatus
+from loguru import logger
+from marigolddoor_core import declaration
+from marigolddoor_core.consensus import Timing
+from marigolddoor_core.ids import ProcessId
+from marigolddoor_core.metrics import Counters
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.timeline import EventKind, Recorder, Subject
+from marigolddoor_storage import ReplicaStore
+from marigolddoor_wire.errors import RemoteError
+from marigolddoor_wire.handshake import SharedKey
+from marigolddoor_wire.messages import ErrorKind
+from marigolddoor_wire.peers import Address, PeerPool, PeerServer
+
+from marigolddoor_control.agreement import Agreement, AgreementSettings
+from marigolddoor_control.leadership import Leadership
+from marigolddoor_control.manager import Manager
+from marigolddoor_control.operators import (
+    ListenerTls,
+    OperatorsApplication,
+    OperatorService,
+    Tokens,
+    serve_operators,
+)
+from marigolddoor_control.platform import HttpPlatform, NoPlatform, Platform
+from marigolddoor_control.recorded_machine import RecordedMachine
+from marigolddoor_control.requests import ControlRequests
+from marigolddoor_control.timelines import Timelines
+from marigolddoor_control.view import ControlView
+from marigolddoor_control.watches import WatchService
+from marigolddoor_control.workers import HttpWorkers
+
+__all__ = ["ControlAddresses", "ControlProcess", "ControlProcessSettings"]
+
+MAX_HTTP_CONNECTIONS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ControlProcessSettings:
+    """What a control process reads once, at its start.
+
+    `peers` are the peer addresses of the other control processes. `platform` is the base URL of the
+    platform's interface.
+    """
+
+    name: ProcessId
+    replica: str
+    peer: Address
+    peers: tuple[Address, ...]
+    data_folder: Path
+    operators: Address
+    tokens: Tokens
+    platform: str | None = None
+    operators_tls: ListenerTls | None = None
+    timeline_capacity: int = 4096
+    timing: Timing = field(default_factory=Timing)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlAddresses:
+    """The addresses on which a control process listens, with the ports in use."""
+
+    peer: Address
+    operators: Address
+
+
+class ControlProcess:
+    """Runs one replica and, while it leads, the manager."""
+
+    def __init__(
+        self,
+        settings: ControlProcessSettings,
+        key: SharedKey,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.key = key
+        self.server_tls = server_tls
+        self.client_tls = client_tls
+        self.rng = rng if rng is not None else random.Random()
+        self.clock = time.monotonic
+        self.state = StateMachine()
+        self.recorder = Recorder(settings.name, settings.timeline_capacity)
+        self.agreement: Agreement | None = None
+        self.leadership: Leadership | None = None
+        self.requests: ControlRequests | None = None
+
+    async def run(
+        self,
+        stopping: anyio.Event,
+        *,
+        task_status: TaskStatus[ControlAddresses] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until `stopping` is set, then hand over and stop.
+
+        Raises:
+          OSError: an address can't be used.
+          StorageError: the data folder can't be used.
+        """
+        limits = httpx.Limits(max_connections=MAX_HTTP_CONNECTIONS)
+        async with (
+            PeerPool(self.key, self.client_tls) as pool,
+            httpx.AsyncClient(limits=limits) as client,
+            anyio.create_task_group() as group,
+        ):
+            server = PeerServer(self.key, self._handle, self.server_tls)
+            peer = await group.start(server.run, self.settings.peer)
+            agreement = self._agreement(peer, pool)
+            manager = self._manager(agreement, client)
+            watches = WatchService(self.state, lambda: agreement.applied, self._record_in_force)
+            assert self.leadership is not None
+            self.requests = ControlRequests(
+                self.state, agreement, self.leadership, manager, watches, pool, self.recorder
+            )
+            group.start_soon(agreement.run)
+            operators = await group.start(
+                serve_operators,
+                self._application(agreement, pool),
+                self.settings.operators,
+                stopping.wait,
+                self.settings.operators_tls,
+            )
+            group.start_soon(manager.run)
+            group.start_soon(self._call_rounds, agreement, manager)
+            self._record(EventKind.PROCESS_STARTED)
+            logger.info("control: operators on {}, peers on {}", operators, peer)
+            task_status.started(ControlAddresses(peer, operators))
+            await stopping.wait()
+            self._record(EventKind.PROCESS_STOPPING)
+            await agreement.stop()
+            group.cancel_scope.cancel()
+        logger.info("control: stopped")
+
+    async def _handle(self, message: Any) -> Any:
+        if self.requests is None:
+            raise RemoteError(ErrorKind.NO_QUORUM, "this process is starting")
+        return await self.requests.handle(message)
+
+    def _agreement(self, peer: Address, pool: PeerPool) -> Agreement:
+        settings = self.settings
+        agreement = Agreement(
+            AgreementSettings(settings.replica, peer, settings.peers, timing=settings.timing),
+            ReplicaStore(settings.data_folder),
+            RecordedMachine(self.state, self.recorder, self._is_leader, _wall_ms),
+            pool,
+            self.rng,
+        )
+        self.agreement = agreement
+        self.leadership = Leadership(self.state, agreement, self.clock)
+        return agreement
+
+    def _manager(self, agreement: Agreement, client: httpx.AsyncClient) -> Manager:
+        assert self.leadership is not None
+        url = self.settings.platform
+        platform: Platform = NoPlatform() if url is None else HttpPlatform(client, url)
+        return Manager(
+            self.leadership.decisions,
+            self.leadership.look,
+            agreement,
+            HttpWorkers(client),
+            platform,
+        )
+
+    def _application(self, agreement: Agreement, pool: PeerPool) -> OperatorsApplication:
+        assert self.leadership is not None
+        view = ControlView(self.state, agreement, self.leadership.reports, self.clock)
+        timelines = Timelines(self.recorder, pool, self._other_processes)
+        service = OperatorService(view, agreement, declaration, timelines)
+        return OperatorsApplication(service, self.settings.tokens, Counters())
+
+    def _other_processes(self) -> Iterable[tuple[str, Address]]:
+        """Return the processes whose timelines are fetched."""
+        assert self.leadership is not None
+        for peer in self.settings.peers:
+            yield str(peer), peer
+        for report in self.leadership.reports.entries.values():
+            if report.address:
+                yield report.process, Address(report.address)
+
+    async def _call_rounds(self, agreement: Agreement, manager: Manager) -> None:
+        """Call a round of decisions after each applied batch."""
+        while True:
+            await agreement.applied.wait()
+            manager.call_round()
+
+    def _is_leader(self) -> bool:
+        return self.agreement is not None and self.agreement.is_leader
+
+    def _record(self, kind: EventKind) -> None:
+        self.recorder.record(kind, _wall_ms(), Subject())
+
+    def _record_in_force(self, process: ProcessId, revision: Any) -> None:
+        self.recorder.record(
+            EventKind.REVISION_IN_FORCE, _wall_ms(), Subject(revision=revision), f"on {process}"
+        )
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/control/src/marigolddoor_control/recorded_machine.py
@@ -0,0 +1,46 @@
+"""The state machine of a replica, with an event on the timeline for each command it applies."""
+
+from collections.abc import Callable
+from typing import Any
+
+from marigolddoor_core.ids import LogIndex
+from marigolddoor_core.state.commands import Command
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.results import Result
+from marigolddoor_core.timeline import Recorder
+from marigolddoor_core.timeline.command_events import command_event
+
+__all__ = ["RecordedMachine"]
+
+
+class RecordedMachine:
+    """Applies commands and records them while `is_recording`, so that one replica records each."""
+
+    def __init__(
+        self,
+        state: StateMachine,
+        recorder: Recorder,
+        is_recording: Callable[[], bool],
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self.state = state
+        self.recorder = recorder
+        self.is_recording = is_recording
+        self.wall_ms = wall_ms
+
+    def apply(self, index: LogIndex, command: Command) -> Result:
+        """Apply the command at `index`."""
+        result = self.state.apply(index, command)
+        if self.is_recording():
+            event = command_event(command, result)
+            if event is not None:
+                self.recorder.record(event.kind, self.wall_ms(), event.subject, event.text)
+        return result
+
+    def snapshot(self) -> Any:
+        """Return the whole state."""
+        return self.state.snapshot()
+
+    def restore(self, snapshot: Any) -> None:
+        """Replace the whole state."""
+        self.state.restore(snapshot)
--- /dev/null
+++ b/packages/control/src/marigolddoor_control/requests.py
@@ -0,0 +1,118 @@
+"""Answers to the requests of other processes of the system."""
+
+from typing import Any
+
+from marigolddoor_core.ports import NoQuorumError
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.results import ClaimFinished, ClaimPending
+from marigolddoor_core.timeline import Recorder
+from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
+from marigolddoor_wire.messages import (
+    ErrorKind,
+    FetchTimeline,
+    ReadClaim,
+    ReadClaimReply,
+    ReportDemand,
+    ReportDemandReply,
+    ReportTargets,
+    Watch,
+    WatchReply,
+)
+from marigolddoor_wire.peers import PeerPool
+
+from marigolddoor_control.agreement import HANDLED_MESSAGES, Agreement
+from marigolddoor_control.leadership import Leadership
+from marigolddoor_control.manager import Manager
+from marigolddoor_control.timelines import answer_fetch
+from marigolddoor_control.watches import WatchService
+
+__all__ = ["ControlRequests"]
+
+FORWARD_TIMEOUT_S = 1.5
+READ_TIMEOUT_S = 1.5
+
+
+class ControlRequests:
+    """Handles every message that a control process gets on its peer listener.
+
+    Reports go to the leader: a follower passes them on, so that an entry process needs to reach one
+    control process only.
+    """
+
+    def __init__(
+        self,
+        state: StateMachine,
+        agreement: Agreement,
+        leadership: Leadership,
+        manager: Manager,
+        watches: WatchService,
+        pool: PeerPool,
+        recorder: Recorder,
+    ) -> None:
+        self.state = state
+        self.agreement = agreement
+        self.leadership = leadership
+        self.manager = manager
+        self.watches = watches
+        self.pool = pool
+        self.recorder = recorder
+
+    async def handle(self, message: Any) -> Any:
+        """Return the reply to `message`.
+
+        Raises:
+          RemoteError: the request is refused.
+        """
+        if isinstance(message, HANDLED_MESSAGES):
+            return await self.agreement.handle(message)
+        if isinstance(message, Watch):
+            return await self._watch(message)
+        if isinstance(message, (ReportTargets, ReportDemand)):
+            return await self._report(message)
+        if isinstance(message, ReadClaim):
+            return await self._read_claim(message)
+        if isinstance(message, FetchTimeline):
+            return answer_fetch(self.recorder, message)
+        raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
+
+    async def _watch(self, message: Watch) -> WatchReply:
+        # A replica that is cut off from the leader has no news, and the watcher must look for
+        # them elsewhere. What it has already is still better than nothing.
+        if self.state.index <= message.after_index and self.agreement.leader is None:
+            raise RemoteError(ErrorKind.NO_QUORUM, "this replica knows no leader")
+        return await self.watches.answer(message)
+
+    async def _report(self, message: ReportTargets | ReportDemand) -> Any:
+        if self.agreement.is_leader:
+            return self._take(message)
+        leader = self.agreement.leader
+        if leader is None or leader == self.agreement.settings.address:
+            raise RemoteError(ErrorKind.NO_QUORUM, "no leader is known")
+        if isinstance(message, ReportDemand):
+            # Kept here as well, so that a follower can show which processes it hears.
+            self.leadership.take_demand(message)
+        try:
+            return await self.pool.call(leader, message, FORWARD_TIMEOUT_S)
+        except (PeerUnreachableError, PeerTimeoutError) as error:
+            raise RemoteError(ErrorKind.NO_QUORUM, "the leader did not answer") from error
+
+    def _take(self, message: ReportTargets | ReportDemand) -> Any:
+        if isinstance(message, ReportDemand):
+            self.leadership.take_demand(message)
+            return ReportDemandReply(self.agreement.agreed_time())
+        reply = self.leadership.take_targets(message)
+        if message.targets or message.gone:
+            self.manager.call_round()
+        return reply
+
+    async def _read_claim(self, message: ReadClaim) -> ReadClaimReply:
+        try:
+            await self.agreement.read_barrier(READ_TIMEOUT_S)
+        except NoQuorumError as error:
+            raise RemoteError(ErrorKind.NO_QUORUM, str(error)) from error
+        record = self.state.find_claim(message.service, message.key)
+        if record is None or record.expires_s <= self.agreement.agreed_time():
+            return ReadClaimReply(None)
+        if record.finished:
+            return ReadClaimReply(ClaimFinished(record.claim, record.answer))
+        return ReadClaimReply(ClaimPending(record.claim, record.claimant))
--- /dev/null
+++ b/packages/control/src/marigolddoor_control/view.py
@@ -0,0 +1,110 @@
+"""What operators see: the agreed state of this replica and the soft reports that it holds."""
+
+from collections.abc import Callable, Mapping
+
+from marigolddoor_core.declaration.organisation import Declaration, Job
+from marigolddoor_core.fleet import ObservedTarget
+from marigolddoor_core.ids import (
+    JobId,
+    LogIndex,
+    QuestionId,
+    ReplicaId,
+    Revision,
+    TaskId,
+    VmId,
+)
+from marigolddoor_core.instants import Instant, elapsed
+from marigolddoor_core.operations.views import InForce
+from marigolddoor_core.reports import FleetReports
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, VmRecord
+
+from marigolddoor_control.agreement import Agreement
+
+__all__ = ["ControlView"]
+
+
+class ControlView:
+    """Implements `marigolddoor_core.operations.views.StateView` for one control process."""
+
+    def __init__(
+        self,
+        state: StateMachine,
+        agreement: Agreement,
+        reports: FleetReports,
+        clock: Callable[[], float],
+    ) -> None:
+        self.state = state
+        self.agreement = agreement
+        self.reports = reports
+        self.clock = clock
+
+    @property
+    def replica(self) -> ReplicaId:
+        """The replica that answers."""
+        return self.agreement.replica_id
+
+    @property
+    def leader(self) -> ReplicaId | None:
+        """The leader as far as this replica knows."""
+        replica = self.agreement.replica
+        return None if replica is None else replica.leader
+
+    @property
+    def index(self) -> LogIndex:
+        """The log index up to which the state is applied."""
+        return self.state.index
+
+    @property
+    def time_s(self) -> float:
+        """The agreed time."""
+        return self.agreement.agreed_time()
+
+    @property
+    def revision(self) -> Revision:
+        """The current revision, 0 before the first declaration."""
+        return self.state.revision
+
+    @property
+    def declaration(self) -> Declaration | None:
+        """The current declaration."""
+        return self.state.declaration if self.state.revision else None
+
+    @property
+    def vms(self) -> Mapping[VmId, VmRecord]:
+        """All registered VMs."""
+        return self.state.vms
+
+    @property
+    def tasks(self) -> Mapping[TaskId, TaskRecord]:
+        """All tasks."""
+        return self.state.tasks
+
+    @property
+    def jobs(self) -> Mapping[JobId, Job]:
+        """The declared jobs."""
+        return self.state.jobs
+
+    @property
+    def questions(self) -> Mapping[QuestionId, QuestionRecord]:
+        """All questions, open or not."""
+        return self.state.questions
+
+    @property
+    def in_force(self) -> tuple[InForce, ...]:
+        """The revision in force on each entry process that is known here."""
+        now = Instant(self.clock())
+        return tuple(
+            InForce(
+                report.process,
+                report.data_centre,
+                report.in_force,
+                elapsed(report.received, now),
+            )
+            for report in self.reports.entries.values()
+        )
+
+    @property
+    def targets(self) -> Mapping[VmId, ObservedTarget]:
+        """The observed targets."""
+        return self.reports.targets(Instant(self.clock()))
--- a/packages/control/src/marigolddoor_control/watches.py
+++ b/packages/control/src/marigolddoor_control/watches.py
@@ -8,7 +8,7 @@
 from marigolddoor_core.state.objects import Change
 from marigolddoor_wire.messages import Watch, WatchReply
 
-__all__ = ["AppliedSignal", "WatchService", "WatchedState"]
+__all__ = ["WatchService", "WatchedState"]
 
 # Longer waits would keep a watcher on a replica that lost its leader.
 MAX_WAIT_S = 10.0
@@ -30,32 +30,17 @@
         ...
 
 
-class AppliedSignal:
-    """Wakes everyone who waits for the next applied batch."""
-
-    def __init__(self) -> None:
-        self.event = anyio.Event()
-
-    def notify(self) -> None:
-        """Wake those who wait now."""
-        self.event.set()
-        self.event = anyio.Event()
-
-    async def wait(self) -> None:
-        """Return after the next call of `notify`."""
-        await self.event.wait()
-
-
 class WatchService:
     """Answers watches from the state of this replica.
 
-    `in_force` keeps the revision that each watching process works with.
+    `applied` returns the event that is set when the next batch has been applied. `in_force` keeps
+    the revision that each watching process works with.
     """
 
     def __init__(
         self,
         state: WatchedState,
-        applied: AppliedSignal,
+        applied: Callable[[], anyio.Event],
         on_in_force: Callable[[ProcessId, Revision], None] = lambda process, revision: None,
     ) -> None:
         self.state = state
@@ -70,11 +55,12 @@
             self.on_in_force(watch.process, watch.in_force)
         with anyio.move_on_after(min(watch.wait_s, MAX_WAIT_S)):
             while True:
+                applied = self.applied()
                 reply = self._reply(watch)
                 # A replica that lags behind the watcher has nothing to say until it caught up.
                 if reply is not None:
                     return reply
-                await self.applied.wait()
+                await applied.wait()
         return WatchReply(watch.after_index, False, ())
 
     def _reply(self, watch: Watch) -> WatchReply | None:
--- a/packages/control/src/marigolddoor_control/workers.py
+++ b/packages/control/src/marigolddoor_control/workers.py
@@ -5,8 +5,8 @@
 
 import httpx
 from marigolddoor_core.ids import Epoch
+from marigolddoor_core.plain_values import to_plain
 from marigolddoor_core.targets import TaskOrder
-from marigolddoor_wire.json_forms import to_json
 
 __all__ = ["HttpWorkers", "OrderOutcome", "Workers"]
 
@@ -42,7 +42,7 @@
             answer = await self.client.post(
                 f"http://{address}{TASKS_PATH}",
                 headers={"Marigolddoor-Epoch": str(epoch)},
-                json=to_json(order),
+                json=to_plain(order),
                 timeout=TIMEOUT_S,
             )
         except httpx.ConnectError:
--- a/packages/core/src/marigolddoor_core/maintenance/maintenance.py
+++ b/packages/core/src/marigolddoor_core/maintenance/maintenance.py
@@ -307,7 +307,8 @@
             for vm, record in loss.members.items():
                 if vm in loss.loss.planned or record.data_centre in fleet.silent_data_centres:
                     continue
-                if vm in self.requested or vm in ordered:
+                is_requested = record.drain_requested_s > record.maintained_s
+                if is_requested or vm in self.requested or vm in ordered:
                     candidates.setdefault(pool, []).append(Candidate(vm, REQUESTED_ORDER))
                     continue
                 due_s = due_since_s(record, loss.pool, fleet.now_s)
--- a/packages/core/src/marigolddoor_core/reports.py
+++ b/packages/core/src/marigolddoor_core/reports.py
@@ -29,6 +29,7 @@
     received: Instant
     in_force: Revision
     demand: Mapping[ServiceId, Demand]
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/state/machine.py
+++ b/packages/core/src/marigolddoor_core/state/machine.py
@@ -38,6 +38,7 @@
     RegisterVm,
     ReleaseClaim,
     RenewLease,
+    RequestDrain,
     RetireVm,
     SetAsideTask,
     SubmitTask,
@@ -105,6 +106,7 @@
             AnswerQuestion: self._questions.answer,
             CloseQuestion: self._questions.close,
             RecordMaintenance: self._pools.record_maintenance,
+            RequestDrain: self._pools.request_drain,
         }
 
     @property
--- a/packages/core/src/marigolddoor_core/state/objects.py
+++ b/packages/core/src/marigolddoor_core/state/objects.py
@@ -18,6 +18,7 @@
     PoolId,
     QuestionId,
     RackId,
+    RequestId,
     Revision,
     TaskId,
     VmId,
@@ -74,7 +75,9 @@
     """A VM with its one assignment.
 
     `next_pool` is set while the VM drains for a move. `maintenance` is the last step recorded, and
-    `maintained_s` the agreed time at which the last maintenance was done.
+    `maintained_s` the agreed time at which the last maintenance was done. `drain_request` is the
+    last request of an operator to maintain the VM; it is open while `drain_requested_s` is later
+    than `maintained_s`.
     """
 
     vm: VmId
@@ -88,6 +91,8 @@
     next_pool: PoolId | None = None
     maintenance: MaintenanceStep | None = None
     maintained_s: float = 0.0
+    drain_request: RequestId | None = None
+    drain_requested_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/state/pools.py
+++ b/packages/core/src/marigolddoor_core/state/pools.py
@@ -10,6 +10,7 @@
     MaintenanceStep,
     RecordMaintenance,
     RegisterVm,
+    RequestDrain,
     RetireVm,
 )
 from marigolddoor_core.state.declarations import Declarations
@@ -134,6 +135,20 @@
         )
         return Done()
 
+    def request_drain(self, command: RequestDrain, now_s: float) -> Result:
+        """Record that operators want the VMs maintained now; a resend changes nothing."""
+        if (command.pool is None) == (command.vm is None):
+            return Refused(Refusal.INVALID, "name either a pool or a VM")
+        if command.pool is not None and command.pool not in self.declarations.pools:
+            return Refused(Refusal.UNKNOWN, f"no pool {command.pool!r}")
+        if command.vm is not None and command.vm not in self.vms:
+            return Refused(Refusal.UNKNOWN, f"no VM {command.vm!r}")
+        for vm in list(self.vms.values()):
+            is_named = command.vm == vm.vm or command.pool == vm.pool
+            if is_named and vm.drain_request != command.request:
+                self._put(replace(vm, drain_request=command.request, drain_requested_s=now_s))
+        return Done()
+
     def current(self, vm_id: VmId, epoch: Epoch) -> VmRecord | Refused:
         """Return the VM if `epoch` is its current epoch, or else the refusal."""
         vm = self.vms.get(vm_id)
--- a/packages/wire/idl/messages.thrift
+++ b/packages/wire/idl/messages.thrift
@@ -21,7 +21,10 @@
 struct LeaseRenewal { 1: string vm, 2: string task, 3: i64 token, 4: double lease_s }
 struct ReportTargetsReply { 1: list<LeaseRenewal> renewals, 2: bool want_full }
 struct ServiceDemand { 1: string service_id, 2: i64 arrived, 3: i64 admitted, 4: i64 refused, 5: i64 answered, 6: i64 late, 7: i64 in_flight, 8: i64 queued, 9: double slot_seconds }
-struct ReportDemand { 1: string process, 2: string data_centre, 3: double interval_s, 4: list<ServiceDemand> services, 5: i64 in_force }
+struct ReportDemand { 1: string process, 2: string data_centre, 3: double interval_s, 4: list<ServiceDemand> services, 5: i64 in_force, 6: string address }
+struct ReportDemandReply { 1: double time_s }
+struct ReadClaim { 1: string service_id, 2: string key }
+struct ReadClaimReply { 1: optional state.Tagged claim }
 struct TargetDelta { 1: string process, 2: i64 sequence, 3: bool full, 4: list<TargetReport> targets, 5: list<string> gone }
 struct ShareReport { 1: string process, 2: list<ServiceDemand> demand }
 struct FetchTimeline { 1: timeline.TimelineFilter wanted, 2: i64 after_sequence, 3: i64 limit, 4: optional timeline.HybridTime time }
--- a/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
@@ -1563,6 +1563,7 @@
      - interval_s
      - services
      - in_force
+     - address
 
     """
 
@@ -1572,15 +1573,17 @@
         'interval_s',
         'services',
         'in_force',
+        'address',
     )
 
 
-    def __init__(self, process=None, data_centre=None, interval_s=None, services=None, in_force=None,):
+    def __init__(self, process=None, data_centre=None, interval_s=None, services=None, in_force=None, address=None,):
         self.process = process
         self.data_centre = data_centre
         self.interval_s = interval_s
         self.services = services
         self.in_force = in_force
+        self.address = address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1622,6 +1625,11 @@
                     self.in_force = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1655,6 +1663,227 @@
             oprot.writeFieldBegin('in_force', TType.I64, 5)
             oprot.writeI64(self.in_force)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 6)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReportDemandReply(object):
+    """
+    Attributes:
+     - time_s
+
+    """
+
+    __slots__ = (
+        'time_s',
+    )
+
+
+    def __init__(self, time_s=None,):
+        self.time_s = time_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.time_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportDemandReply')
+        if self.time_s is not None:
+            oprot.writeFieldBegin('time_s', TType.DOUBLE, 1)
+            oprot.writeDouble(self.time_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadClaim(object):
+    """
+    Attributes:
+     - service_id
+     - key
+
+    """
+
+    __slots__ = (
+        'service_id',
+        'key',
+    )
+
+
+    def __init__(self, service_id=None, key=None,):
+        self.service_id = service_id
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadClaim')
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 1)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadClaimReply(object):
+    """
+    Attributes:
+     - claim
+
+    """
+
+    __slots__ = (
+        'claim',
+    )
+
+
+    def __init__(self, claim=None,):
+        self.claim = claim
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = marigolddoor_wire.gen.state.ttypes.Tagged()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadClaimReply')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2210,6 +2439,23 @@
     (3, TType.DOUBLE, 'interval_s', None, None, ),  # 3
     (4, TType.LIST, 'services', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 4
     (5, TType.I64, 'in_force', None, None, ),  # 5
+    (6, TType.STRING, 'address', 'UTF8', None, ),  # 6
+)
+all_structs.append(ReportDemandReply)
+ReportDemandReply.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'time_s', None, None, ),  # 1
+)
+all_structs.append(ReadClaim)
+ReadClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+)
+all_structs.append(ReadClaimReply)
+ReadClaimReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [marigolddoor_wire.gen.state.ttypes.Tagged, None], None, ),  # 1
 )
 all_structs.append(TargetDelta)
 TargetDelta.thrift_spec = (
--- a/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
@@ -4382,6 +4382,8 @@
      - next_pool
      - maintenance
      - maintained_s
+     - drain_request
+     - drain_requested_s
 
     """
 
@@ -4397,10 +4399,12 @@
         'next_pool',
         'maintenance',
         'maintained_s',
+        'drain_request',
+        'drain_requested_s',
     )
 
 
-    def __init__(self, vm=None, data_centre=None, rack=None, address=None, capacity=None, slots=None, pool=None, epoch=None, next_pool=None, maintenance=None, maintained_s=None,):
+    def __init__(self, vm=None, data_centre=None, rack=None, address=None, capacity=None, slots=None, pool=None, epoch=None, next_pool=None, maintenance=None, maintained_s=None, drain_request=None, drain_requested_s=None,):
         self.vm = vm
         self.data_centre = data_centre
         self.rack = rack
@@ -4412,6 +4416,8 @@
         self.next_pool = next_pool
         self.maintenance = maintenance
         self.maintained_s = maintained_s
+        self.drain_request = drain_request
+        self.drain_requested_s = drain_requested_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4478,6 +4484,16 @@
                     self.maintained_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.drain_request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.drain_requested_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4532,6 +4548,14 @@
             oprot.writeFieldBegin('maintained_s', TType.DOUBLE, 11)
             oprot.writeDouble(self.maintained_s)
             oprot.writeFieldEnd()
+        if self.drain_request is not None:
+            oprot.writeFieldBegin('drain_request', TType.STRING, 12)
+            oprot.writeString(self.drain_request.encode('utf-8') if sys.version_info[0] == 2 else self.drain_request)
+            oprot.writeFieldEnd()
+        if self.drain_requested_s is not None:
+            oprot.writeFieldBegin('drain_requested_s', TType.DOUBLE, 13)
+            oprot.writeDouble(self.drain_requested_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5921,6 +5945,8 @@
     (9, TType.STRING, 'next_pool', 'UTF8', None, ),  # 9
     (10, TType.STRING, 'maintenance', 'UTF8', None, ),  # 10
     (11, TType.DOUBLE, 'maintained_s', None, None, ),  # 11
+    (12, TType.STRING, 'drain_request', 'UTF8', None, ),  # 12
+    (13, TType.DOUBLE, 'drain_requested_s', None, None, ),  # 13
 )
 all_structs.append(TaskRecord)
 TaskRecord.thrift_spec = (
--- a/packages/wire/src/marigolddoor_wire/messages.py
+++ b/packages/wire/src/marigolddoor_wire/messages.py
@@ -6,6 +6,7 @@
 from marigolddoor_core.ids import (
     DataCentreId,
     FencingToken,
+    IdempotencyKey,
     LogIndex,
     ProcessId,
     Revision,
@@ -15,7 +16,7 @@
 )
 from marigolddoor_core.state.commands import Command
 from marigolddoor_core.state.objects import Change
-from marigolddoor_core.state.results import Result
+from marigolddoor_core.state.results import ClaimFinished, ClaimPending, Result
 from marigolddoor_core.targets import Announcement, TargetState
 from marigolddoor_core.timeline.clock import HybridTime
 from marigolddoor_core.timeline.filters import TimelineFilter
@@ -30,7 +31,10 @@
     "LeaseRenewal",
     "Propose",
     "ProposeReply",
+    "ReadClaim",
+    "ReadClaimReply",
     "ReportDemand",
+    "ReportDemandReply",
     "ReportTargets",
     "ReportTargetsReply",
     "ServiceDemand",
@@ -164,7 +168,8 @@
 class ReportDemand:
     """The demand that an entry process saw in the last `interval_s` seconds.
 
-    It also tells the leader that the process is there, and which revision it works with.
+    It also tells the leader that the process is there, the address of its peer listener, and which
+    revision it works with.
     """
 
     process: ProcessId
@@ -172,6 +177,29 @@
     interval_s: float
     services: tuple[ServiceDemand, ...]
     in_force: Revision = Revision(0)
+    address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportDemandReply:
+    """The leader's agreed time, for the deadlines of claims."""
+
+    time_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClaim:
+    """Ask for the claim on an idempotency key, as it was after this message was sent."""
+
+    service: ServiceId
+    key: IdempotencyKey
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClaimReply:
+    """The claim; None if there is none."""
+
+    claim: ClaimPending | ClaimFinished | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/control/test_manager.py
+++ b/tests/control/test_manager.py
@@ -93,7 +93,7 @@
         outside = Outside(self.error, self.result)
         decision = Always((CANCEL, ORDER, REBOOT))
         looked = fleet(declaration([("a", 6)]), [], [VM]) if self.leads else None
-        manager = Manager([decision], lambda: looked, outside, outside, outside)
+        manager = Manager(lambda: [decision], lambda: looked, outside, outside, outside)
         with anyio.fail_after(5):
             async with anyio.create_task_group() as group:
                 group.start_soon(manager.run)
--- a/tests/control/test_watches.py
+++ b/tests/control/test_watches.py
@@ -2,7 +2,7 @@
 
 import anyio
 import testtools
-from marigolddoor_control.watches import AppliedSignal, WatchService
+from marigolddoor_control.watches import WatchService
 from marigolddoor_core.declaration import Weights
 from marigolddoor_core.ids import DataCentreId, LogIndex, ProcessId, Revision
 from marigolddoor_core.state.objects import Change, ObjectKind
@@ -48,7 +48,7 @@
     ]
 
     def test_reply(self) -> None:
-        service = WatchService(FakeState(5, self.oldest), AppliedSignal())
+        service = WatchService(FakeState(5, self.oldest), anyio.Event)
         reply = anyio.run(service.answer, watch(self.after))
         indexes = [part.index for part in reply.changes]
         self.assertEqual(self.expected, (reply.index, reply.snapshot, indexes))
@@ -62,9 +62,9 @@
 
     async def woken(self) -> None:
         state = FakeState(5)
-        applied = AppliedSignal()
+        applied = anyio.Event()
         seen: list[Revision] = []
-        service = WatchService(state, applied, lambda _, revision: seen.append(revision))
+        service = WatchService(state, lambda: applied, lambda _, revision: seen.append(revision))
         replies: list[WatchReply] = []
 
         async def wait() -> None:
@@ -75,6 +75,6 @@
                 group.start_soon(wait)
                 await anyio.wait_all_tasks_blocked()
                 state.index = LogIndex(6)
-                applied.notify()
+                applied.set()
         self.assertEqual([6], [part.index for part in replies[0].changes])
         self.assertEqual([Revision(3)], seen)
