--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -3,11 +3,13 @@
 from types import ModuleType
 
 from marigolddoor_core import targets
+from marigolddoor_core.consensus import configuration, entries, stored
+from marigolddoor_core.consensus import messages as consensus_messages
 from marigolddoor_core.declaration import organisation
 from marigolddoor_core.state import commands, objects, results
 from marigolddoor_core.timeline import clock, events, filters, timelines
 
-from marigolddoor_wire import messages
+from marigolddoor_wire import agreement, messages
 
 __all__ = ["MODULES"]
 
@@ -22,4 +24,9 @@
     filters,
     timelines,
     messages,
+    configuration,
+    entries,
+    consensus_messages,
+    stored,
+    agreement,
 )
