--- a/packages/core/src/marigolddoor_core/operations/reports.py
+++ b/packages/core/src/marigolddoor_core/operations/reports.py
@@ -46,15 +46,18 @@
 class StatusReport:
     """The state of the whole system in a few numbers.
 
-    `behind` lists the entry processes that work with an older revision than the current one.
+    Without `from_leader`, `ready` and `in_force` are incomplete. `behind` lists the entry processes
+    that work with an older revision than the current one.
     """
 
     organisation: OrganisationId | None
     revision: Revision
+    author: OperatorId
     index: LogIndex
     time_s: float
     replica: ReplicaId
     leader: ReplicaId | None
+    from_leader: bool
     vms: int
     ready: int
     tasks_waiting: int
@@ -96,9 +99,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolsReport:
-    """All declared pools."""
+    """All declared pools. Without `from_leader`, the states of VMs may be missing."""
 
     revision: Revision
+    from_leader: bool
     pools: tuple[PoolReport, ...]
 
 
--- a/packages/core/src/marigolddoor_core/operations/summaries.py
+++ b/packages/core/src/marigolddoor_core/operations/summaries.py
@@ -29,12 +29,14 @@
     states = Counter(task.state for task in view.tasks.values())
     in_force = tuple(sorted(view.in_force, key=lambda one: one.process))
     return StatusReport(
-        organisation=None if view.declaration is None else view.declaration.organisation,
+        organisation=view.declaration.organisation or None,
         revision=view.revision,
+        author=view.author,
         index=view.index,
         time_s=view.time_s,
         replica=view.replica,
         leader=view.leader,
+        from_leader=_is_leader(view),
         vms=len(view.vms),
         ready=sum(_is_available(view, vm) for vm in view.vms.values()),
         tasks_waiting=states[TaskState.WAITING],
@@ -51,12 +53,12 @@
     members: dict[PoolId, list[VmRecord]] = defaultdict(list)
     for vm in view.vms.values():
         members[vm.pool].append(vm)
-    declared = () if view.declaration is None else view.declaration.pools
     return PoolsReport(
         view.revision,
+        _is_leader(view),
         tuple(
             _pool_report(view, pool, members[pool.id])
-            for pool in sorted(declared, key=lambda pool: pool.id)
+            for pool in sorted(view.declaration.pools, key=lambda pool: pool.id)
             if only is None or pool.id == only
         ),
     )
@@ -89,6 +91,10 @@
     return question.answer is None and not question.closed
 
 
+def _is_leader(view: StateView) -> bool:
+    return view.leader == view.replica
+
+
 def _is_available(view: StateView, vm: VmRecord) -> bool:
     target = view.targets.get(vm.vm)
     return (
--- a/packages/core/src/marigolddoor_core/operations/views.py
+++ b/packages/core/src/marigolddoor_core/operations/views.py
@@ -10,6 +10,7 @@
     DataCentreId,
     JobId,
     LogIndex,
+    OperatorId,
     ProcessId,
     QuestionId,
     ReplicaId,
@@ -36,15 +37,16 @@
     """The revision that an entry process works with, as it said `age_s` seconds ago."""
 
     process: ProcessId
-    data_centre: DataCentreId
     revision: Revision
-    age_s: float
+    data_centre: DataCentreId | None = None
+    age_s: float | None = None
 
 
 class StateView(Protocol):
     """The agreed state as this replica has applied it, with the soft reports that it holds.
 
-    Only the leader has every soft report; another replica shows those of its own watchers.
+    Only the leader has the soft reports `targets` and `in_force`; on another replica they are
+    empty or old.
     """
 
     @property
@@ -73,8 +75,13 @@
         ...
 
     @property
-    def declaration(self) -> Declaration | None:
-        """The current declaration."""
+    def author(self) -> OperatorId:
+        """The author of the current revision, empty before the first declaration."""
+        ...
+
+    @property
+    def declaration(self) -> Declaration:
+        """The current declaration, an empty one before the first."""
         ...
 
     @property
@@ -109,7 +116,7 @@
 
 
 class DeclarationRules(Protocol):
-    """Reads declarations and plans changes. The module `marigolddoor_core.declaration` is one."""
+    """Reads declarations and plans changes."""
 
     def read_declaration(
         self,
@@ -126,7 +133,7 @@
         ...
 
     def plan(
-        self, current: Declaration | None, proposed: Declaration, vms: Mapping[VmId, VmRecord]
+        self, current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]
     ) -> object:
         """Return the plan of a change, a dataclass."""
         ...
--- a/packages/operator/src/marigolddoor_operator/arguments.py
+++ b/packages/operator/src/marigolddoor_operator/arguments.py
@@ -62,7 +62,7 @@
             "--template",
             type=Path,
             metavar="FILE",
-            help="the template; without it, template.toml in the folder of the organisation",
+            help="the template; without it, the one that the organisation file names",
         )
     apply.add_argument(
         "--base",
--- a/packages/operator/src/marigolddoor_operator/client.py
+++ b/packages/operator/src/marigolddoor_operator/client.py
@@ -97,16 +97,23 @@
     async def read(self, path: str, query: Mapping[str, str]) -> Any:
         """Return the plain report at `path`.
 
+        A report with `from_leader` false is returned only if no other endpoint has a better one.
+
         Raises:
           UnreachableError: no endpoint answered.
           RemoteOperationError: the system refused.
         """
         reasons = []
+        fallback = None
         for endpoint in self.endpoints:
             attempt = await self._attempt(endpoint, "GET", path, query, None)
             if attempt.outcome is Outcome.ANSWERED:
-                return attempt.report
+                if not _is_partial(attempt.report):
+                    return attempt.report
+                fallback = fallback or attempt.report
             reasons.append(f"{endpoint}: {attempt.reason}")
+        if fallback is not None:
+            return fallback
         raise UnreachableError("; ".join(reasons))
 
     async def ask(self, path: str, request: Any) -> Any:
@@ -185,6 +192,10 @@
         raise RemoteOperationError(response.status_code, failure)
 
 
+def _is_partial(report: Any) -> bool:
+    return isinstance(report, Mapping) and report.get("from_leader") is False
+
+
 def _tls(settings: OperatorSettings) -> ssl.SSLContext:
     try:
         return ssl.create_default_context(
--- a/packages/operator/src/marigolddoor_operator/commands.py
+++ b/packages/operator/src/marigolddoor_operator/commands.py
@@ -179,12 +179,14 @@
         """Show the state of the system."""
         report = _report(StatusReport, await client.read("/v1/status", {}))
         self.show(report, texts.status_text(report))
+        self.show_leader_note(report.from_leader)
 
     async def pools(self, client: OperatorClient) -> None:
         """Show pools."""
         query = self.query("pool")
         report = _report(PoolsReport, await client.read("/v1/pools", query))
         self.show(report, texts.pools_text(report, with_vms=bool(query)))
+        self.show_leader_note(report.from_leader)
 
     async def jobs(self, client: OperatorClient) -> None:
         """Show jobs."""
@@ -238,6 +240,11 @@
             if not self.options.follow or not await self.around.pause(FOLLOW_INTERVAL_S):
                 return
 
+    def show_leader_note(self, from_leader: bool) -> None:
+        """Say on the error stream that a report is incomplete; JSON has it as a field."""
+        if not from_leader and not self.options.json:
+            self.around.problems.write(texts.NOT_LEADER)
+
     def show_timeline_files(self) -> None:
         """Show the timeline of files."""
         options = self.options
--- a/packages/operator/src/marigolddoor_operator/declarations.py
+++ b/packages/operator/src/marigolddoor_operator/declarations.py
@@ -10,17 +10,24 @@
 
 __all__ = ["read_declaration_files"]
 
-DEFAULT_TEMPLATE = "template.toml"
+TEMPLATE_KEY = "template"
 
 
 def read_declaration_files(organisation: Path, template: Path | None) -> DeclarationSource:
-    """Return the parsed files; the template is beside the organisation unless it is named.
+    """Return the parsed files; the organisation file names the template, relative to its folder.
 
     Raises:
-      InputFileError: a file can't be read or isn't TOML.
+      InputFileError: a file can't be read or isn't TOML, or no template is named.
     """
-    chosen = organisation.parent / DEFAULT_TEMPLATE if template is None else template
-    return DeclarationSource(_read(organisation), _read(chosen), organisation.name, chosen.name)
+    values = _read(organisation)
+    if template is None:
+        named = values.get(TEMPLATE_KEY)
+        if not isinstance(named, str) or not named or "\0" in named:
+            raise InputFileError(
+                f"{organisation}: template is {named!r}; allowed: the name of the template file"
+            )
+        template = organisation.parent / named
+    return DeclarationSource(values, _read(template), organisation.name, template.name)
 
 
 def _read(file: Path) -> dict[str, Any]:
--- a/packages/operator/src/marigolddoor_operator/texts.py
+++ b/packages/operator/src/marigolddoor_operator/texts.py
@@ -17,6 +17,7 @@
 from marigolddoor_core.timeline import Event, Subject, Timeline
 
 __all__ = [
+    "NOT_LEADER",
     "apply_text",
     "clean",
     "duration_text",
@@ -32,6 +33,8 @@
     "time_text",
 ]
 
+NOT_LEADER = "note: the leader did not answer; states of VMs and processes may be missing\n"
+
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -45,7 +48,7 @@
     leader = "unknown" if report.leader is None else report.leader
     lines = [
         f"organisation  {report.organisation or 'none declared'}",
-        f"revision      {report.revision}",
+        f"revision      {report.revision}" + (f" by {report.author}" if report.author else ""),
         f"leader        {leader} (answered by {report.replica} at log index {report.index})",
         f"VMs           {report.vms}, {report.ready} ready",
         f"tasks         {report.tasks_leased} running, {report.tasks_waiting} waiting, "
@@ -55,7 +58,12 @@
     if report.in_force:
         lines += ["", "revision in force on each entry process:"]
         rows = [
-            [one.process, one.data_centre, f"revision {one.revision}", f"{one.age_s:.1f} s ago"]
+            [
+                one.process,
+                one.data_centre or "-",
+                f"revision {one.revision}",
+                "-" if one.age_s is None else f"{one.age_s:.1f} s ago",
+            ]
             for one in report.in_force
         ]
         lines += _table(rows)
--- a/tests/operator/sessions.py
+++ b/tests/operator/sessions.py
@@ -38,10 +38,11 @@
 GOLDEN = Path(__file__).parent / "golden"
 COLUMNS = "100"
 
+HEAD = 'name = "example"\ntemplate = "template.toml"\n'
 FILES = {
-    "organisation.toml": 'name = "example"\n[pools]\norders = 4\nspare = 2\n',
+    "organisation.toml": HEAD + "[pools]\norders = 4\nspare = 2\n",
     "template.toml": "budget = 1\n",
-    "empty-pools.toml": 'name = "example"\n[pools]\norders = 0\nspare = 0\n',
+    "empty-pools.toml": HEAD + "[pools]\norders = 0\nspare = 0\n",
     "broken.toml": "name = \n",
     "token": ANN_TOKEN,
     "wrong-token": "guess",
@@ -106,6 +107,11 @@
     stage.system.lose_results = 0
 
 
+def lose_leader(stage: Stage) -> None:
+    """Let the replica follow nobody."""
+    stage.system.leader = None
+
+
 def change_elsewhere(stage: Stage) -> None:
     """Let another operator change the declaration."""
     stage.system.revision = Revision(stage.system.revision + 1)
@@ -166,6 +172,8 @@
             Step("validate FOLDER/empty-pools.toml"),
             Step("validate FOLDER/broken.toml"),
             Step("validate FOLDER/absent.toml"),
+            Step("validate FOLDER/template.toml"),
+            Step("validate FOLDER/template.toml --template FOLDER/absent.toml"),
             Step(f"plan {FILE} {REMOTE}"),
             Step(f"plan --json {FILE} {REMOTE}"),
             Step(f"apply {FILE} {REMOTE}"),
@@ -206,6 +214,7 @@
             Step(f"apply {FILE} --base 2 --request-id request-3 {REMOTE}", find_results),
             Step(f"drain --vm vm-1 {REMOTE}", lose_quorum),
             Step(f"answer q1 wait --json {REMOTE}"),
+            Step(f"pools {REMOTE}", lose_leader),
         ),
     ),
     Session(
--- a/tests/operator/test_client.py
+++ b/tests/operator/test_client.py
@@ -18,6 +18,7 @@
 
 ANSWERS: dict[str, Any] = {
     "done": (200, DONE),
+    "follower": (200, {**DONE, "from_leader": False}),
     "no quorum": (503, {"error": "NoQuorumError", "message": "no leader"}),
     "lost": (504, {"error": "ProposalOutcomeUnknownError", "message": "no result"}),
     "internal": (500, {"error": "InternalError", "message": "failed"}),
@@ -113,6 +114,9 @@
             (["late", "done"], ExitCode.DONE, 2),
             (["internal", "done"], ExitCode.DONE, 2),
             (["refused", "cut"], ExitCode.UNREACHABLE, 2),
+            # A follower knows no states of VMs, so the leader is looked for.
+            (["follower", "done"], ExitCode.DONE, 2),
+            (["follower", "cut"], ExitCode.DONE, 2),
             (["wrong token"], ExitCode.REFUSED, 1),
         ]
     ]
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -114,10 +114,10 @@
         )
 
     def plan(
-        self, current: Declaration | None, proposed: Declaration, vms: Mapping[VmId, VmRecord]
+        self, current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]
     ) -> FakePlan:
         """Return the pools that come and go."""
-        old = {pool.id for pool in current.pools} if current is not None else set()
+        old = {pool.id for pool in current.pools}
         new = {pool.id for pool in proposed.pools}
         return FakePlan(tuple(sorted(new - old)), tuple(sorted(old - new)))
 
@@ -133,7 +133,7 @@
         self.revision = Revision(1)
         self.author = OperatorId("zoe")
         rules = FakeRules()
-        self.declaration: Declaration | None = rules.read_declaration(
+        self.declaration: Declaration = rules.read_declaration(
             {"name": "example", "pools": {"orders": 3, "support": 2}}, {}, "", ""
         )
         self.vms = {
@@ -176,8 +176,8 @@
             QuestionId("q2"): closed_question(),
         }
         self.in_force = (
-            InForce(ProcessId("entry-2"), DataCentreId("west"), Revision(0), 0.8),
-            InForce(ProcessId("entry-1"), DataCentreId("east"), Revision(1), 0.2),
+            InForce(ProcessId("entry-2"), Revision(0)),
+            InForce(ProcessId("entry-1"), Revision(1), DataCentreId("east"), 0.2),
         )
         self.results: dict[RequestId, Result] = {}
         self.proposed: list[Command] = []
@@ -188,7 +188,7 @@
     @property
     def jobs(self) -> Mapping[JobId, Job]:
         """The declared jobs."""
-        return {job.id: job for job in self.declaration.jobs} if self.declaration else {}
+        return {job.id: job for job in self.declaration.jobs}
 
     async def propose(self, command: Command, timeout_s: float = 5.0) -> Result:
         """Commit and apply a command on the spot."""
@@ -214,7 +214,7 @@
             self.author, self.declaration = command.author, command.declaration
             return DeclarationAccepted(self.revision)
         if isinstance(command, RequestDrain):
-            pools = {pool.id for pool in self.declaration.pools} if self.declaration else set()
+            pools = {pool.id for pool in self.declaration.pools}
             if command.pool in pools or command.vm in self.vms:
                 return Done()
             return Refused(Refusal.UNKNOWN, f"there is no {command.pool or command.vm!r}")
