--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -6,7 +6,7 @@
 from marigolddoor_core.consensus import configuration, entries, stored
 from marigolddoor_core.consensus import messages as consensus_messages
 from marigolddoor_core.declaration import organisation
-from marigolddoor_core.state import commands, objects, results
+from marigolddoor_core.state import commands, objects, results, snapshots
 from marigolddoor_core.timeline import clock, events, filters, timelines
 
 from marigolddoor_wire import agreement, messages
@@ -19,14 +19,15 @@
     commands,
     objects,
     results,
-    clock,
-    events,
-    filters,
-    timelines,
     messages,
     configuration,
     entries,
     consensus_messages,
     stored,
     agreement,
+    snapshots,
+    clock,
+    events,
+    filters,
+    timelines,
 )
