Check placement and maintenance on a fleet in virtual time

Change: VirtualFleet in the stand-ins (workers, reports, a few rules of the state machine); tables for the parts and the decisions; sets that are walked became ordered, because the order of a set depends on the hash seed of the run.

--- a/packages/core/src/marigolddoor_core/changes.py
+++ b/packages/core/src/marigolddoor_core/changes.py
@@ -1,6 +1,6 @@
 """Finds what changed between two calls of a decision, at a cost that grows with the changes."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -32,14 +32,19 @@
         self.same = same
 
     def changes(
-        self, current: Mapping[Key, Value], keys: Iterable[Key] | None
+        self, current: Mapping[Key, Value], keys: frozenset[Key] | None
     ) -> Iterator[Changed[Key, Value]]:
-        """Yield the changes among `keys`, or among all keys if `keys` is None."""
-        if keys is None:
-            keys = [key for key, value in current.items() if self.seen.get(key) is not value]
-            if len(self.seen) + len(keys) > len(current):
-                keys.extend(key for key in self.seen if key not in current)
-        for key in keys:
+        """Yield the changes among `keys`, or among all keys if `keys` is None.
+
+        The order does not depend on the hashes of the keys, so that a run can be repeated.
+        """
+        if keys is not None:
+            looked_at = sorted(keys, key=str)
+        else:
+            looked_at = [key for key, value in current.items() if self.seen.get(key) is not value]
+            if len(self.seen) + len(looked_at) > len(current):
+                looked_at.extend(key for key in self.seen if key not in current)
+        for key in looked_at:
             old = self.seen.get(key)
             new = current.get(key)
             if new is None:
--- a/packages/core/src/marigolddoor_core/placement/blame.py
+++ b/packages/core/src/marigolddoor_core/placement/blame.py
@@ -25,13 +25,13 @@
         self.by_job: dict[JobId, dict[VmId, int]] = {}
         self.submitted_s: dict[TaskId, float] = {}
 
-    def take(self, old: TaskRecord | None, new: TaskRecord | None) -> set[VmId]:
+    def take(self, old: TaskRecord | None, new: TaskRecord | None) -> dict[VmId, None]:
         """Take in the change of a task; return the workers whose standing may have changed."""
         before = () if old is None else old.failed_on
         after = () if new is None else new.failed_on
         if before == after:
-            return set()
-        touched: set[VmId] = set()
+            return {}
+        touched: dict[VmId, None] = {}
         if old is not None:
             for vm in before:
                 self.by_vm[vm].pop(old.task, None)
@@ -39,14 +39,14 @@
                 workers[vm] -= 1
                 if not workers[vm]:
                     del workers[vm]
-            touched.update(before, self.by_job.get(old.job, ()))
+            touched.update(dict.fromkeys((*before, *self.by_job.get(old.job, ()))))
             self.submitted_s.pop(old.task, None)
         if new is not None:
             for vm in after:
                 self.by_vm.setdefault(vm, {})[new.task] = new.job
                 workers = self.by_job.setdefault(new.job, {})
                 workers[vm] = workers.get(vm, 0) + 1
-            touched.update(after, self.by_job.get(new.job, ()))
+            touched.update(dict.fromkeys((*after, *self.by_job.get(new.job, ()))))
             self.submitted_s[new.task] = new.submitted_s
         return touched
 
--- a/packages/core/src/marigolddoor_core/placement/board.py
+++ b/packages/core/src/marigolddoor_core/placement/board.py
@@ -6,7 +6,7 @@
 from marigolddoor_core.changes import Changed, Tracker
 from marigolddoor_core.declaration.organisation import Declaration, Job, Team
 from marigolddoor_core.fleet import Fleet, ObservedTarget
-from marigolddoor_core.ids import JobId, PoolId, RackId, TaskId, TeamId, VmId
+from marigolddoor_core.ids import DataCentreId, JobId, PoolId, RackId, TaskId, TeamId, VmId
 from marigolddoor_core.placement.blame import Blame
 from marigolddoor_core.placement.estimates import Estimates
 from marigolddoor_core.placement.room import RoomIndex
@@ -108,7 +108,8 @@
         self.estimates = Estimates()
         self.blame = Blame()
         self.trusted: set[VmId] = set()
-        self.leaving: set[VmId] = set()
+        self.leaving: dict[VmId, None] = {}
+        self.silent: frozenset[DataCentreId] = frozenset()
         self.declaration: Declaration | None = None
         self.sequence = -1
 
@@ -122,10 +123,13 @@
         self.sequence = -1 if fleet.delta is None else fleet.delta.sequence
         if fleet.declaration is not self.declaration:
             self._declare(fleet.declaration)
-        stale: set[VmId] = set()
+        stale: dict[VmId, None] = {}
+        if fleet.silent_data_centres != self.silent:
+            self.silent = fleet.silent_data_centres
+            stale.update(dict.fromkeys(self.workers))
         for vm_change in self.vms.changes(fleet.vms, None if delta is None else delta.vms):
             self._take_vm(vm_change)
-            stale.add(vm_change.key)
+            stale[vm_change.key] = None
         targets = list(
             self.targets.changes(fleet.targets, None if delta is None else delta.targets)
         )
@@ -136,11 +140,11 @@
                 if target_change.new is not None:
                     worker.announced_s = fleet.now_s - target_change.new.age_s
                 worker.reported = _reported(target_change.new)
-                stale.add(target_change.key)
+                stale[target_change.key] = None
         tasks = list(self.tasks.changes(fleet.tasks, None if delta is None else delta.tasks))
         for task_change in tasks:
             self._take_task(task_change)
-            stale |= self.blame.take(task_change.old, task_change.new)
+            stale.update(self.blame.take(task_change.old, task_change.new))
         for vm in stale:
             self.refresh(vm)
         return tasks, targets
@@ -150,6 +154,7 @@
         worker = self.workers.get(vm)
         return (
             worker is not None
+            and worker.record.data_centre not in self.silent
             and is_in_service(worker.record, worker.target)
             and not self.is_set_aside(vm)
         )
@@ -227,7 +232,7 @@
         """Use these workers in spite of their failures, because an operator said so."""
         changed = self.trusted ^ vms
         self.trusted = vms
-        for vm in changed:
+        for vm in sorted(changed):
             self.refresh(vm)
 
     def refresh(self, vm: VmId) -> None:
@@ -257,9 +262,9 @@
     def _take_vm(self, change: Changed[VmId, VmRecord]) -> None:
         old, new = change.old, change.new
         if new is not None and is_leaving(new):
-            self.leaving.add(change.key)
+            self.leaving[change.key] = None
         else:
-            self.leaving.discard(change.key)
+            self.leaving.pop(change.key, None)
         if old is not None and (new is None or new.pool != old.pool or new.rack != old.rack):
             room = self.pools[old.pool]
             room.free.drop(change.key)
--- /dev/null
+++ b/standins/src/marigolddoor_standins/virtual/fleet.py
@@ -0,0 +1,206 @@
+"""A fleet in virtual time: workers, their reports, the committed state and a leader."""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from marigolddoor_core.actions import Action, Decision, OrderTask, ProposeCommand, RebootVm
+from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
+from marigolddoor_core.ids import DataCentreId, JobId, ServiceId, VmId
+from marigolddoor_core.placement import Placement
+from marigolddoor_core.state.commands import Command, MaintenanceStep
+from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.targets import Announcement, TargetState
+
+from marigolddoor_standins.virtual.state import VirtualState
+from marigolddoor_standins.virtual.workers import JobBehaviour, VirtualWorker
+
+__all__ = ["VirtualFleet"]
+
+SUSPECTED_AFTER_S = 3.0
+DEAD_AFTER_S = 6.0
+SILENT_DATA_CENTRE_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    deliver_at_s: float
+    sent_s: float
+    announcement: Announcement
+    state: TargetState
+
+
+class VirtualFleet:
+    """Runs decisions against workers in steps of virtual time.
+
+    Faults are attributes: `cut_off` data centres send and receive nothing, `report_delay_s` delays
+    every report, `is_leaderless` lets no decision run, `lose_proposal` drops proposals.
+    """
+
+    def __init__(
+        self,
+        state: VirtualState,
+        leader: Callable[[], Sequence[Decision]],
+        step_s: float = 1.0,
+        interval_s: float = 1.0,
+        reboot_s: float = 20.0,
+    ) -> None:
+        self.state = state
+        self.leader = leader
+        self.decisions: Sequence[Decision] = leader()
+        self.step_s = step_s
+        self.interval_s = interval_s
+        self.reboot_s = reboot_s
+        self.now_s = 1_000.0
+        self.workers: dict[VmId, VirtualWorker] = {}
+        self.behaviours: dict[JobId, JobBehaviour] = {}
+        self.demand: dict[ServiceId, Demand] = {}
+        self.cut_off: set[DataCentreId] = set()
+        self.heard_s: dict[DataCentreId, float] = {}
+        self.report_delay_s = 0.0
+        self.is_leaderless = False
+        self.lose_proposal: Callable[[Command], bool] = lambda command: False
+        self.on_command: Callable[[Command, Fleet], None] = lambda command, fleet: None
+        self.reports: list[_Report] = []
+        self.seen: dict[VmId, _Report] = {}
+        self.announced_s: dict[VmId, float] = {}
+        self.held: dict[VmId, Announcement] = {}
+        self.reboots: set[str] = set()
+        self.applied: Counter[type[Command]] = Counter()
+
+    def add(self, record: VmRecord) -> VirtualWorker:
+        """Add a registered VM and its worker."""
+        worker = VirtualWorker(
+            record.vm, record.data_centre, record.rack, record.capacity, record.slots, record.epoch
+        )
+        self.state.vms[record.vm] = record
+        self.workers[record.vm] = worker
+        self.heard_s[record.data_centre] = self.now_s
+        return worker
+
+    def change_leader(self) -> None:
+        """Put a new leader in place, which knows the committed state only."""
+        self.decisions = self.leader()
+        self.seen.clear()
+        self.reports.clear()
+
+    def run(self, duration_s: float, each_step: Callable[[], None] | None = None) -> None:
+        """Let virtual time pass."""
+        for _ in range(round(duration_s / self.step_s)):
+            self.step()
+            if each_step is not None:
+                each_step()
+
+    def step(self) -> None:
+        """Advance workers, deliver reports, decide and carry out the actions."""
+        self.now_s += self.step_s
+        for worker in self.workers.values():
+            if worker.is_up(self.now_s):
+                worker.advance(self.now_s, self.step_s)
+        for data_centre in self.heard_s:
+            if data_centre not in self.cut_off:
+                self.heard_s[data_centre] = self.now_s
+        self._announce()
+        self._deliver()
+        if self.is_leaderless:
+            return
+        fleet = self.look()
+        for decision in self.decisions:
+            for action in decision.decide(fleet):
+                self._carry_out(action, fleet)
+
+    def look(self) -> Fleet:
+        """Return the fleet as the leader sees it."""
+        return Fleet(
+            self.now_s,
+            self.state.revision,
+            self.state.declaration,
+            dict(self.state.vms),
+            dict(self.state.tasks),
+            dict(self.state.questions),
+            {
+                vm: ObservedTarget(report.announcement, report.state, self.now_s - report.sent_s)
+                for vm, report in self.seen.items()
+            },
+            dict(self.demand),
+            frozenset(
+                data_centre
+                for data_centre, heard_s in self.heard_s.items()
+                if self.now_s - heard_s > SILENT_DATA_CENTRE_S
+            ),
+        )
+
+    def _announce(self) -> None:
+        for vm, worker in self.workers.items():
+            last_s = self.announced_s.get(vm, -self.interval_s)
+            is_heard = worker.is_up(self.now_s) and not worker.silent
+            if is_heard and self._is_due(worker, last_s):
+                self._follow_assignment(worker)
+                self.announced_s[vm] = self.now_s
+                self.held[vm] = worker.announcement(self.now_s)
+                self._report(worker, self.held[vm], TargetState.READY)
+            elif not is_heard and vm in self.held:
+                silence_s = self.now_s - last_s
+                if silence_s >= DEAD_AFTER_S:
+                    self._report(worker, self.held[vm], TargetState.DEAD)
+                elif silence_s >= SUSPECTED_AFTER_S:
+                    self._report(worker, self.held[vm], TargetState.SUSPECTED)
+
+    def _is_due(self, worker: VirtualWorker, last_s: float) -> bool:
+        has_news = any(run.ended_s > last_s for run in worker.runs.values())
+        return has_news or self.now_s - last_s >= self.interval_s
+
+    def _follow_assignment(self, worker: VirtualWorker) -> None:
+        record = self.state.vms.get(worker.vm)
+        if record is None or worker.data_centre in self.cut_off:
+            return
+        worker.epoch = record.epoch
+        worker.drain = record.next_pool is not None or record.maintenance in (
+            MaintenanceStep.DRAINING,
+            MaintenanceStep.REBOOTING,
+        )
+
+    def _report(
+        self, worker: VirtualWorker, announcement: Announcement, state: TargetState
+    ) -> None:
+        if worker.data_centre in self.cut_off:
+            return
+        due_s = self.now_s + self.report_delay_s
+        known = self.seen.get(worker.vm)
+        if known is not None and known.announcement is announcement and known.state is state:
+            return
+        self.reports.append(_Report(due_s, self.now_s, announcement, state))
+
+    def _deliver(self) -> None:
+        due = [report for report in self.reports if report.deliver_at_s <= self.now_s]
+        self.reports = [report for report in self.reports if report.deliver_at_s > self.now_s]
+        for report in due:
+            vm = report.announcement.vm
+            worker = self.workers.get(vm)
+            if worker is None or worker.data_centre in self.cut_off:
+                continue
+            self.seen[vm] = report
+            if report.state is not TargetState.READY or self.is_leaderless:
+                continue
+            for decision in self.decisions:
+                if isinstance(decision, Placement):
+                    for lease in decision.renewals([report.announcement], self.now_s):
+                        worker.renew(lease.task, lease.token, report.sent_s + lease.lease_s)
+
+    def _carry_out(self, action: Action, fleet: Fleet) -> None:
+        if isinstance(action, ProposeCommand):
+            if not self.lose_proposal(action.command):
+                self.on_command(action.command, fleet)
+                if self.state.apply(action.command, self.now_s):
+                    self.applied[type(action.command)] += 1
+        elif isinstance(action, OrderTask):
+            worker = self.workers.get(action.vm)
+            if worker is not None and self._is_reachable(worker) and worker.epoch == action.epoch:
+                worker.order(action.order, self.behaviours.get(action.order.job), self.now_s)
+        elif isinstance(action, RebootVm) and action.request not in self.reboots:
+            self.reboots.add(action.request)
+            self.workers[action.vm].go_down(self.now_s, self.reboot_s)
+
+    def _is_reachable(self, worker: VirtualWorker) -> bool:
+        is_heard = worker.is_up(self.now_s) and not worker.silent
+        return is_heard and worker.data_centre not in self.cut_off
--- /dev/null
+++ b/tests/core/maintenance/test_maintenance.py
@@ -0,0 +1,196 @@
+"""Guards the maintenance decision, on a fleet in virtual time."""
+
+from collections import Counter
+
+import testtools
+from marigolddoor_core.ids import VmId
+from marigolddoor_core.maintenance import BudgetLedger, Maintenance, OneAtATime
+from marigolddoor_core.placement import Placement
+from marigolddoor_core.state.commands import AnswerQuestion, MaintenanceStep, RecordMaintenance
+from marigolddoor_core.state.objects import TaskState
+from marigolddoor_standins.virtual import JobBehaviour, VirtualFleet, VirtualState
+from marigolddoor_standins.virtual.samples import (
+    SIZE,
+    add_workers,
+    job,
+    organisation,
+    pool,
+    submit,
+)
+
+
+def wave_of(
+    size: int = 6, max_unavailable: int = 1, baseline: bool = False
+) -> tuple[VirtualFleet, list[VmId]]:
+    declared = organisation([pool("web", size, 2, max_unavailable)], [job("j")])
+
+    def leader() -> list[Placement | Maintenance]:
+        policy = OneAtATime() if baseline else None
+        return [Placement(), Maintenance(BudgetLedger(), policy)]
+
+    fleet = VirtualFleet(VirtualState(declared), leader)
+    return fleet, add_workers(fleet, "web", size)
+
+
+def request(fleet: VirtualFleet, vms: list[VmId]) -> None:
+    for decision in fleet.decisions:
+        if isinstance(decision, Maintenance):
+            decision.request(vms, fleet.now_s)
+
+
+def done(fleet: VirtualFleet) -> int:
+    return sum(vm.maintenance is MaintenanceStep.DONE for vm in fleet.state.vms.values())
+
+
+def out_of_service(fleet: VirtualFleet) -> int:
+    return sum(
+        vm.maintenance not in (None, MaintenanceStep.DONE) for vm in fleet.state.vms.values()
+    )
+
+
+class TestWave(testtools.TestCase):
+    """Guards against waves that take too many VMs, lose tasks or never end."""
+
+    scenarios = [
+        ("one", {"size": 6, "budget": 1, "baseline": False, "within_s": 6 * 30}),
+        ("two", {"size": 6, "budget": 2, "baseline": False, "within_s": 3 * 32}),
+        ("four", {"size": 16, "budget": 4, "baseline": False, "within_s": 4 * 32}),
+        ("baseline", {"size": 6, "budget": 2, "baseline": True, "within_s": 6 * 30}),
+    ]
+
+    def test_each_vm_is_rebooted_once(self) -> None:
+        fleet, vms = wave_of(self.size, self.budget, self.baseline)
+        submit(fleet, "j", 10, JobBehaviour(1e9, SIZE))
+        fleet.run(10)
+        request(fleet, vms)
+        most = 0
+        for _ in range(self.within_s):
+            fleet.step()
+            most = max(most, out_of_service(fleet))
+        self.assertEqual(self.size, done(fleet))
+        self.assertEqual(self.size, len(fleet.reboots))
+        self.assertEqual(1 if self.baseline else self.budget, most)
+        tasks = Counter(task.state for task in fleet.state.tasks.values())
+        self.assertEqual({TaskState.LEASED: 10}, tasks)
+        self.assertEqual({}, dict(fleet.state.questions))
+
+
+class TestLostVms(testtools.TestCase):
+    """Guards against waves that go on while failures use up the budget."""
+
+    scenarios = [
+        ("one lost, one allowed", {"budget": 1, "lost": 1, "goes_on": False}),
+        ("one lost, two allowed", {"budget": 2, "lost": 1, "goes_on": True}),
+        ("two lost, two allowed", {"budget": 2, "lost": 2, "goes_on": False}),
+    ]
+
+    def test_the_wave_stops_and_goes_on(self) -> None:
+        fleet, vms = wave_of(6, self.budget)
+        fleet.run(5)
+        lost = [fleet.workers[vm] for vm in vms[-self.lost :]]
+        for worker in lost:
+            worker.silent = True
+        fleet.run(10)
+        request(fleet, vms[: -self.lost])
+        fleet.run(40)
+        self.assertEqual(self.goes_on, done(fleet) > 0)
+        for worker in lost:
+            worker.silent = False
+        fleet.run(200)
+        self.assertEqual(6 - self.lost, done(fleet))
+
+
+class TestNotBack(testtools.TestCase):
+    """Guards against VMs that vanish in a reboot without anybody being asked."""
+
+    scenarios = [
+        ("no answer yet", {"choice": None, "returns": False, "done": 0, "vms": 6}),
+        ("wait", {"choice": "wait", "returns": False, "done": 0, "vms": 6}),
+        ("reboot again", {"choice": "reboot", "returns": True, "done": 1, "vms": 6}),
+        ("retire", {"choice": "retire", "returns": False, "done": 0, "vms": 5}),
+    ]
+
+    def test_question_and_answer(self) -> None:
+        fleet, vms = wave_of()
+        fleet.run(5)
+        worker = fleet.workers[vms[0]]
+        worker.returns = False
+        request(fleet, vms[:1])
+        fleet.run(330)
+        (question,) = fleet.state.questions.values()
+        self.assertEqual(f"vm-not-back:{vms[0]}", question.subject)
+        worker.returns = self.returns
+        if self.choice is not None:
+            answer = AnswerQuestion(question.question, self.choice, "ada", "r")  # type: ignore[arg-type]
+            fleet.state.apply(answer, fleet.now_s)
+        fleet.run(120)
+        self.assertEqual(self.done, done(fleet))
+        self.assertEqual(self.vms, len(fleet.state.vms))
+        self.assertEqual(1, len(fleet.state.questions))
+
+
+class TestNewLeader(testtools.TestCase):
+    """Guards against a new leader that reboots a VM again or forgets it.
+
+    A leader that takes over in the moment between the return and its record cannot tell that the
+    VM was rebooted; it reboots the VM once more rather than return one that was not.
+    """
+
+    scenarios = [
+        *((f"after {at_s} s", {"at_s": at_s, "reboots": 1}) for at_s in (1, 2, 3, 5, 15, 26, 28)),
+        ("as it returns", {"at_s": 24, "reboots": 2}),
+    ]
+
+    def test_the_vm_is_rebooted_once(self) -> None:
+        fleet, vms = wave_of()
+        submit(fleet, "j", 10, JobBehaviour(1e9, SIZE))
+        fleet.run(5)
+        request(fleet, vms[:1])
+        fleet.run(self.at_s)
+        was_taken = fleet.applied[RecordMaintenance] > 0
+        fleet.change_leader()
+        fleet.run(60)
+        self.assertEqual(int(was_taken), done(fleet))
+        self.assertEqual(self.reboots if was_taken else 0, len(fleet.reboots))
+
+
+class TestLostProposals(testtools.TestCase):
+    """Guards against a step that is not proposed again after its proposal was lost."""
+
+    scenarios = [("every second", {"every": 2}), ("two of three", {"every": 3})]
+
+    def test_the_wave_ends(self) -> None:
+        fleet, vms = wave_of()
+        count = 0
+
+        def lose(command: object) -> bool:
+            nonlocal count
+            count += 1
+            return count % self.every != 0
+
+        fleet.lose_proposal = lose
+        fleet.run(5)
+        request(fleet, vms[:2])
+        fleet.run(400)
+        self.assertEqual(2, done(fleet))
+
+
+class TestStuckDrain(testtools.TestCase):
+    """Guards against a wave that waits for ever without a question."""
+
+    scenarios = [
+        ("wait", {"choice": "wait", "done": 0}),
+        ("stop", {"choice": "stop-tasks", "done": 1}),
+    ]
+
+    def test_question(self) -> None:
+        fleet, vms = wave_of()
+        submit(fleet, "j", 24, JobBehaviour(1e9, SIZE, checkpoint_s=1e9))
+        fleet.run(5)
+        request(fleet, vms[:1])
+        fleet.run(620)
+        (question,) = fleet.state.questions.values()
+        answer = AnswerQuestion(question.question, self.choice, "ada", "r")  # type: ignore[arg-type]
+        fleet.state.apply(answer, fleet.now_s)
+        fleet.run(60)
+        self.assertEqual(self.done, done(fleet))
--- /dev/null
+++ b/tests/core/placement/test_placement.py
@@ -0,0 +1,288 @@
+"""Guards the placement decision, on a fleet in virtual time."""
+
+from collections import Counter
+
+import testtools
+from marigolddoor_core.declaration import Job, Team
+from marigolddoor_core.ids import JobId, TaskId, TeamId, VmId
+from marigolddoor_core.placement import NoPreemption, Placement
+from marigolddoor_core.state.commands import AnswerQuestion, CancelTask, GrantLease
+from marigolddoor_core.state.objects import TaskState
+from marigolddoor_core.targets import Resources, TaskPhase
+from marigolddoor_standins.virtual import JobBehaviour, VirtualFleet, VirtualState
+from marigolddoor_standins.virtual.samples import (
+    SIZE,
+    TEAM,
+    add_workers,
+    job,
+    organisation,
+    pool,
+    submit,
+)
+
+STEADY = JobBehaviour(1e9, SIZE)
+
+
+def fleet_of(*jobs: Job, workers: int = 6, placement: Placement | None = None) -> VirtualFleet:
+    declared = organisation([pool("web"), pool("other")], jobs, [Team(TEAM, 1_000, 1_000.0)])
+    fleet = VirtualFleet(VirtualState(declared), lambda: [placement or Placement()])
+    add_workers(fleet, "web", workers)
+    add_workers(fleet, "other", 2)
+    return fleet
+
+
+def states(fleet: VirtualFleet, of_job: str) -> Counter[TaskState]:
+    return Counter(task.state for task in fleet.state.tasks.values() if task.job == of_job)
+
+
+class TestFit(testtools.TestCase):
+    """Guards against workers that get more than they have room for."""
+
+    scenarios = [
+        ("cores bind", {"size": Resources(5.0, 1_000), "placed": 18}),
+        ("memory binds", {"size": Resources(1.0, 16_000), "placed": 12}),
+        ("all fit", {"size": Resources(1.0, 1_000), "placed": 20}),
+        ("no accelerators", {"size": Resources(1.0, 1_000, 1), "placed": 0}),
+        ("too large", {"size": Resources(17.0, 1_000), "placed": 0}),
+    ]
+
+    def test_placed(self) -> None:
+        fleet = fleet_of(job("j", size=self.size))
+        submit(fleet, "j", 20, JobBehaviour(1e9, self.size))
+        fleet.run(10)
+        self.assertEqual(self.placed, states(fleet, "j")[TaskState.LEASED])
+        for worker in fleet.workers.values():
+            used = sum((run.behaviour.usage for run in worker.running()), Resources(0.0, 0))
+            self.assertTrue(used.fits(worker.capacity))
+            self.assertTrue(worker.vm.startswith("web") or not worker.running())
+
+    def test_a_job_that_never_fits_is_asked_about_at_once(self) -> None:
+        fleet = fleet_of(job("j", size=self.size))
+        submit(fleet, "j", 1, JobBehaviour(1e9, self.size))
+        fleet.run(2)
+        subjects = [question.subject for question in fleet.state.questions.values()]
+        self.assertEqual([] if self.placed else ["job-never-fits:j"], subjects)
+
+
+class TestSpread(testtools.TestCase):
+    """Guards against a job that loses all its tasks with one rack."""
+
+    scenarios = [("two racks", {"tasks": 4}), ("more tasks", {"tasks": 8})]
+
+    def test_racks(self) -> None:
+        fleet = fleet_of(job("j"), workers=8)
+        submit(fleet, "j", self.tasks, STEADY)
+        fleet.run(3)
+        racks = Counter(w.rack for w in fleet.workers.values() for _ in w.running())
+        self.assertEqual([self.tasks // 2] * 2, list(racks.values()))
+
+
+class TestQuota(testtools.TestCase):
+    """Guards against a team that runs more than its quota."""
+
+    scenarios = [("two tasks", {"cores": 8.0, "placed": 2}), ("none", {"cores": 3.0, "placed": 0})]
+
+    def test_quota(self) -> None:
+        small = TeamId("small")
+        declared = organisation(
+            [pool("web")],
+            [job("a", team=small), job("b", team=small), job("c")],
+            [Team(small, 10, self.cores), Team(TEAM, 10, 100.0)],
+        )
+        fleet = VirtualFleet(VirtualState(declared), lambda: [Placement()])
+        add_workers(fleet, "web", 6)
+        for name in ("a", "b", "c"):
+            submit(fleet, name, 2, STEADY)
+        fleet.run(5)
+        placed = states(fleet, "a")[TaskState.LEASED] + states(fleet, "b")[TaskState.LEASED]
+        self.assertEqual(self.placed, placed)
+        self.assertEqual(2, states(fleet, "c")[TaskState.LEASED])
+
+
+class TestPreemption(testtools.TestCase):
+    """Guards against urgent tasks that wait for batch work, and batch work that is lost."""
+
+    scenarios = [
+        ("checkpoints in time", {"checkpoint_s": 0.2, "preemption": None, "urgent": 3}),
+        ("never checkpoints", {"checkpoint_s": 1e9, "preemption": None, "urgent": 3}),
+        ("baseline", {"checkpoint_s": 0.2, "preemption": NoPreemption(), "urgent": 0}),
+    ]
+
+    def test_urgent_tasks_start(self) -> None:
+        batch, urgent = job("batch"), job("urgent", urgent=True)
+        fleet = fleet_of(batch, urgent, placement=Placement(self.preemption))
+        submit(fleet, "batch", 30, JobBehaviour(1e9, SIZE, checkpoint_s=self.checkpoint_s))
+        fleet.run(5)
+        submit(fleet, "urgent", 3, STEADY)
+        fleet.run(10)
+        self.assertEqual(self.urgent, states(fleet, "urgent")[TaskState.LEASED])
+        self.assertEqual(24 - self.urgent, states(fleet, "batch")[TaskState.LEASED])
+        self.assertEqual(30, states(fleet, "batch").total())
+
+
+class TestEndsOfRuns(testtools.TestCase):
+    """Guards against ends that are not recorded or recorded under another phase."""
+
+    scenarios = [
+        ("finishes", {"run_s": 5.0, "fails": False, "state": TaskState.FINISHED}),
+        ("fails everywhere", {"run_s": 5.0, "fails": True, "state": TaskState.SET_ASIDE}),
+        ("runs on", {"run_s": 1e9, "fails": False, "state": TaskState.LEASED}),
+    ]
+
+    def test_state(self) -> None:
+        fleet = fleet_of(job("j"))
+        submit(fleet, "j", 1, JobBehaviour(self.run_s, SIZE, self.fails))
+        fleet.run(200)
+        self.assertEqual(self.state, fleet.state.tasks[TaskId("j/0")].state)
+
+    def test_a_lost_proposal_is_made_again(self) -> None:
+        fleet = fleet_of(job("j"))
+        submit(fleet, "j", 1, JobBehaviour(self.run_s, SIZE, self.fails))
+        seen: Counter[type] = Counter()
+
+        def lose_first(command: object) -> bool:
+            seen[type(command)] += 1
+            return seen[type(command)] == 1
+
+        fleet.lose_proposal = lose_first
+        fleet.run(200)
+        self.assertEqual(self.state, fleet.state.tasks[TaskId("j/0")].state)
+
+
+class TestLostWorker(testtools.TestCase):
+    """Guards against a task that runs twice, or never again, after its worker was lost."""
+
+    scenarios = [
+        ("crash", {"crashes": True, "change_leader": False}),
+        ("silence", {"crashes": False, "change_leader": False}),
+        ("silence and a new leader", {"crashes": False, "change_leader": True}),
+    ]
+
+    def test_the_task_runs_elsewhere_after_its_lease(self) -> None:
+        fleet = fleet_of(job("j"))
+        submit(fleet, "j", 1, STEADY)
+        fleet.run(60)
+        holder = next(worker for worker in fleet.workers.values() if worker.running())
+        if self.crashes:
+            holder.go_down(fleet.now_s, 1e9)
+        holder.silent = True
+        if self.change_leader:
+            fleet.change_leader()
+        most = 0
+        for _ in range(60):
+            fleet.step()
+            most = max(most, sum(len(worker.running()) for worker in fleet.workers.values()))
+        self.assertEqual(1, most)
+        self.assertNotEqual(holder.vm, fleet.state.tasks[TaskId("j/0")].vm)
+
+
+class TestBadWorker(testtools.TestCase):
+    """Guards against a worker that swallows the work of a pool."""
+
+    scenarios = [
+        ("one job", {"jobs": 1, "aside": False}),
+        ("two jobs", {"jobs": 2, "aside": True}),
+        ("four jobs", {"jobs": 4, "aside": True}),
+    ]
+
+    def test_set_aside(self) -> None:
+        names = [f"j{number}" for number in range(self.jobs)]
+        fleet = fleet_of(*(job(name) for name in names), workers=6)
+        fleet.workers[VmId("web-0")].fails_all = True
+        for round_number in range(8):
+            for name in names:
+                submit(fleet, name, 2, JobBehaviour(8.0, SIZE), first=2 * round_number)
+            fleet.run(20)
+        subjects = [question.subject for question in fleet.state.questions.values()]
+        self.assertEqual(["worker-set-aside:web-0"] if self.aside else [], subjects)
+        for name in names:
+            self.assertEqual({TaskState.FINISHED: 16}, states(fleet, name))
+
+
+class TestAnswers(testtools.TestCase):
+    """Guards against answers that nobody carries out."""
+
+    scenarios = [
+        ("wait", {"choice": "wait", "state": TaskState.WAITING}),
+        ("cancel", {"choice": "cancel", "state": TaskState.CANCELLED}),
+    ]
+
+    def test_never_fits(self) -> None:
+        fleet = fleet_of(job("j", size=Resources(99.0, 1)))
+        submit(fleet, "j", 3, STEADY)
+        fleet.run(2)
+        (question,) = fleet.state.questions.values()
+        answer = AnswerQuestion(question.question, self.choice, "ada", "r1")  # type: ignore[arg-type]
+        fleet.state.apply(answer, fleet.now_s)
+        fleet.run(50)
+        self.assertEqual({self.state: 3}, states(fleet, "j"))
+        self.assertEqual(1, len(fleet.state.questions))
+
+
+class TestCancellation(testtools.TestCase):
+    """Guards against cancelled tasks that keep running or keep their room."""
+
+    scenarios = [("few", {"tasks": 3}), ("full pool", {"tasks": 24})]
+
+    def test_cancelled_tasks_make_room(self) -> None:
+        fleet = fleet_of(job("j"), job("next"))
+        tasks = submit(fleet, "j", self.tasks, STEADY)
+        fleet.run(5)
+        for task in tasks:
+            fleet.state.apply(CancelTask(task), fleet.now_s)
+        submit(fleet, "next", 24, STEADY)
+        fleet.run(8)
+        running = [run for worker in fleet.workers.values() for run in worker.running()]
+        self.assertEqual({JobId("next")}, {run.job for run in running})
+        self.assertEqual(24, len(running))
+
+
+class TestOverrun(testtools.TestCase):
+    """Guards against workers that are overrun by tasks larger than they declare."""
+
+    scenarios = [
+        ("memory", {"usage": Resources(1.0, 10_000)}),
+        ("cores", {"usage": Resources(6.0, 1_000)}),
+    ]
+
+    def test_relief(self) -> None:
+        fleet = fleet_of(job("j", size=Resources(1.0, 1_000)))
+        submit(fleet, "j", 60, JobBehaviour(1e9, self.usage))
+        fleet.run(120)
+        for worker in fleet.workers.values():
+            reports = [run.report(fleet.now_s) for run in worker.running()]
+            used = sum((report.usage for report in reports), Resources(0.0, 0))
+            self.assertTrue(used.fits(worker.capacity), f"{worker.vm} uses {used}")
+        self.assertEqual(60, states(fleet, "j").total())
+
+    def test_urgent_tasks_are_relieved_last(self) -> None:
+        size = Resources(1.0, 1_000)
+        fleet = fleet_of(job("j", size=size), job("u", size=size, urgent=True), workers=1)
+        submit(fleet, "u", 1, JobBehaviour(1e9, size))
+        submit(fleet, "j", 10, JobBehaviour(1e9, self.usage))
+        fleet.run(60)
+        phases = {
+            run.phase for w in fleet.workers.values() for run in w.runs.values() if run.job == "u"
+        }
+        self.assertEqual({TaskPhase.RUNNING}, phases)
+
+
+class TestRepeatedRounds(testtools.TestCase):
+    """Guards against the same grant being proposed in every round until it is committed."""
+
+    scenarios = [("small", {"tasks": 5}), ("more than fit", {"tasks": 40})]
+
+    def test_one_grant_for_each_task(self) -> None:
+        fleet = fleet_of(job("j"))
+        submit(fleet, "j", self.tasks, STEADY)
+        proposed: list[TaskId] = []
+
+        def lose(command: object) -> bool:
+            if isinstance(command, GrantLease):
+                proposed.append(command.task)
+            return True
+
+        fleet.lose_proposal = lose
+        fleet.run(5)
+        self.assertEqual(sorted(set(proposed)), sorted(proposed))
+        self.assertEqual(min(self.tasks, 24), len(proposed))
