--- a/packages/core/src/marigolddoor_core/capacity/__init__.py
+++ b/packages/core/src/marigolddoor_core/capacity/__init__.py
@@ -1,1 +1,18 @@
 """How much each pool needs, what the spare pool lends, and which VMs move."""
+
+from marigolddoor_core.capacity.capacity import Capacity, Plan
+from marigolddoor_core.capacity.loans import Loan
+from marigolddoor_core.capacity.moves import FollowBursts, MovePolicy, PatientMoves
+from marigolddoor_core.capacity.sizing import OwnPeakSizing, SharedBufferSizing, Sizing
+
+__all__ = [
+    "Capacity",
+    "FollowBursts",
+    "Loan",
+    "MovePolicy",
+    "OwnPeakSizing",
+    "PatientMoves",
+    "Plan",
+    "SharedBufferSizing",
+    "Sizing",
+]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/capacity/capacity.py
@@ -0,0 +1,246 @@
+"""Sizes of pools, loans of spare slots and moves of VMs, decided from demand."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from marigolddoor_core.actions import Action, ProposeCommand
+from marigolddoor_core.capacity.demand import MEAN_TIME_S, DemandEstimate, Peak, needed_slots
+from marigolddoor_core.capacity.loans import Loan, ServiceNeed, lend
+from marigolddoor_core.capacity.moves import MovePolicy, PatientMoves, PoolState
+from marigolddoor_core.capacity.sizing import (
+    USE_SHARE,
+    PoolDemand,
+    SharedBufferSizing,
+    Sizing,
+    vms_for,
+)
+from marigolddoor_core.declaration.organisation import Declaration, Weights
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ids import PoolId, RackId, ServiceId, VmId
+from marigolddoor_core.maintenance.budget import BudgetLedger, PoolLoss
+from marigolddoor_core.placement.board import is_in_service
+from marigolddoor_core.placement.leases import LEASE_S, regrant_after_s
+from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S
+from marigolddoor_core.state.commands import BeginMove, FinishMove
+from marigolddoor_core.state.objects import TaskState, VmRecord
+from marigolddoor_core.targets import TargetState
+
+__all__ = ["Capacity", "Plan"]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What the pools should have. `targets` are VMs, `loans` slots of the spare pool."""
+
+    targets: Mapping[PoolId, int] = field(default_factory=dict)
+    loans: tuple[Loan, ...] = ()
+
+
+class Capacity:
+    """The capacity decision: it lends spare slots at once and moves VMs for lasting shortages.
+
+    Args:
+      ledger: shared with every decision that takes VMs out of service.
+      sizing: decides the target of each pool.
+      policy: decides the moves; by default from the weights of the organisation.
+
+    Attributes:
+      plan: the targets and loans of the last round.
+    """
+
+    def __init__(
+        self,
+        ledger: BudgetLedger | None = None,
+        sizing: Sizing | None = None,
+        policy: MovePolicy | None = None,
+    ) -> None:
+        self.ledger = ledger or BudgetLedger()
+        self.sizing = sizing or SharedBufferSizing()
+        self.fixed_policy = policy
+        self.policy: MovePolicy = policy or PatientMoves(Weights())
+        self.weights: Weights | None = None
+        self.estimates: dict[ServiceId, DemandEstimate] = {}
+        self.overflow = Peak()
+        self.dead_since_s: dict[VmId, float] = {}
+        self.finishing_s: dict[VmId, float] = {}
+        self.beginning: dict[VmId, PoolId] = {}
+        self.plan = Plan()
+
+    def decide(self, fleet: Fleet) -> tuple[Action, ...]:
+        """Return the moves that begin and end now; `plan` holds the targets and loans."""
+        losses = self.ledger.losses(fleet)
+        self.beginning = {
+            vm: pool for vm, pool in self.beginning.items() if vm in self.ledger.taken_s
+        }
+        self._learn(fleet)
+        self.plan = Plan(self._targets(fleet, losses), self._loans(fleet, losses))
+        return (*self._finish(fleet), *self._begin(fleet, losses))
+
+    def _learn(self, fleet: Fleet) -> None:
+        if fleet.declaration.weights != self.weights and self.fixed_policy is None:
+            self.weights = fleet.declaration.weights
+            self.policy = PatientMoves(self.weights)
+        overflow = 0.0
+        for service, demand in fleet.demand.items():
+            estimate = self.estimates.setdefault(service, DemandEstimate())
+            estimate.add(needed_slots(demand), fleet.now_s)
+            overflow += max(0.0, estimate.latest - estimate.mean())
+        if fleet.demand:
+            self.overflow.add(overflow, fleet.now_s)
+
+    def _pool_slots(self, declaration: Declaration, pool: PoolId) -> tuple[float, float, float]:
+        """Return the mean, the peak and the latest demand for the services of a pool."""
+        known = [
+            self.estimates[service.id]
+            for service in declaration.services
+            if service.pool == pool and service.id in self.estimates
+        ]
+        return (
+            sum(estimate.mean() for estimate in known),
+            sum(estimate.peak.value() for estimate in known),
+            sum(estimate.latest for estimate in known),
+        )
+
+    def _targets(self, fleet: Fleet, losses: Mapping[PoolId, PoolLoss]) -> Mapping[PoolId, int]:
+        pools: list[PoolDemand] = []
+        for pool, loss in losses.items():
+            mean, peak, _ = self._pool_slots(fleet.declaration, pool)
+            slots = _vm_slots(loss)
+            pools.append(
+                PoolDemand(
+                    pool, mean, peak, slots, loss.pool.floor, _largest_rack(loss), loss.pool.spare
+                )
+            )
+        return self.sizing.sizes(pools, self.overflow.value())
+
+    def _loans(self, fleet: Fleet, losses: Mapping[PoolId, PoolLoss]) -> tuple[Loan, ...]:
+        """Lend what the spare pool has above its floor and its own demand."""
+        spares = [loss for loss in losses.values() if loss.pool.spare]
+        lendable = 0.0
+        for loss in spares:
+            slots = _slots_in_service(fleet, loss)
+            _, _, own = self._pool_slots(fleet.declaration, loss.pool.id)
+            kept = max(loss.pool.floor * _vm_slots(loss), own)
+            lendable += max(0.0, slots - kept)
+        needs: list[ServiceNeed] = []
+        for service in fleet.declaration.services:
+            home = losses.get(service.pool)
+            estimate = self.estimates.get(service.id)
+            if home is None or home.pool.spare or estimate is None:
+                continue
+            _, _, all_needed = self._pool_slots(fleet.declaration, service.pool)
+            share = estimate.latest / all_needed if all_needed > 0.0 else 1.0
+            own_slots = _slots_in_service(fleet, home) * share * USE_SHARE
+            needs.append(ServiceNeed(service.id, service.rank, estimate.latest, own_slots))
+        return lend(needs, lendable)
+
+    def _begin(self, fleet: Fleet, losses: Mapping[PoolId, PoolLoss]) -> list[Action]:
+        states = [self._pool_state(fleet, loss) for loss in losses.values()]
+        actions: list[Action] = []
+        for move in self.policy.moves([state for state in states if state], fleet.now_s):
+            donor = losses[move.donor]
+            vm = _choose(fleet, donor, losses[move.receiver], self.ledger)
+            if vm is None or donor.headroom() <= 0:
+                continue
+            donor.loss.planned.add(vm.vm)
+            self.ledger.take(vm.vm, fleet.now_s)
+            self.beginning[vm.vm] = move.receiver
+            actions.append(ProposeCommand(BeginMove(vm.vm, vm.epoch, move.receiver, fleet.now_s)))
+        return actions
+
+    def _pool_state(self, fleet: Fleet, loss: PoolLoss) -> PoolState:
+        pool = loss.pool
+        slots = _vm_slots(loss)
+        mean, _, latest = self._pool_slots(fleet.declaration, pool.id)
+        members = sum(
+            (vm.next_pool or self.beginning.get(vm.vm, vm.pool)) == pool.id
+            for vm in fleet.vms.values()
+        )
+        is_known = all(
+            service.id in self.estimates
+            and self.estimates[service.id].observed_s(fleet.now_s) >= MEAN_TIME_S
+            for service in fleet.declaration.services
+            if service.pool == pool.id
+        )
+        mean_vms = vms_for(mean, slots) if is_known else min(members, pool.size)
+        return PoolState(
+            pool.id,
+            members,
+            pool.size,
+            pool.floor,
+            pool.spare,
+            vms_for(latest, slots),
+            max(mean_vms, pool.floor),
+        )
+
+    def _finish(self, fleet: Fleet) -> list[Action]:
+        moving = [record for record in fleet.vms.values() if record.next_pool is not None]
+        if not moving:
+            self.dead_since_s.clear()
+            return []
+        leased = {task.vm for task in fleet.tasks.values() if task.state is TaskState.LEASED}
+        actions: list[Action] = []
+        for record in moving:
+            is_over = record.vm not in leased and self._is_drained(fleet, record)
+            last_s = self.finishing_s.get(record.vm, -PROPOSAL_PATIENCE_S)
+            if is_over and fleet.now_s - last_s >= PROPOSAL_PATIENCE_S:
+                self.finishing_s[record.vm] = fleet.now_s
+                command = FinishMove(record.vm, record.epoch, fleet.now_s)
+                actions.append(ProposeCommand(command))
+        return actions
+
+    def _is_drained(self, fleet: Fleet, record: VmRecord) -> bool:
+        """Return whether a VM said that it is drained, or was dead for longer than a lease."""
+        target = fleet.targets.get(record.vm)
+        if target is None or target.state is not TargetState.DEAD:
+            self.dead_since_s.pop(record.vm, None)
+            return (
+                target is not None
+                and target.announcement.drained
+                and target.announcement.epoch == record.epoch
+            )
+        since_s = self.dead_since_s.setdefault(record.vm, fleet.now_s)
+        return fleet.now_s >= regrant_after_s(since_s + LEASE_S)
+
+
+def _vm_slots(loss: PoolLoss) -> int:
+    """Return the slots of the smallest VM of a pool, so that targets are never too low."""
+    return min((vm.slots for vm in loss.members.values()), default=1) or 1
+
+
+def _largest_rack(loss: PoolLoss) -> int:
+    racks: dict[RackId, int] = {}
+    for record in loss.members.values():
+        racks[record.rack] = racks.get(record.rack, 0) + 1
+    return max(racks.values(), default=0)
+
+
+def _slots_in_service(fleet: Fleet, loss: PoolLoss) -> int:
+    out = loss.loss.planned | loss.loss.unplanned
+    return sum(record.slots for vm, record in loss.members.items() if vm not in out)
+
+
+def _choose(
+    fleet: Fleet, donor: PoolLoss, receiver: PoolLoss, ledger: BudgetLedger
+) -> VmRecord | None:
+    """Return the idlest VM of the donor, from the rack of which the receiver has least."""
+    racks: dict[RackId, int] = {}
+    for record in receiver.members.values():
+        racks[record.rack] = racks.get(record.rack, 0) + 1
+    out = donor.loss.planned | donor.loss.unplanned
+    candidates = [
+        record
+        for vm, record in donor.members.items()
+        if vm not in out
+        and vm not in ledger.taken_s
+        and is_in_service(record, fleet.targets.get(vm))
+    ]
+    return min(
+        candidates,
+        key=lambda record: (
+            racks.get(record.rack, 0),
+            fleet.targets[record.vm].announcement.busy_slots,
+            record.vm,
+        ),
+        default=None,
+    )
--- a/packages/core/src/marigolddoor_core/maintenance/budget.py
+++ b/packages/core/src/marigolddoor_core/maintenance/budget.py
@@ -3,11 +3,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from marigolddoor_core.changes import Tracker
 from marigolddoor_core.declaration.organisation import Pool
 from marigolddoor_core.fleet import Fleet, ObservedTarget
-from marigolddoor_core.ids import DataCentreId, PoolId, RackId, VmId
+from marigolddoor_core.ids import DataCentreId, PoolId, RackId, TaskId, VmId
+from marigolddoor_core.placement.blame import Blame
+from marigolddoor_core.placement.concerns import workers_answered
 from marigolddoor_core.state.commands import MaintenanceStep
-from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.state.objects import TaskRecord, VmRecord
 from marigolddoor_core.targets import TargetState
 
 __all__ = ["BudgetLedger", "Loss", "PoolLoss", "loss_of"]
@@ -99,6 +102,24 @@
 
     def __init__(self) -> None:
         self.taken_s: dict[VmId, float] = {}
+        self.blame = Blame()
+        self.tasks: Tracker[TaskId, TaskRecord] = Tracker()
+
+    def losses(self, fleet: Fleet) -> dict[PoolId, PoolLoss]:
+        """Return the loss of every pool, with what decisions took in this round and before."""
+        self.settle(fleet.vms, fleet.now_s)
+        return loss_of(fleet, self.set_aside(fleet), self.taken_s)
+
+    def set_aside(self, fleet: Fleet) -> list[VmId]:
+        """Return the workers that get no tasks because they fail those of several jobs."""
+        for change in self.tasks.changes(fleet.tasks, None):
+            self.blame.take(change.old, change.new)
+        trusted = workers_answered(fleet.questions.values(), "trust")
+        return [
+            vm
+            for vm in self.blame.by_vm
+            if vm in fleet.vms and vm not in trusted and self.blame.is_worker_bad(fleet.vms[vm])
+        ]
 
     def take(self, vm: VmId, now_s: float) -> None:
         """Count a VM as planned loss from now on."""
--- a/packages/core/src/marigolddoor_core/maintenance/maintenance.py
+++ b/packages/core/src/marigolddoor_core/maintenance/maintenance.py
@@ -4,24 +4,21 @@
 from dataclasses import dataclass
 
 from marigolddoor_core.actions import Action, OrderTask, ProposeCommand, RebootVm
-from marigolddoor_core.changes import Tracker
 from marigolddoor_core.fleet import Fleet, ObservedTarget
-from marigolddoor_core.ids import PoolId, TaskId, VmId
+from marigolddoor_core.ids import PoolId, VmId
 from marigolddoor_core.maintenance import concerns
 from marigolddoor_core.maintenance.budget import (
     BudgetLedger,
     PoolLoss,
     is_planned_loss,
     is_unplanned_loss,
-    loss_of,
 )
 from marigolddoor_core.maintenance.calendar import due_since_s
 from marigolddoor_core.maintenance.waves import BudgetWave, Candidate, WavePolicy
-from marigolddoor_core.placement.blame import Blame
 from marigolddoor_core.placement.concerns import workers_answered
 from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S, Concern, QuestionBook
 from marigolddoor_core.state.commands import MaintenanceStep, RecordMaintenance, RetireVm
-from marigolddoor_core.state.objects import TaskRecord, TaskState, VmRecord
+from marigolddoor_core.state.objects import TaskState, VmRecord
 from marigolddoor_core.targets import TargetState, TaskOrder, TaskOrderKind
 
 __all__ = ["DrainProgress", "Maintenance"]
@@ -76,8 +73,6 @@
     ) -> None:
         self.ledger = ledger or BudgetLedger()
         self.policy = policy or BudgetWave()
-        self.blame = Blame()
-        self.tasks: Tracker[TaskId, TaskRecord] = Tracker()
         self.questions = QuestionBook((concerns.NOT_BACK, concerns.STUCK_DRAIN))
         self.progress: dict[VmId, _Progress] = {}
         self.requested: dict[VmId, float] = {}
@@ -97,7 +92,6 @@
     def decide(self, fleet: Fleet) -> tuple[Action, ...]:
         """Return the next steps of the VMs under maintenance, and the VMs that are taken now."""
         now_s = fleet.now_s
-        self.ledger.settle(fleet.vms, now_s)
         self.questions.read(fleet)
         actions: list[Action] = []
         asked: list[Concern] = []
@@ -288,7 +282,7 @@
 
     def _take(self, fleet: Fleet) -> list[Action]:
         actions: list[Action] = []
-        losses = loss_of(fleet, self._set_aside(fleet), self.ledger.taken_s)
+        losses = self.ledger.losses(fleet)
         candidates = self._candidates(fleet, losses)
         for pool, waiting in candidates.items():
             for vm in self.policy.choose(losses[pool], waiting):
@@ -315,16 +309,6 @@
                     candidates.setdefault(pool, []).append(Candidate(vm, due_s))
         return candidates
 
-    def _set_aside(self, fleet: Fleet) -> list[VmId]:
-        for change in self.tasks.changes(fleet.tasks, None):
-            self.blame.take(change.old, change.new)
-        trusted = workers_answered(fleet.questions.values(), "trust")
-        return [
-            vm
-            for vm in self.blame.by_vm
-            if vm in fleet.vms and vm not in trusted and self.blame.is_worker_bad(fleet.vms[vm])
-        ]
-
 
 def _tasks_left(fleet: Fleet) -> dict[VmId, int]:
     """Count the leased tasks of each VM that drains."""
