Use the fetched timelines and the declaration rules in the control process

Cause: two fetchers of timelines stood side by side, and the module plan hid the function of that name, so the command line's plan would have called a module. Change: one fetcher, module declaration.plans, rules passed without a cast. Conclusion: a module can satisfy a Protocol when its functions do.

--- a/packages/control/src/marigolddoor_control/process.py
+++ b/packages/control/src/marigolddoor_control/process.py
@@ -3,7 +3,7 @@
 import random
 import ssl
 import time
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -31,13 +31,13 @@
     ListenerTls,
     OperatorsApplication,
     OperatorService,
+    PeerTimelines,
     Tokens,
     serve_operators,
 )
 from marigolddoor_control.platform import HttpPlatform, NoPlatform, Platform
 from marigolddoor_control.recorded_machine import RecordedMachine
 from marigolddoor_control.requests import ControlRequests
-from marigolddoor_control.timelines import Timelines
 from marigolddoor_control.view import ControlView
 from marigolddoor_control.watches import WatchService
 from marigolddoor_control.workers import HttpWorkers
@@ -178,18 +178,16 @@
     def _application(self, agreement: Agreement, pool: PeerPool) -> OperatorsApplication:
         assert self.leadership is not None
         view = ControlView(self.state, agreement, self.leadership.reports, self.clock)
-        timelines = Timelines(self.recorder, pool, self._other_processes)
+        timelines = PeerTimelines(self.recorder, pool, self._other_processes, _wall_ms)
         service = OperatorService(view, agreement, declaration, timelines)
         return OperatorsApplication(service, self.settings.tokens, Counters())
 
-    def _other_processes(self) -> Iterable[tuple[str, Address]]:
-        """Return the processes whose timelines are fetched."""
+    def _other_processes(self) -> Sequence[Address]:
+        """Return the peer addresses of the processes whose timelines are fetched."""
         assert self.leadership is not None
-        for peer in self.settings.peers:
-            yield str(peer), peer
-        for report in self.leadership.reports.entries.values():
-            if report.address:
-                yield report.process, Address(report.address)
+        reports = self.leadership.reports.entries.values()
+        entries = [Address(report.address) for report in reports if report.address]
+        return [*self.settings.peers, *entries]
 
     async def _call_rounds(self, agreement: Agreement, manager: Manager) -> None:
         """Call a round of decisions after each applied batch."""
--- a/packages/control/src/marigolddoor_control/requests.py
+++ b/packages/control/src/marigolddoor_control/requests.py
@@ -1,5 +1,6 @@
 """Answers to the requests of other processes of the system."""
 
+import time
 from typing import Any
 
 from marigolddoor_core.ports import NoQuorumError
@@ -23,7 +24,7 @@
 from marigolddoor_control.agreement import HANDLED_MESSAGES, Agreement
 from marigolddoor_control.leadership import Leadership
 from marigolddoor_control.manager import Manager
-from marigolddoor_control.timelines import answer_fetch
+from marigolddoor_control.operators.peer_timelines import answer_fetch
 from marigolddoor_control.watches import WatchService
 
 __all__ = ["ControlRequests"]
@@ -72,7 +73,7 @@
         if isinstance(message, ReadClaim):
             return await self._read_claim(message)
         if isinstance(message, FetchTimeline):
-            return answer_fetch(self.recorder, message)
+            return answer_fetch(self.recorder, message, time.time_ns() // 1_000_000)
         raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
 
     async def _watch(self, message: Watch) -> WatchReply:
--- a/packages/control/src/marigolddoor_control/view.py
+++ b/packages/control/src/marigolddoor_control/view.py
@@ -7,6 +7,7 @@
 from marigolddoor_core.ids import (
     JobId,
     LogIndex,
+    OperatorId,
     QuestionId,
     ReplicaId,
     Revision,
@@ -66,9 +67,14 @@
         return self.state.revision
 
     @property
-    def declaration(self) -> Declaration | None:
-        """The current declaration."""
-        return self.state.declaration if self.state.revision else None
+    def author(self) -> OperatorId:
+        """The author of the current revision, empty before the first declaration."""
+        return self.state.author
+
+    @property
+    def declaration(self) -> Declaration:
+        """The current declaration, an empty one before the first."""
+        return self.state.declaration
 
     @property
     def vms(self) -> Mapping[VmId, VmRecord]:
@@ -96,10 +102,7 @@
         now = Instant(self.clock())
         return tuple(
             InForce(
-                report.process,
-                report.data_centre,
-                report.in_force,
-                elapsed(report.received, now),
+                report.process, report.in_force, report.data_centre, elapsed(report.received, now)
             )
             for report in self.reports.entries.values()
         )
--- a/tests/core/declaration/test_plan.py
+++ b/tests/core/declaration/test_plans.py
@@ -4,7 +4,7 @@
 
 import testtools
 from marigolddoor_core.declaration import Declaration, Weights
-from marigolddoor_core.declaration.plan import Effect, plan
+from marigolddoor_core.declaration.plans import Effect, plan
 from marigolddoor_core.ids import JobId, LogIndex, OrganisationId, PoolId, ServiceId
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_core.state.results import DeclarationAccepted
