--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -24,6 +24,7 @@
 
 __all__ = ["CATCH_UP_ENTRIES", "Leader"]
 
+# Well below the limit of a frame (4 MiB), and short enough not to hold up a heartbeat.
 MAX_MESSAGE_BYTES = 512 * 1024
 # A learner this close to the end of the log keeps up, so that counting it delays no commit.
 CATCH_UP_ENTRIES = 100
@@ -214,8 +215,10 @@
             return False
         node = self.node
         is_close = progress.match_index + CATCH_UP_ENTRIES >= node.log.last_index
-        answers = now - self.lease.contact(replica) < node.timing.quorum_lost_s
-        return is_close and answers and progress.match_index >= self.first_index
+        return is_close and self._answers(replica, now) and progress.match_index >= self.first_index
+
+    def _answers(self, replica: ReplicaId, now: Instant) -> bool:
+        return now - self.lease.contact(replica) < self.node.timing.quorum_lost_s
 
     def is_lost(self, replica: ReplicaId, now: Instant) -> bool:
         """Return whether a member was silent for so long that it may be replaced."""
@@ -226,6 +229,14 @@
         node = self.node
         if not self.may_change:
             raise ChangeRefusedError("the leader is not established, or a change is under way")
+        answering = [
+            voter
+            for voter in configuration.voter_ids
+            if voter == node.replica or self._answers(voter, now)
+        ]
+        if not configuration.is_quorum(answering):
+            # The change itself could not be committed, and no other one could follow it.
+            raise ChangeRefusedError(f"only {answering} of the new voters answer")
         index = LogIndex(node.log.last_index + 1)
         self._append([Entry(index, node.term, configuration=configuration)])
         self._follow_configuration()
@@ -280,12 +291,12 @@
         self.node.append(tuple(entries))
 
     def _follow_configuration(self) -> None:
-        members = {member.replica for member in self.node.configuration.members}
-        members.discard(self.node.replica)
-        for peer in [peer for peer in self.progress if peer not in members]:
-            del self.progress[peer]
-        for peer in members - self.progress.keys():
-            self.progress[peer] = Progress(LogIndex(self.node.log.last_index + 1))
+        next_index = LogIndex(self.node.log.last_index + 1)
+        self.progress = {
+            member.replica: self.progress.get(member.replica) or Progress(next_index)
+            for member in self.node.configuration.members
+            if member.replica != self.node.replica
+        }
 
     def _replicate_all(self, now: Instant) -> None:
         for peer in self.progress:
--- a/packages/storage/src/marigolddoor_storage/files.py
+++ b/packages/storage/src/marigolddoor_storage/files.py
@@ -1,4 +1,9 @@
-"""Synchronous file calls with typed errors."""
+"""Synchronous file calls with typed errors.
+
+Files are written in place and reused. Freeing the blocks of a file can take hundreds of
+milliseconds on a disk that is mounted with `discard`, and the loop, with its heartbeats, waits for
+every file call. So nothing is deleted or truncated while a replica runs.
+"""
 
 import contextlib
 import errno
@@ -9,7 +14,7 @@
 
 from marigolddoor_storage.errors import DiskFullError, FolderMissingError, StorageError
 
-__all__ = ["Files", "OsFiles", "replace_file", "typed_errors"]
+__all__ = ["Files", "OpenFile", "OsFiles", "typed_errors"]
 
 _FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 _MISSING = (errno.ENOENT, errno.ENOTDIR, errno.ESTALE)
@@ -32,62 +37,84 @@
 class Files(Protocol):
     """The calls that change files. Tests replace them to fail or to stop half-way."""
 
-    def write(self, descriptor: int, data: bytes) -> None:
-        """Write all of `data` at the current position."""
+    def write(self, descriptor: int, data: bytes, offset: int) -> None:
+        """Write all of `data` at `offset`."""
         ...
 
     def sync(self, descriptor: int) -> None:
-        """Make the data of a file durable."""
-        ...
-
-    def rename(self, source: Path, target: Path) -> None:
-        """Replace `target` by `source`."""
-        ...
-
-    def sync_folder(self, folder: Path) -> None:
-        """Make the names in `folder` durable."""
+        """Make what was written to a file, or the names in a folder, durable."""
         ...
 
 
 class OsFiles:
     """The calls of the operating system."""
 
-    def write(self, descriptor: int, data: bytes) -> None:
-        """Write all of `data` at the current position."""
+    def write(self, descriptor: int, data: bytes, offset: int) -> None:
+        """Write all of `data` at `offset`."""
         view = memoryview(data)
         while view:
-            view = view[os.write(descriptor, view) :]
+            written = os.pwrite(descriptor, view, offset)
+            view = view[written:]
+            offset += written
 
     def sync(self, descriptor: int) -> None:
-        """Make the data of a file durable."""
+        """Make what was written to a file, or the names in a folder, durable."""
         os.fsync(descriptor)
 
-    def rename(self, source: Path, target: Path) -> None:
-        """Replace `target` by `source`."""
-        os.replace(source, target)
-
-    def sync_folder(self, folder: Path) -> None:
-        """Make the names in `folder` durable."""
-        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
-
-def replace_file(files: Files, path: Path, data: bytes) -> None:
-    """Write a file so that after a crash it holds the old or the new data, never a part.
-
-    Raises:
-      StorageError: the file was not replaced, or it is not known whether it was.
-    """
-    part = path.with_name(path.name + ".part")
-    with typed_errors(path):
-        descriptor = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            files.write(descriptor, data)
-            files.sync(descriptor)
-        finally:
-            os.close(descriptor)
-        files.rename(part, path)
-        files.sync_folder(path.parent)
+
+class OpenFile:
+    """A file of the data folder that stays open."""
+
+    def __init__(self, path: Path, files: Files) -> None:
+        self.path = path
+        self.files = files
+        self.descriptor = -1
+
+    def read(self) -> bytes:
+        """Return the content; empty if there is no such file."""
+        if not self.path.exists():
+            return b""
+        with typed_errors(self.path):
+            return self.path.read_bytes()
+
+    def read_part(self, offset: int, length: int) -> bytes:
+        """Return up to `length` bytes at `offset`."""
+        with typed_errors(self.path), self.path.open("rb") as file:
+            file.seek(offset)
+            return file.read(length)
+
+    def write(self, data: bytes, offset: int) -> None:
+        """Write `data` at `offset`; it is not durable yet."""
+        self._open()
+        with typed_errors(self.path):
+            self.files.write(self.descriptor, data, offset)
+
+    def sync(self) -> None:
+        """Make everything written durable.
+
+        Raises:
+          FolderMissingError: the file was deleted, so that writing to it has no effect.
+          StorageError: nothing is known about what is on the disk.
+        """
+        self._open()
+        with typed_errors(self.path):
+            self.files.sync(self.descriptor)
+            if os.fstat(self.descriptor).st_nlink == 0:
+                raise FolderMissingError(f"{self.path} was deleted")
+
+    def _open(self) -> None:
+        if self.descriptor >= 0:
+            return
+        with typed_errors(self.path):
+            self.descriptor = os.open(self.path, os.O_WRONLY | os.O_CREAT, 0o600)
+            folder = os.open(self.path.parent, os.O_RDONLY | os.O_DIRECTORY)
+            try:
+                self.files.sync(folder)
+            finally:
+                os.close(folder)
+
+    def close(self) -> None:
+        """Close the file."""
+        if self.descriptor >= 0:
+            os.close(self.descriptor)
+            self.descriptor = -1
--- a/packages/storage/src/marigolddoor_storage/log_file.py
+++ b/packages/storage/src/marigolddoor_storage/log_file.py
@@ -1,7 +1,7 @@
-"""The log file of a replica."""
+"""The log of a replica in two files that take turns."""
 
-import os
 from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
 from marigolddoor_core.consensus.entries import Entry
@@ -9,63 +9,85 @@
 from marigolddoor_core.ids import LogIndex, Term
 from marigolddoor_wire.codec import DecodeError, decode, decode_as, encode, encode_body
 
-from marigolddoor_storage.batches import pack_batch, scan_batches
-from marigolddoor_storage.errors import CorruptFileError, FolderMissingError
-from marigolddoor_storage.files import Files, replace_file, typed_errors
+from marigolddoor_storage.batches import pack_batch, read_header, scan_batches
+from marigolddoor_storage.errors import CorruptFileError
+from marigolddoor_storage.files import Files, OpenFile
 
 __all__ = ["LogFile"]
 
 NEW_BASE = LogBase(LogIndex(0), Term(0))
+_ENTRY = Entry.__name__
+
+
+@dataclass(slots=True)
+class _Content:
+    """What one of the files holds."""
+
+    file: OpenFile
+    generation: int
+    size_bytes: int
+    batches: list[list[bytes]]
 
 
 class LogFile:
-    """Appends batches of entries; the first batch names the entry before the first one.
+    """Appends batches of entries.
 
-    The file is only appended to. An entry with an index that is already there replaces it and
-    everything after it, so that dropping entries needs no second sync.
+    An entry with an index that is already there replaces it and everything after it, so that
+    dropping entries from the end needs no second sync. Dropping them from the beginning writes the
+    rest to the other file as one batch of the next generation. Until that batch is whole, the
+    first file still holds everything.
     """
 
-    def __init__(self, path: Path, files: Files) -> None:
-        self.path = path
-        self.files = files
-        self.descriptor = -1
+    def __init__(self, folder: Path, files: Files) -> None:
+        self.folder = folder
+        self.current = OpenFile(folder / "log.0", files)
+        self.other = OpenFile(folder / "log.1", files)
+        self.generation = 0
         self.size_bytes = 0
         self.base = NEW_BASE
         self.entries: list[Entry] = []
 
-    def open(self) -> None:
-        """Read the file, cut a torn tail, and get ready to append.
+    def exists(self) -> bool:
+        """Return whether one of the files exists."""
+        return self.current.path.exists() or self.other.path.exists()
+
+    def open(self, is_new: bool) -> None:
+        """Read the log without its torn tail, and get ready to append over it.
+
+        Args:
+          is_new: the replica has not voted yet, so that a log without a whole batch is one whose
+            first write was interrupted.
 
         Raises:
           CorruptFileError: something before the tail is damaged.
         """
-        if not self.path.exists():
+        contents = [
+            content
+            for file in (self.current, self.other)
+            if (content := _scan(file)) is not None and content.batches
+        ]
+        if not contents:
+            if not is_new:
+                raise CorruptFileError(f"{self.folder}: the log files are damaged or missing")
             self.rewrite(NEW_BASE, ())
             return
-        with typed_errors(self.path):
-            data = self.path.read_bytes()
+        newest = max(contents, key=lambda content: content.generation)
+        if newest.file is self.other:
+            self.current, self.other = self.other, self.current
+        self.generation = newest.generation
+        self.size_bytes = newest.size_bytes
         try:
-            batches, size = scan_batches(data)
-            self._load(batches)
+            self._load(newest.batches)
         except (CorruptFileError, DecodeError) as error:
-            raise CorruptFileError(f"{self.path}: {error}") from error
-        with typed_errors(self.path):
-            self.descriptor = os.open(self.path, os.O_WRONLY | os.O_APPEND)
-            if size < len(data):
-                os.ftruncate(self.descriptor, size)
-                self.files.sync(self.descriptor)
-        self.size_bytes = size
+            raise CorruptFileError(f"{self.current.path}: {error}") from error
 
     def _load(self, batches: Sequence[Sequence[bytes]]) -> None:
-        if not batches:
-            raise CorruptFileError("the first batch is missing")
         base = decode(batches[0][0])
         if not isinstance(base, LogBase):
             raise CorruptFileError("the first record is not the base of the log")
         self.base = base
-        records = [record for batch in batches for record in batch][1:]
-        for record in records:
-            entry = decode_as(Entry.__name__, record)
+        for record in [record for batch in batches for record in batch][1:]:
+            entry = decode_as(_ENTRY, record)
             position = entry.index - base.index - 1
             if not 0 <= position <= len(self.entries):
                 raise CorruptFileError(f"entry {entry.index} does not follow the one before")
@@ -79,27 +101,44 @@
           StorageError: nothing is known about what is on the disk.
         """
         records = [encode_body(entry) for entries in batches for entry in entries]
-        data = pack_batch(self.size_bytes, records)
-        with typed_errors(self.path):
-            if os.fstat(self.descriptor).st_nlink == 0:
-                # Writes to a deleted file succeed, but nothing of it survives.
-                raise FolderMissingError(f"{self.path} was deleted")
-            self.files.write(self.descriptor, data)
-            self.files.sync(self.descriptor)
+        data = pack_batch(self.generation, self.size_bytes, records)
+        self.current.write(data, self.size_bytes)
+        self.current.sync()
         self.size_bytes += len(data)
 
     def rewrite(self, base: LogBase, entries: Sequence[Entry]) -> None:
-        """Replace the file by one with `entries` after `base`."""
-        data = pack_batch(0, [encode(base), *(encode_body(entry) for entry in entries)])
-        replace_file(self.files, self.path, data)
-        self.close()
-        with typed_errors(self.path):
-            self.descriptor = os.open(self.path, os.O_WRONLY | os.O_APPEND)
+        """Continue in the other file, with `entries` after `base`.
+
+        Raises:
+          StorageError: nothing is known about what is on the disk.
+        """
+        records = [encode(base), *(encode_body(entry) for entry in entries)]
+        data = pack_batch(self.generation + 1, 0, records)
+        self.other.write(data, 0)
+        self.other.sync()
+        self.current, self.other = self.other, self.current
+        self.generation += 1
         self.size_bytes = len(data)
         self.base = base
 
     def close(self) -> None:
-        """Close the file."""
-        if self.descriptor >= 0:
-            os.close(self.descriptor)
-            self.descriptor = -1
+        """Close the files."""
+        self.current.close()
+        self.other.close()
+
+
+def _scan(file: OpenFile) -> _Content | None:
+    """Return what `file` holds; None if its first batch was never finished.
+
+    Raises:
+      CorruptFileError: something before the tail is damaged.
+    """
+    data = file.read()
+    header = read_header(data, 0)
+    if header is None:
+        return None
+    try:
+        batches, size = scan_batches(data, header.generation)
+    except CorruptFileError as error:
+        raise CorruptFileError(f"{file.path}: {error}") from error
+    return _Content(file, header.generation, size, batches)
--- a/packages/storage/src/marigolddoor_storage/record_file.py
+++ b/packages/storage/src/marigolddoor_storage/record_file.py
@@ -7,40 +7,85 @@
 
 from marigolddoor_wire.codec import DecodeError, decode, encode
 
-from marigolddoor_storage.errors import CorruptFileError
-from marigolddoor_storage.files import Files, replace_file, typed_errors
+from marigolddoor_storage.errors import CorruptFileError, StorageError
+from marigolddoor_storage.files import Files, OpenFile
 
-__all__ = ["RecordFile"]
+__all__ = ["SLOT_BYTES", "RecordFile"]
 
-_CHECKSUM = struct.Struct(">I")
+# CRC-32 of the rest of the slot, sequence number, length of the body.
+_HEADER = struct.Struct(">IQI")
+SLOT_BYTES = 4096
+SLOTS = 2
 
 
 class RecordFile:
-    """Stores the latest message of one kind."""
+    """Stores the latest message of one kind, in two slots.
+
+    Each write fills and syncs the slots one after the other. A crash damages at most the slot that
+    was being written, so the other one has the old or the new message. A slot that goes bad later
+    is no loss either, because the other one has the same message.
+    """
 
     def __init__(self, path: Path, files: Files) -> None:
-        self.path = path
-        self.files = files
+        self.file = OpenFile(path, files)
+        self.sequence = 0
+
+    def exists(self) -> bool:
+        """Return whether a message was ever stored."""
+        return self.file.path.exists() and self.file.path.stat().st_size > 0
 
     def read(self) -> Any | None:
         """Return the message, or None if none was ever stored.
 
         Raises:
-          CorruptFileError: the checksum or the encoding is wrong.
+          CorruptFileError: no slot is whole.
         """
-        if not self.path.exists():
+        data = self.file.read()
+        if not data:
             return None
-        with typed_errors(self.path):
-            data = self.path.read_bytes()
-        body = data[_CHECKSUM.size :]
-        if len(data) < _CHECKSUM.size or _CHECKSUM.unpack_from(data)[0] != zlib.crc32(body):
-            raise CorruptFileError(f"{self.path}: wrong checksum")
+        slots = [_read_slot(data[n * SLOT_BYTES : (n + 1) * SLOT_BYTES]) for n in range(SLOTS)]
+        whole = [slot for slot in slots if slot is not None]
+        if not whole:
+            if len(data) <= SLOT_BYTES:
+                # The first write of all never came to its second slot.
+                return None
+            raise CorruptFileError(f"{self.file.path}: no slot has the right checksum")
+        self.sequence, body = max(whole)
         try:
             return decode(body)
         except DecodeError as error:
-            raise CorruptFileError(f"{self.path}: {error}") from error
+            raise CorruptFileError(f"{self.file.path}: {error}") from error
 
     def write(self, message: Any) -> None:
-        """Store `message`; on return it is durable."""
+        """Store `message`; on return it is durable.
+
+        Raises:
+          StorageError: it is not known which message is stored.
+        """
+        self.sequence += 1
         body = encode(message)
-        replace_file(self.files, self.path, _CHECKSUM.pack(zlib.crc32(body)) + body)
+        slot = _pack_slot(self.sequence, body)
+        if len(slot) > SLOT_BYTES:
+            raise StorageError(f"{self.file.path}: a record of {len(body)} bytes is too large")
+        for number in range(SLOTS):
+            self.file.write(slot.ljust(SLOT_BYTES, b"\0"), number * SLOT_BYTES)
+            self.file.sync()
+
+    def close(self) -> None:
+        """Close the file."""
+        self.file.close()
+
+
+def _pack_slot(sequence: int, body: bytes) -> bytes:
+    rest = _HEADER.pack(0, sequence, len(body))[4:] + body
+    return struct.pack(">I", zlib.crc32(rest)) + rest
+
+
+def _read_slot(slot: bytes) -> tuple[int, bytes] | None:
+    if len(slot) < _HEADER.size:
+        return None
+    checksum, sequence, length = _HEADER.unpack_from(slot)
+    end = _HEADER.size + length
+    if end > len(slot) or zlib.crc32(slot[4:end]) != checksum:
+        return None
+    return sequence, slot[_HEADER.size : end]
--- a/packages/storage/src/marigolddoor_storage/snapshot_files.py
+++ b/packages/storage/src/marigolddoor_storage/snapshot_files.py
@@ -1,6 +1,5 @@
-"""Snapshot files: a header with the description, then the encoded state."""
+"""Snapshots of the state, in files that take turns."""
 
-import os
 import struct
 import zlib
 from pathlib import Path
@@ -9,123 +8,135 @@
 from marigolddoor_wire.codec import DecodeError, decode, encode
 
 from marigolddoor_storage.errors import CorruptFileError, StorageError
-from marigolddoor_storage.files import Files, typed_errors
+from marigolddoor_storage.files import Files, OpenFile
 
 __all__ = ["SnapshotFiles"]
 
-_PREFIX = "snapshot-"
-_INCOMING = "incoming.part"
+# The latest snapshot, one that is being taken, and one that is being received.
+SLOTS = 3
 _HEADER = struct.Struct(">II")
 
 
+class _Incoming:
+    """A snapshot that is being written."""
+
+    def __init__(self, file: OpenFile, meta: SnapshotMeta) -> None:
+        self.file = file
+        self.meta = meta
+        description = encode(meta)
+        header = _HEADER.pack(len(description), zlib.crc32(description))
+        file.write(header + description, 0)
+        self.data_offset = len(header) + len(description)
+        self.end = self.data_offset
+
+    def add(self, data: bytes) -> None:
+        self.file.write(data, self.end)
+        self.end += len(data)
+
+
 class SnapshotFiles:
-    """Keeps the latest snapshot, and the one that is being received.
+    """Keeps the latest snapshot while others are written.
 
-    A file is written under another name, synced, renamed, and the folder is synced. Its name has
-    the index, so an older snapshot stays until the newer one is durable.
+    A file holds a description and the encoded state, each with a checksum, so that one that was
+    not finished is recognised. The latest snapshot is never written over.
     """
 
     def __init__(self, folder: Path, files: Files) -> None:
         self.folder = folder
-        self.files = files
+        self.slots = [OpenFile(folder / f"snapshot.{number}", files) for number in range(SLOTS)]
         self.latest: SnapshotMeta | None = None
+        self.latest_file = self.slots[0]
         self.data_offset = 0
-        self.incoming = -1
+        self.received: _Incoming | None = None
 
     def open(self) -> bytes | None:
-        """Return the state of the latest snapshot, and delete what a crash left behind.
-
-        Raises:
-          CorruptFileError: the snapshot is damaged. An older one is not used in its place,
-            because the log after it is gone.
-        """
-        with typed_errors(self.folder):
-            for part in self.folder.glob("*.part"):
-                part.unlink()
-            names = sorted(self.folder.glob(_PREFIX + "*"))
-        if not names:
-            return None
-        self.latest, state, self.data_offset = self._read(names[-1])
-        for older in names[:-1]:
-            older.unlink()
+        """Return the state of the latest whole snapshot, if there is one."""
+        state: bytes | None = None
+        for file in self.slots:
+            content = _read(file)
+            if content is None:
+                continue
+            meta, data, offset = content
+            if self.latest is None or meta.index > self.latest.index:
+                self.latest, self.latest_file, self.data_offset = meta, file, offset
+                state = data
         return state
 
-    def _read(self, path: Path) -> tuple[SnapshotMeta, bytes, int]:
-        with typed_errors(path):
-            data = path.read_bytes()
-        if len(data) < _HEADER.size:
-            raise CorruptFileError(f"{path}: shorter than its header")
-        length, checksum = _HEADER.unpack_from(data)
-        offset = _HEADER.size + length
-        description = data[_HEADER.size : offset]
-        if zlib.crc32(description) != checksum:
-            raise CorruptFileError(f"{path}: wrong checksum of the description")
-        try:
-            meta = decode(description)
-        except DecodeError as error:
-            raise CorruptFileError(f"{path}: {error}") from error
-        state = data[offset:]
-        if len(state) != meta.size_bytes or zlib.crc32(state) != meta.checksum:
-            raise CorruptFileError(f"{path}: wrong checksum")
-        return meta, state, offset
-
     def save(self, meta: SnapshotMeta, state: bytes) -> None:
-        """Store a snapshot of the own state; on return it is durable."""
-        self.begin(meta)
-        self.add(state)
-        self.finish(meta)
+        """Store a snapshot of the own state; on return it is durable.
+
+        Raises:
+          StorageError: it is not stored. The snapshot before it is still there.
+        """
+        incoming = _Incoming(self._free_file(), meta)
+        incoming.add(state)
+        incoming.file.sync()
+        self._publish(incoming)
 
     def begin(self, meta: SnapshotMeta) -> None:
-        """Begin a snapshot in place of one that was not finished."""
-        self._close_incoming()
-        description = encode(meta)
-        header = _HEADER.pack(len(description), zlib.crc32(description))
-        path = self.folder / _INCOMING
-        with typed_errors(path):
-            self.incoming = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-            self.files.write(self.incoming, header + description)
+        """Begin to receive a snapshot, in place of one that was not finished."""
+        self.received = None
+        self.received = _Incoming(self._free_file(), meta)
 
     def add(self, data: bytes) -> None:
-        """Add a chunk of the state."""
-        with typed_errors(self.folder / _INCOMING):
-            self.files.write(self.incoming, data)
+        """Add a chunk to the snapshot that is being received."""
+        if self.received is None:
+            raise StorageError(f"{self.folder}: a chunk without the beginning of its snapshot")
+        self.received.add(data)
 
-    def finish(self, meta: SnapshotMeta) -> bytes:
-        """Check, sync and publish the snapshot; return its state.
+    def finish(self) -> bytes:
+        """Store the received snapshot; return its state.
 
         Raises:
-          CorruptFileError: the received state does not have the announced checksum.
+          CorruptFileError: the state does not have the announced checksum.
         """
-        path = self.folder / _INCOMING
-        with typed_errors(path):
-            self.files.sync(self.incoming)
-            self._close_incoming()
-            read_meta, state, offset = self._read(path)
-            if read_meta != meta:
-                raise StorageError(f"{path} holds another snapshot")
-            name = f"{_PREFIX}{meta.index:020d}-{meta.term:010d}"
-            self.files.rename(path, self.folder / name)
-            self.files.sync_folder(self.folder)
-            for older in self.folder.glob(_PREFIX + "*"):
-                if older.name != name:
-                    older.unlink()
-        self.latest, self.data_offset = meta, offset
-        return state
+        incoming, self.received = self.received, None
+        if incoming is None:
+            raise StorageError(f"{self.folder}: the end of a snapshot that was not begun")
+        incoming.file.sync()
+        content = _read(incoming.file)
+        if content is None or content[0] != incoming.meta:
+            raise CorruptFileError(f"{incoming.file.path}: wrong checksum of a received snapshot")
+        self._publish(incoming)
+        return content[1]
 
     def read_chunk(self, meta: SnapshotMeta, offset: int, length: int) -> bytes | None:
         """Return a part of the state of the latest snapshot; None if it is not `meta`."""
         if self.latest != meta:
             return None
-        path = self.folder / f"{_PREFIX}{meta.index:020d}-{meta.term:010d}"
-        with typed_errors(path), path.open("rb") as file:
-            file.seek(self.data_offset + offset)
-            return file.read(length)
+        return self.latest_file.read_part(self.data_offset + offset, length)
+
+    def _publish(self, incoming: _Incoming) -> None:
+        self.latest = incoming.meta
+        self.latest_file = incoming.file
+        self.data_offset = incoming.data_offset
 
-    def _close_incoming(self) -> None:
-        if self.incoming >= 0:
-            os.close(self.incoming)
-            self.incoming = -1
+    def _free_file(self) -> OpenFile:
+        used = [self.latest_file if self.latest is not None else None]
+        used.append(self.received.file if self.received is not None else None)
+        return next(file for file in self.slots if file not in used)
 
     def close(self) -> None:
-        """Close the file of an unfinished snapshot."""
-        self._close_incoming()
+        """Close the files."""
+        for file in self.slots:
+            file.close()
+
+
+def _read(file: OpenFile) -> tuple[SnapshotMeta, bytes, int] | None:
+    """Return description, state and offset of the state; None if the file is not whole."""
+    data = file.read()
+    if len(data) < _HEADER.size:
+        return None
+    length, checksum = _HEADER.unpack_from(data)
+    offset = _HEADER.size + length
+    description = data[_HEADER.size : offset]
+    if zlib.crc32(description) != checksum:
+        return None
+    try:
+        meta: SnapshotMeta = decode(description)
+    except DecodeError:
+        return None
+    state = data[offset : offset + meta.size_bytes]
+    if len(state) != meta.size_bytes or zlib.crc32(state) != meta.checksum:
+        return None
+    return meta, state, offset
--- a/packages/storage/src/marigolddoor_storage/store.py
+++ b/packages/storage/src/marigolddoor_storage/store.py
@@ -48,7 +48,7 @@
         self.files = files or OsFiles()
         self.identity_file = RecordFile(path / "identity", self.files)
         self.vote_file = RecordFile(path / "vote", self.files)
-        self.log = LogFile(path / "log", self.files)
+        self.log = LogFile(path, self.files)
         self.snapshots = SnapshotFiles(path, self.files)
         self.failure: StorageError | None = None
         # Entries of the log file, in the order in which they were appended, since its base.
@@ -61,7 +61,7 @@
           CorruptFileError: the folder is not new, and it is not known whose it is.
         """
         identity: Identity | None = self.identity_file.read()
-        if identity is None and (self.log.path.exists() or self.vote_file.path.exists()):
+        if identity is None and (self.log.exists() or self.vote_file.exists()):
             raise CorruptFileError(f"{self.folder.path}: the identity file is missing")
         return identity
 
@@ -80,16 +80,16 @@
         if identity is None:
             raise StorageError(f"{self.folder.path} belongs to no replica yet")
         state = self.snapshots.open()
-        self.log.open()
         vote: VoteRecord | None = self.vote_file.read()
+        self.log.open(is_new=vote is None)
         snapshot = self.snapshots.latest
         base, entries = self.log.base, self.log.entries
+        if base.index > (0 if snapshot is None else snapshot.index):
+            raise CorruptFileError(f"{self.folder.path}: the snapshot before the log is damaged")
         if snapshot is not None and not _contains(base, entries, snapshot):
             # A crash came between storing a received snapshot and replacing the log.
             base, entries = LogBase(snapshot.index, snapshot.term), []
             self.log.rewrite(base, entries)
-        elif snapshot is None and base.index > 0:
-            raise StorageError(f"{self.folder.path}: the snapshot before the log is missing")
         last_term = entries[-1].term if entries else base.term
         if last_term > (0 if vote is None else vote.term):
             # Without its vote the replica could vote twice in a term.
@@ -157,7 +157,7 @@
         self.snapshots.add(action.data)
         if not action.last:
             return None
-        state = self.snapshots.finish(action.snapshot)
+        state = self.snapshots.finish()
         self._replace_log(LogBase(action.snapshot.index, action.snapshot.term), [])
         return state
 
@@ -189,6 +189,8 @@
 
     def close(self) -> None:
         """Close the files and release the folder."""
+        self.identity_file.close()
+        self.vote_file.close()
         self.log.close()
         self.snapshots.close()
         self.folder.close()
--- /dev/null
+++ b/tests/core/consensus/checkers.py
@@ -0,0 +1,142 @@
+"""Invariants of the group, checked after every step of a simulation.
+
+The checkers see all replicas and disks at once. Each keeps what it needs in order to look only at
+the replica that just changed.
+"""
+
+from typing import TYPE_CHECKING
+
+from marigolddoor_core.consensus import Entry, Role
+from marigolddoor_core.consensus.messages import RequestVote, VoteReply
+from marigolddoor_core.consensus.outputs import Outgoing
+from marigolddoor_core.ids import LogIndex, ReplicaId, Term
+
+if TYPE_CHECKING:
+    from tests.core.consensus.simulation import SimulatedNode, Simulation
+
+
+class Violation(Exception):  # noqa: N818 (an observation, not an error of the code that raises it)
+    """An invariant does not hold."""
+
+    def __init__(self, checker: str, detail: str) -> None:
+        super().__init__(f"{checker}: {detail}")
+        self.checker = checker
+
+
+class Checkers:
+    """All invariants of one simulation."""
+
+    def __init__(self) -> None:
+        self.leaders: dict[Term, ReplicaId] = {}
+        self.votes: dict[tuple[ReplicaId, Term], ReplicaId] = {}
+        self.appended: dict[tuple[LogIndex, Term], tuple[bytes, Term]] = {}
+        self.delivered: dict[LogIndex, Entry] = {}
+        # The term of the replica that delivered an entry first, which is that of its leader.
+        self.committed_in: dict[LogIndex, Term] = {}
+        self.states: dict[LogIndex, int] = {}
+        self.highest_delivered = LogIndex(0)
+        self.highest_acknowledged = LogIndex(0)
+        self.commits: dict[ReplicaId, LogIndex] = {}
+
+    def after_step(self, world: "Simulation", node: "SimulatedNode") -> None:
+        """Check what depends on roles, after a step of `node`."""
+        replica = node.replica
+        if replica.role is Role.LEADER:
+            self._check_leader(world, node)
+        leases = [
+            other.id
+            for other in world.nodes.values()
+            if other.is_up and other.replica.has_lease(world.local(other))
+        ]
+        if len(leases) > 1:
+            raise Violation("one lease", f"{leases} hold a lease at {world.now:.4f}")
+
+    def _check_leader(self, world: "Simulation", node: "SimulatedNode") -> None:
+        replica = node.replica
+        known = self.leaders.setdefault(replica.term, node.id)
+        if known != node.id:
+            raise Violation("one leader", f"{known} and {node.id} lead term {replica.term}")
+        log = replica.node.log
+        if node.led_term != replica.term:
+            node.led_term = replica.term
+            for index in range(log.base_index + 1, self.highest_delivered + 1):
+                entry = self.delivered[LogIndex(index)]
+                # A late majority may elect a leader of a term that is already over.
+                is_before = self.committed_in[entry.index] < replica.term
+                if is_before and log.term_at(entry.index) != entry.term:
+                    raise Violation("committed entries", f"leader {node.id} lacks entry {index}")
+        commit = replica.node.commit_index
+        if commit > self.commits.get(node.id, 0) and commit > node.commit_at_election:
+            self.commits[node.id] = commit
+            self._check_commit(world, node, commit)
+
+    def _check_commit(self, world: "Simulation", node: "SimulatedNode", index: LogIndex) -> None:
+        term = node.replica.node.log.entry(index).term
+        voters = node.replica.configuration.voter_ids
+        synced = [
+            voter
+            for voter in voters
+            if voter in world.disks and world.disks[voter].holds(index, term)
+        ]
+        if not node.replica.configuration.is_quorum(synced):
+            raise Violation("synced quorum", f"{node.id} commits {index}, synced on {synced}")
+
+    def commit_of_leader(self, node: "SimulatedNode") -> None:
+        """Check that a leader decides on entries of its own term."""
+        replica = node.replica
+        if replica.leading is None:
+            return
+        commit = replica.node.commit_index
+        if commit > node.commit_at_election and commit < replica.leading.first_index:
+            raise Violation(
+                "own term", f"{node.id} commits {commit} before its first entry is committed"
+            )
+
+    def on_append(self, node: "SimulatedNode", entries: tuple[Entry, ...]) -> None:
+        """Check that an index and a term identify an entry and all before it."""
+        log = node.replica.node.log
+        for entry in entries:
+            before = log.term_at(LogIndex(entry.index - 1))
+            if before is None:
+                continue
+            content = (entry.command, before)
+            known = self.appended.setdefault((entry.index, entry.term), content)
+            if known != content:
+                raise Violation("log matching", f"two entries {entry.index} of {entry.term}")
+
+    def on_deliver(self, node: "SimulatedNode", entry: Entry) -> None:
+        """Check that every replica gets the same committed entries."""
+        known = self.delivered.setdefault(entry.index, entry)
+        if (known.term, known.command) != (entry.term, entry.command):
+            raise Violation("committed entries", f"{node.id} has another entry {entry.index}")
+        self.committed_in.setdefault(entry.index, node.replica.term)
+        self.highest_delivered = max(self.highest_delivered, entry.index)
+
+    def on_state(self, node: "SimulatedNode", index: LogIndex, state: int) -> None:
+        """Check that states at the same index are equal, however they came about."""
+        if self.states.setdefault(index, state) != state:
+            raise Violation("committed entries", f"the state of {node.id} at {index} differs")
+
+    def on_message(self, node: "SimulatedNode", outgoing: Outgoing) -> None:
+        """Check that a replica votes once a term."""
+        message = outgoing.message
+        if isinstance(message, RequestVote) and not message.pre_vote:
+            self._check_vote(node.id, message.term, node.id)
+        if isinstance(message, VoteReply) and message.granted and not message.pre_vote:
+            self._check_vote(node.id, message.term, outgoing.recipient)
+
+    def _check_vote(self, voter: ReplicaId, term: Term, candidate: ReplicaId) -> None:
+        known = self.votes.setdefault((voter, term), candidate)
+        if known != candidate:
+            raise Violation("one vote", f"{voter} votes for {known} and {candidate} in {term}")
+
+    def on_acknowledge(self, world: "Simulation", node: "SimulatedNode", index: LogIndex) -> None:
+        """Check that an acknowledged command is on the disks of a quorum."""
+        self.highest_acknowledged = max(self.highest_acknowledged, index)
+
+    def on_read(self, node: "SimulatedNode", index: LogIndex, acknowledged: LogIndex) -> None:
+        """Check that a read includes what was acknowledged before it began."""
+        if index < acknowledged:
+            raise Violation(
+                "stale read", f"{node.id} reads at {index}, {acknowledged} was acknowledged"
+            )
--- /dev/null
+++ b/tests/core/consensus/simulation.py
@@ -0,0 +1,572 @@
+"""A group of pure replicas in virtual time, with clients and faults that a seed decides."""
+
+import heapq
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from marigolddoor_core.consensus import (
+    ChangeRefusedError,
+    Configuration,
+    Entry,
+    Member,
+    NotLeaderError,
+    ReadId,
+    Replica,
+    Role,
+    SnapshotMeta,
+    Timing,
+)
+from marigolddoor_core.consensus.errors import LogDivergedError
+from marigolddoor_core.consensus.messages import InstallSnapshot, Message
+from marigolddoor_core.consensus.outputs import ChunkToSend, SaveEntries
+from marigolddoor_core.ids import LogIndex, ReplicaId, Term
+from marigolddoor_core.instants import Instant
+
+from tests.core.consensus.checkers import Checkers, Violation
+from tests.core.consensus.virtual_disk import VirtualDisk
+
+# A chunk is smaller than a state, so that each transfer takes several.
+CHUNK_BYTES = 8
+# The lease is 10% shorter than the election timeout; clocks that differ by less must do no harm.
+MAX_DRIFT = 0.04
+MAX_EVENTS = 50_000
+# After the last fault: the longest pause (2.5 s), a replaced voter and some elections.
+QUIET_S = 8.0
+
+
+@dataclass
+class SimulatedNode:
+    """A process with a replica."""
+
+    id: ReplicaId
+    address: str
+    rate: float
+    disk: VirtualDisk
+    replica: Replica
+    is_up: bool = True
+    paused_until: float = 0.0
+    write_latency_s: float = 0.001
+    # A write on its way completes only for the process that issued it.
+    starts: int = 0
+    timer_at: float = float("inf")
+    applied_index: LogIndex = LogIndex(0)
+    state: int = 0
+    led_term: Term = Term(0)
+    commit_at_election: LogIndex = LogIndex(0)
+    proposals: dict[LogIndex, tuple[Term, bytes]] = field(default_factory=dict)
+    reads: dict[ReadId, LogIndex] = field(default_factory=dict)
+
+    @property
+    def member(self) -> Member:
+        """Return the node as a member."""
+        return Member(self.id, self.address)
+
+
+@dataclass(frozen=True)
+class Options:
+    """How rough a simulation is."""
+
+    voters: int = 3
+    spares: int = 1
+    duration_s: float = 5.0
+    drop: float = 0.0
+    duplicate: float = 0.0
+    latency_s: float = 0.002
+    fault_interval_s: float = 0.3
+    client_interval_s: float = 0.04
+    wiped_keeps_identity: bool = False
+    timing: Timing = Timing(replace_after_s=1.5)
+
+
+class Simulation:
+    """The world of one seed."""
+
+    def __init__(self, seed: int, options: Options | None = None, trace: bool = False) -> None:
+        self.rng = random.Random(seed)
+        self.options = options or self._draw_options()
+        self.now = 0.0
+        self.trace: list[str] | None = [] if trace else None
+        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.sequence = 0
+        self.nodes: dict[ReplicaId, SimulatedNode] = {}
+        self.disks: dict[ReplicaId, VirtualDisk] = {}
+        self.blocked: set[tuple[str, str]] = set()
+        self.checkers = Checkers()
+        self.wiped: set[ReplicaId] = set()
+        self.commands = 0
+        self.acknowledged = 0
+        self.incarnations = 0
+        self.is_quiet = False
+        self.acknowledged_before = 0
+        self._form()
+
+    def _draw_options(self) -> Options:
+        rng = self.rng
+        return Options(
+            voters=rng.choice((1, 3, 3, 3, 5)),
+            spares=rng.choice((0, 1, 1)),
+            drop=rng.choice((0.0, 0.02, 0.2)),
+            duplicate=rng.choice((0.0, 0.05, 0.2)),
+            latency_s=rng.choice((0.001, 0.005, 0.05)),
+            fault_interval_s=rng.choice((0.15, 0.3, 0.6)),
+        )
+
+    def _form(self) -> None:
+        names = [f"n{number}.0" for number in range(self.options.voters)]
+        voters = tuple(Member(ReplicaId(name), name.split(".")[0]) for name in names)
+        for member in voters:
+            self._add(member, Configuration(voters))
+        for number in range(self.options.spares):
+            self._add(Member(ReplicaId(f"s{number}.0"), f"s{number}"), Configuration())
+        self.at(self.rng.random() * 0.1, self._client)
+        self.at(self.rng.random() * 0.5, self._fault)
+        self.at(0.2, self._membership)
+
+    def _add(self, member: Member, configuration: Configuration) -> None:
+        disk = VirtualDisk(configuration)
+        rate = 1 + self.rng.uniform(-MAX_DRIFT, MAX_DRIFT)
+        replica = self._new_replica(member.replica, disk, rate)
+        node = SimulatedNode(member.replica, member.address, rate, disk, replica)
+        self.nodes[node.id] = node
+        self.disks[node.id] = disk
+        self.settle(node)
+
+    def _new_replica(self, replica: ReplicaId, disk: VirtualDisk, rate: float) -> Replica:
+        rng = random.Random(self.rng.random())
+        now = Instant(self.now * rate)
+        return Replica(replica, disk.recovered(), rng, now, self.options.timing, CHUNK_BYTES)
+
+    # Time.
+
+    def at(self, time: float, action: Callable[..., None], *arguments: Any) -> None:
+        """Schedule an action."""
+        self.sequence += 1
+        heapq.heappush(self.events, (time, self.sequence, action, arguments))
+
+    def later(self, delay_s: float, action: Callable[..., None], *arguments: Any) -> None:
+        """Schedule an action after a delay."""
+        self.at(self.now + delay_s, action, *arguments)
+
+    def local(self, node: SimulatedNode) -> Instant:
+        """Return the reading of the clock of `node`."""
+        return Instant(self.now * node.rate)
+
+    def note(self, text: str) -> None:
+        """Add a line to the trace."""
+        if self.trace is not None:
+            self.trace.append(f"{self.now:9.4f} {text}")
+
+    def run(self) -> None:
+        """Run to the end.
+
+        Raises:
+          Violation: an invariant does not hold.
+        """
+        handled = 0
+        try:
+            while not self._is_over():
+                self.now, _, action, arguments = heapq.heappop(self.events)
+                action(*arguments)
+                handled += 1
+                if handled > MAX_EVENTS:
+                    raise Violation("progress", "the simulation does not come to its end")
+        except LogDivergedError as error:
+            raise Violation("committed entries", str(error)) from error
+
+    def _is_over(self) -> bool:
+        """Return whether the group has recovered after the last fault.
+
+        Raises:
+          Violation: it did not in time, although nothing disturbs it.
+        """
+        if self.now < self.options.duration_s:
+            return False
+        if not self.is_quiet:
+            self.is_quiet = True
+            self.acknowledged_before = self.acknowledged
+            self.heal()
+        if self.now > self.options.duration_s + QUIET_S:
+            raise Violation("progress", f"nothing was acknowledged in {QUIET_S} s without faults")
+        return self.acknowledged > self.acknowledged_before
+
+    # One step of a node.
+
+    def settle(self, node: SimulatedNode) -> None:
+        """Carry out what the replica asks for, and check the invariants."""
+        replica = node.replica
+        while not (output := replica.take_output()).is_empty():
+            if output.restore is not None:
+                self._restore(node, output.restore)
+            for write in output.writes:
+                if isinstance(write.action, SaveEntries):
+                    self.checkers.on_append(node, write.action.entries)
+                node.disk.pending.append(write)
+                self.later(node.write_latency_s, self._complete_write, node, node.starts)
+            for entry in output.committed:
+                self._apply(node, entry)
+            for outgoing in output.messages:
+                self.checkers.on_message(node, outgoing)
+                self._send(node, outgoing.recipient, outgoing.message)
+            for chunk in output.chunks:
+                self._send_chunk(node, chunk)
+            for outcome in output.reads:
+                acknowledged = node.reads.pop(outcome.read)
+                if outcome.index is not None:
+                    self.checkers.on_read(node, outcome.index, acknowledged)
+        if node.led_term != replica.term:
+            node.commit_at_election = replica.node.commit_index
+        self.checkers.commit_of_leader(node)
+        self.checkers.after_step(self, node)
+        self._set_timer(node)
+
+    def _restore(self, node: SimulatedNode, snapshot: SnapshotMeta) -> None:
+        node.applied_index = snapshot.index
+        node.state = int(node.disk.state.decode().rstrip())
+        node.proposals = {i: p for i, p in node.proposals.items() if i > snapshot.index}
+        self.checkers.on_state(node, node.applied_index, node.state)
+
+    def _apply(self, node: SimulatedNode, entry: Entry) -> None:
+        self.checkers.on_deliver(node, entry)
+        if entry.index != node.applied_index + 1:
+            raise Violation("committed entries", f"{node.id} skips to entry {entry.index}")
+        node.applied_index = entry.index
+        node.state = zlib.crc32(entry.command, node.state)
+        self.checkers.on_state(node, entry.index, node.state)
+        if node.proposals.pop(entry.index, None) == (entry.term, entry.command):
+            self.acknowledged += 1
+            self.note(f"{node.id} acknowledges {entry.index}")
+            self.checkers.on_acknowledge(self, node, entry.index)
+
+    def _set_timer(self, node: SimulatedNode) -> None:
+        deadline = max(self.now, node.replica.next_deadline() / node.rate)
+        if deadline < node.timer_at:
+            node.timer_at = deadline
+            self.at(deadline, self._timer, node, node.starts)
+
+    def _timer(self, node: SimulatedNode, starts: int) -> None:
+        if not self._is_running(node, starts, self._timer, node, starts):
+            return
+        node.timer_at = float("inf")
+        if self.local(node) >= node.replica.next_deadline() - 1e-9:
+            node.replica.tick(Instant(max(self.local(node), node.replica.next_deadline())))
+        self.settle(node)
+
+    def _complete_write(self, node: SimulatedNode, starts: int) -> None:
+        if not self._is_running(node, starts, self._complete_write, node, starts):
+            return
+        if node.disk.pending:
+            write = node.disk.complete_next()
+            node.replica.wrote(write.number, self.local(node))
+            self.settle(node)
+
+    def _is_running(
+        self, node: SimulatedNode, starts: int, action: Callable[..., None], *arguments: Any
+    ) -> bool:
+        """Return whether the process that the event is for runs; a paused one gets it later."""
+        if not node.is_up or node.starts != starts:
+            return False
+        if node.paused_until > self.now:
+            self.at(node.paused_until, action, *arguments)
+            return False
+        return True
+
+    # The network.
+
+    def _send(self, node: SimulatedNode, recipient: ReplicaId, message: Message) -> None:
+        target = self.nodes.get(recipient)
+        rng = self.rng
+        if target is None or (node.address, target.address) in self.blocked:
+            return
+        if rng.random() < self.options.drop and not self.is_quiet:
+            return
+        copies = 2 if rng.random() < self.options.duplicate else 1
+        for _ in range(copies):
+            delay_s = self.options.latency_s * rng.uniform(0.5, 1.5)
+            self.later(delay_s, self._deliver, target, target.starts, node, message)
+
+    def _send_chunk(self, node: SimulatedNode, chunk: ChunkToSend) -> None:
+        message = chunk.message
+        if node.disk.snapshot != message.snapshot:
+            return
+        data = node.disk.state[message.offset : message.offset + chunk.length]
+        message = InstallSnapshot(
+            message.term, message.snapshot, message.offset, data, message.round
+        )
+        self._send(node, chunk.recipient, message)
+
+    def _deliver(
+        self, target: SimulatedNode, starts: int, sender: SimulatedNode, message: Message
+    ) -> None:
+        if not self._is_running(target, starts, self._deliver, target, starts, sender, message):
+            return
+        if self.trace is not None:
+            self.note(f"{sender.id} -> {target.id} {message}")
+        target.replica.receive(sender.id, message, self.local(target))
+        self.settle(target)
+
+    # Clients.
+
+    def _running(self) -> list[SimulatedNode]:
+        return [n for n in self.nodes.values() if n.is_up and n.paused_until <= self.now]
+
+    def _leaders(self) -> list[SimulatedNode]:
+        return [node for node in self._running() if node.replica.role is Role.LEADER]
+
+    def _client(self) -> None:
+        self.later(self.rng.expovariate(1 / self.options.client_interval_s), self._client)
+        leaders = self._leaders()
+        if not leaders:
+            return
+        node = self.rng.choice(leaders)
+        if self.rng.random() < 0.4:
+            self.sequence += 1
+            read = ReadId(self.sequence)
+            node.reads[read] = self.checkers.highest_acknowledged
+            node.replica.read(read, self.local(node))
+        else:
+            batch = [self._command() for _ in range(self.rng.randint(1, 3))]
+            try:
+                first = node.replica.propose(batch, self.local(node))
+            except NotLeaderError:
+                return
+            for position, command in enumerate(batch):
+                index = LogIndex(first + position)
+                node.proposals[index] = (node.replica.term, command)
+        self.settle(node)
+
+    def _command(self) -> bytes:
+        self.commands += 1
+        return str(self.commands).encode()
+
+    def _membership(self) -> None:
+        """Let the leader make the change that is due, as the driver does."""
+        self.later(0.15, self._membership)
+        for node in self._leaders():
+            known = node.replica.configuration
+            joining = tuple(
+                other.member
+                for other in self._running()
+                if known.member(other.id) is None and not self._is_cut(other, node)
+            )
+            planned = node.replica.planned_change(joining, self.options.voters, self.local(node))
+            if planned is not None:
+                self.note(f"{node.id} {planned.kind.value} {planned.member.replica}")
+                try:
+                    node.replica.change(planned, self.local(node))
+                except ChangeRefusedError as error:
+                    self.note(f"refused: {error}")
+                self.settle(node)
+
+    def _is_cut(self, one: SimulatedNode, other: SimulatedNode) -> bool:
+        return (one.address, other.address) in self.blocked
+
+    # Faults.
+
+    def _fault(self) -> None:
+        if self.is_quiet:
+            return
+        self.later(self.rng.expovariate(1 / self.options.fault_interval_s), self._fault)
+        fault = self.rng.choice(
+            (
+                self.partition,
+                self.partition,
+                self.isolate_leader,
+                self.heal,
+                self.heal,
+                self.crash,
+                self.crash_leader,
+                self.pause,
+                self.pause_leader,
+                self.wipe,
+                self.fill_disk,
+                self.slow_disk,
+                self.transfer,
+                self.snapshot,
+                self.snapshot,
+                self.remove_voter,
+            )
+        )
+        fault()
+
+    def _any(self) -> SimulatedNode | None:
+        running = self._running()
+        return self.rng.choice(running) if running else None
+
+    def _any_leader(self) -> SimulatedNode | None:
+        leaders = self._leaders()
+        return self.rng.choice(leaders) if leaders else self._any()
+
+    def partition(self) -> None:
+        """Cut the addresses in two, in one direction or in both."""
+        addresses = sorted({node.address for node in self.nodes.values()})
+        side = {address for address in addresses if self.rng.random() < 0.5}
+        self._cut(side, set(addresses) - side, self.rng.random() < 0.3)
+
+    def isolate_leader(self) -> None:
+        """Cut a leader off from everybody."""
+        node = self._any_leader()
+        if node is not None:
+            others = {other.address for other in self.nodes.values()} - {node.address}
+            self._cut({node.address}, others, self.rng.random() < 0.3)
+
+    def _cut(self, one: set[str], other: set[str], one_way: bool) -> None:
+        self.note(f"cut {sorted(one)} from {sorted(other)}{' one way' if one_way else ''}")
+        self.blocked = {(a, b) for a in one for b in other}
+        if not one_way:
+            self.blocked |= {(b, a) for a in one for b in other}
+
+    def heal(self) -> None:
+        """Let all messages through."""
+        self.note("heal")
+        self.blocked.clear()
+
+    def crash(self) -> None:
+        """Stop a process and restart it a little later."""
+        self._crash(self._any())
+
+    def crash_leader(self) -> None:
+        """Stop a leader and restart it a little later."""
+        self._crash(self._any_leader())
+
+    def _crash(self, node: SimulatedNode | None) -> None:
+        if node is not None:
+            self.note(f"crash {node.id}")
+            self.stop(node)
+            self.later(self.rng.uniform(0.0, 0.8), self.restart, node)
+
+    def stop(self, node: SimulatedNode) -> None:
+        """Stop a process; writes on their way may be lost."""
+        node.is_up = False
+        node.starts += 1
+        node.disk.crash(self.rng)
+
+    def restart(self, node: SimulatedNode) -> None:
+        """Start a process again with what is on its disk."""
+        if node.is_up or node.id not in self.nodes:
+            return
+        self.note(f"restart {node.id}")
+        node.is_up = True
+        node.paused_until = 0.0
+        node.timer_at = float("inf")
+        node.write_latency_s = 0.001
+        node.proposals.clear()
+        node.reads.clear()
+        node.applied_index = LogIndex(0)
+        node.state = 0
+        if node.disk.snapshot is not None:
+            node.applied_index = node.disk.snapshot.index
+            node.state = int(node.disk.state.decode().rstrip())
+        node.replica = self._new_replica(node.id, node.disk, node.rate)
+        self.settle(node)
+
+    def pause(self) -> None:
+        """Pause a process."""
+        self._pause(self._any())
+
+    def pause_leader(self) -> None:
+        """Pause a leader, for long enough that another may be elected."""
+        self._pause(self._any_leader())
+
+    def _pause(self, node: SimulatedNode | None) -> None:
+        if node is not None:
+            node.paused_until = self.now + self.rng.choice((0.1, 0.5, 1.5, 2.5))
+            self.note(f"pause {node.id} until {node.paused_until:.4f}")
+
+    def wipe(self) -> None:
+        """Empty a data folder; the process joins anew under another incarnation."""
+        node = self._any()
+        if node is None or not self._may_wipe(node):
+            return
+        self.note(f"wipe {node.id}")
+        self.stop(node)
+        self.incarnations += 1
+        replica = ReplicaId(f"{node.address}.{self.incarnations}")
+        configuration = Configuration()
+        if self.options.wiped_keeps_identity:
+            replica, configuration = node.id, node.disk.formed_with
+        else:
+            self.wiped.add(node.id)
+        # The old disk still counts as synced: what it acknowledged may be under way.
+        del self.nodes[node.id]
+        self._add(Member(replica, node.address), configuration)
+
+    def _may_wipe(self, node: SimulatedNode) -> bool:
+        """Return whether the disks that stay are a quorum in every configuration in use.
+
+        The loss of a majority of the disks is outside the fault model.
+        """
+        for other in self.nodes.values():
+            configuration = other.replica.configuration
+            lost = self.wiped | {node.id}
+            kept = [voter for voter in configuration.voter_ids if voter not in lost]
+            if configuration.voters and not configuration.is_quorum(kept):
+                return False
+        return True
+
+    def fill_disk(self) -> None:
+        """Let the writes of a replica fail; its process is restarted later."""
+        node = self._any()
+        if node is not None:
+            self.note(f"disk of {node.id} is full")
+            node.disk.crash(self.rng)
+            node.replica.write_failed()
+            node.starts += 1
+            node.timer_at = float("inf")
+            node.replica.take_output()
+            node.is_up = False
+            self.later(self.rng.uniform(0.3, 1.0), self.restart, node)
+
+    def slow_disk(self) -> None:
+        """Let the writes of a replica take long."""
+        node = self._any()
+        if node is not None:
+            node.write_latency_s = self.rng.choice((0.001, 0.02, 0.2))
+            self.note(f"writes of {node.id} take {node.write_latency_s} s")
+
+    def transfer(self) -> None:
+        """Ask a leader to hand over."""
+        node = self._any_leader()
+        if node is not None:
+            self.note(f"transfer from {node.id}")
+            node.replica.transfer(self.local(node))
+            self.settle(node)
+
+    def snapshot(self) -> None:
+        """Take a snapshot and compact the log."""
+        node = self._any()
+        if node is None or node.applied_index <= node.replica.node.log.base_index:
+            return
+        if node.replica.node.installing is not None:
+            return
+        state = str(node.state).ljust(3 * CHUNK_BYTES).encode()
+        meta = SnapshotMeta(
+            node.applied_index,
+            node.replica.term_at(node.applied_index),
+            node.replica.configuration_at(node.applied_index),
+            len(state),
+            zlib.crc32(state),
+        )
+        self.note(f"snapshot of {node.id} at {meta.index}")
+        node.disk.save_snapshot(meta, state)
+        node.replica.snapshot_taken(meta, self.rng.choice((0, 0, 5)))
+        self.settle(node)
+
+    def remove_voter(self) -> None:
+        """Remove a voter on purpose; it joins again."""
+        node = self._any_leader()
+        if node is None or self.rng.random() < 0.5:
+            return
+        voters = node.replica.configuration.voter_ids
+        # Removing a healthy voter while another is wiped loses a majority of the disks.
+        if len(voters) < 3 or not self.wiped.isdisjoint(voters):
+            return
+        voter = self.rng.choice(voters)
+        try:
+            node.replica.remove(voter, self.local(node))
+        except (ChangeRefusedError, NotLeaderError):
+            return
+        self.note(f"{node.id} removes {voter}")
+        self.settle(node)
