--- a/packages/core/src/marigolddoor_core/declaration/__init__.py
+++ b/packages/core/src/marigolddoor_core/declaration/__init__.py
@@ -9,16 +9,22 @@
     Team,
     Weights,
 )
+from marigolddoor_core.declaration.plans import Effect, PartKind, Plan, PlanItem, plan
 from marigolddoor_core.declaration.reader import read_declaration
 
 __all__ = [
     "Declaration",
     "DeclarationError",
     "DeclarationProblem",
+    "Effect",
     "Job",
+    "PartKind",
+    "Plan",
+    "PlanItem",
     "Pool",
     "Service",
     "Team",
     "Weights",
+    "plan",
     "read_declaration",
 ]
--- a/packages/core/src/marigolddoor_core/declaration/plan.py
+++ b/packages/core/src/marigolddoor_core/declaration/plans.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, fields
 from enum import Enum
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from marigolddoor_core.declaration.organisation import (
     Declaration,
@@ -14,22 +14,42 @@
     Team,
     Weights,
 )
-from marigolddoor_core.ids import VmId
-from marigolddoor_core.state.objects import ObjectKind, VmRecord
+from marigolddoor_core.ids import OrganisationId, PoolId, VmId
 from marigolddoor_core.targets import Resources
 
-__all__ = ["Effect", "Plan", "PlanItem", "plan"]
+__all__ = ["AssignedVm", "Effect", "PartKind", "Plan", "PlanItem", "plan"]
 
 Part = Service | Pool | Team | Job
-# Keys whose changes have items of their own.
-ITEM_KEYS: dict[ObjectKind, frozenset[str]] = {
-    ObjectKind.SERVICE: frozenset({"pool"}),
-    ObjectKind.POOL: frozenset({"size"}),
-    ObjectKind.JOB: frozenset({"pool", "tasks", "version"}),
-}
 K = TypeVar("K")
 
 
+class PartKind(Enum):
+    """What a change has an effect on."""
+
+    ORGANISATION = "organisation"
+    SERVICE = "service"
+    POOL = "pool"
+    TEAM = "team"
+    JOB = "job"
+    WEIGHTS = "weights"
+    VM = "vm"
+    TASK = "task"
+
+
+class AssignedVm(Protocol):
+    """The assignment of a VM. `next_pool` is set while it drains for a move."""
+
+    @property
+    def pool(self) -> PoolId:
+        """The pool of the VM."""
+        ...
+
+    @property
+    def next_pool(self) -> PoolId | None:
+        """The pool that the VM moves to."""
+        ...
+
+
 class Effect(Enum):
     """The kind of a change."""
 
@@ -53,7 +73,7 @@
     """
 
     effect: Effect
-    kind: ObjectKind
+    kind: PartKind
     key: str
     count: int
     sentence: str
@@ -71,18 +91,31 @@
         return any(item.effect is Effect.BLOCKED for item in self.items)
 
 
-def plan(current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]) -> Plan:
+# Keys whose changes have items of their own.
+ITEM_KEYS: dict[PartKind, frozenset[str]] = {
+    PartKind.SERVICE: frozenset({"pool"}),
+    PartKind.POOL: frozenset({"size"}),
+    PartKind.JOB: frozenset({"pool", "tasks", "version"}),
+}
+
+EMPTY = Declaration(OrganisationId(""), (), (), ())
+
+
+def plan(
+    current: Declaration | None, proposed: Declaration, vms: Mapping[VmId, AssignedVm]
+) -> Plan:
     """Return what replacing `current` by `proposed` would do to objects, VMs and tasks.
 
     VMs and tasks change after the declaration is in force, in waves within the budgets. Counts of
     VMs follow the assignments in `vms`; a VM on its way counts for the pool that it moves to.
     """
+    current = current or EMPTY
     items: list[PlanItem] = []
     if current.organisation and current.organisation != proposed.organisation:
         items.append(
             PlanItem(
                 Effect.BLOCKED,
-                ObjectKind.REVISION,
+                PartKind.ORGANISATION,
                 str(proposed.organisation),
                 0,
                 f"The organisation is {current.organisation} and cannot become"
@@ -93,12 +126,12 @@
     items.extend(_pool_items(current, proposed, vms))
     items.extend(_team_items(current, proposed))
     items.extend(_job_items(current, proposed))
-    items.extend(_changes(ObjectKind.WEIGHTS, "weights", current.weights, proposed.weights))
+    items.extend(_changes(PartKind.WEIGHTS, "weights", current.weights, proposed.weights))
     return Plan(tuple(items))
 
 
 def _service_items(current: Declaration, proposed: Declaration) -> Iterator[PlanItem]:
-    kind = ObjectKind.SERVICE
+    kind = PartKind.SERVICE
     before = {service.id: service for service in current.services}
     after = {service.id: service for service in proposed.services}
     for key, service in after.items():
@@ -120,9 +153,9 @@
 
 
 def _pool_items(
-    current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]
+    current: Declaration, proposed: Declaration, vms: Mapping[VmId, AssignedVm]
 ) -> Iterator[PlanItem]:
-    kind = ObjectKind.POOL
+    kind = PartKind.POOL
     before = {pool.id: pool for pool in current.pools}
     after = {pool.id: pool for pool in proposed.pools}
     spare = next((pool for pool in proposed.pools if pool.spare), None)
@@ -147,7 +180,7 @@
             yield from _move_items(pool, spare, moved, -lacking)
         if lacking > 0:
             sentence = f"Pool {key} lacks {_count(lacking, 'VM')} that have to be provided."
-            yield PlanItem(Effect.ADD, ObjectKind.VM, key, lacking, sentence)
+            yield PlanItem(Effect.ADD, PartKind.VM, key, lacking, sentence)
     for key in _missing(before, after):
         held = sum(key in (vm.pool, vm.next_pool) for vm in vms.values())
         if held:
@@ -161,7 +194,7 @@
 
 
 def _move_items(pool: Pool, spare: Pool, gained: int, surplus: int) -> Iterator[PlanItem]:
-    kind = ObjectKind.POOL
+    kind = PartKind.POOL
     if gained > 0:
         vms = _count(gained, "VM")
         sentence = f"Spare pool {spare.id} drains {vms} for pool {pool.id}."
@@ -177,7 +210,7 @@
 
 
 def _team_items(current: Declaration, proposed: Declaration) -> Iterator[PlanItem]:
-    kind = ObjectKind.TEAM
+    kind = PartKind.TEAM
     before = {team.id: team for team in current.teams}
     after = {team.id: team for team in proposed.teams}
     for key, team in after.items():
@@ -196,7 +229,7 @@
 
 
 def _job_items(current: Declaration, proposed: Declaration) -> Iterator[PlanItem]:
-    kind = ObjectKind.JOB
+    kind = PartKind.JOB
     before = {job.id: job for job in current.jobs}
     after = {job.id: job for job in proposed.jobs}
     for key, job in after.items():
@@ -221,7 +254,7 @@
 
 
 def _task_items(job: Job, before: int, after: int) -> Iterator[PlanItem]:
-    kind = ObjectKind.TASK
+    kind = PartKind.TASK
     if after > before:
         sentence = f"Job {job.id} starts {_count(after - before, 'task')}."
         yield PlanItem(Effect.START, kind, job.id, after - before, sentence)
@@ -231,7 +264,7 @@
 
 
 def _changes(
-    kind: ObjectKind, key: str, before: Part | Weights, after: Part | Weights
+    kind: PartKind, key: str, before: Part | Weights, after: Part | Weights
 ) -> Iterator[PlanItem]:
     changes = [
         f"{field.name} {_text(getattr(before, field.name))} to {_text(getattr(after, field.name))}"
@@ -241,9 +274,7 @@
     ]
     if not changes:
         return
-    start = (
-        "Weights change" if kind is ObjectKind.WEIGHTS else f"{kind.value.title()} {key} changes"
-    )
+    start = "Weights change" if kind is PartKind.WEIGHTS else f"{kind.value.title()} {key} changes"
     yield PlanItem(Effect.CHANGE, kind, key, 0, f"{start}: {', '.join(changes)}.")
 
 
--- a/packages/core/src/marigolddoor_core/state/checks.py
+++ b/packages/core/src/marigolddoor_core/state/checks.py
@@ -1,4 +1,4 @@
-"""Checks that a command has the types of its annotations and only finite numbers.
+"""Checks that a command has the types of its annotations, and values that can be stored.
 
 A command arrives over the network and is applied on every replica. One that does not match its
 annotations would raise in the middle of a change, so it is refused before anything changes.
@@ -63,7 +63,9 @@
         return lambda value: isinstance(value, tuple) and all(item(part) for part in value)
     if dataclasses.is_dataclass(hint) and isinstance(hint, type):
         return _dataclass_check(hint)
-    if isinstance(hint, type) and (issubclass(hint, Enum) or hint in (str, bytes, bool)):
+    if hint is str:
+        return _is_text
+    if isinstance(hint, type) and (issubclass(hint, Enum) or hint in (bytes, bool)):
         return lambda value: isinstance(value, hint)
     if hint is type(None):
         return lambda value: value is None
@@ -80,3 +82,14 @@
 
 def _is_finite_number(value: Any) -> bool:
     return _is_integer(value) or (isinstance(value, float) and math.isfinite(value))
+
+
+def _is_text(value: Any) -> bool:
+    """Return whether `value` is a text that can be stored: one without lone surrogates."""
+    if type(value) is not str:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/packages/core/src/marigolddoor_core/state/claims.py
+++ b/packages/core/src/marigolddoor_core/state/claims.py
@@ -1,6 +1,7 @@
 """Claims on the one run of a non-idempotent request, and the answers kept for resends."""
 
 import heapq
+import sys
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -29,8 +30,10 @@
 __all__ = ["Claims", "claim_bytes"]
 
 CLAIMS_LIMIT_BYTES = 24_000_000
-# The record, its two index entries and its place in the order of expiry.
-CLAIM_OVERHEAD_BYTES = 400
+# The record, its digest, its two index entries and its place in the order of expiry take 417 bytes
+# with a key of 42 characters. The record of an answer takes about 200 bytes more, which are counted
+# from the start, so that the status and the digest of every answer fit.
+CLAIM_OVERHEAD_BYTES = 600
 ANSWER_BODY_LIMIT_BYTES = 64 * 1024
 CONTENT_TYPE_LIMIT = 256
 KEY_LIMIT = 1_024
@@ -43,10 +46,8 @@
 
 def claim_bytes(claim: ClaimRecord) -> int:
     """Return the memory that `claim` counts for."""
-    answer = 0
-    if claim.answer is not None:
-        answer = len(claim.answer.body or b"") + len(claim.answer.content_type)
-    return CLAIM_OVERHEAD_BYTES + len(claim.service) + len(claim.key.encode()) + answer
+    body = 0 if claim.answer is None else len(claim.answer.body or b"")
+    return CLAIM_OVERHEAD_BYTES + len(claim.key.encode()) + body
 
 
 class Claims:
@@ -57,12 +58,12 @@
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
         self.claims: dict[ClaimId, ClaimRecord] = {}
-        self._by_key: dict[tuple[ServiceId, IdempotencyKey], ClaimId] = {}
+        self._by_key: dict[ServiceId, dict[IdempotencyKey, ClaimId]] = {}
         self._by_expiry: list[tuple[float, ClaimId]] = []
 
     def find(self, service: ServiceId, key: IdempotencyKey) -> ClaimRecord | None:
         """Return the claim on `key`, or None."""
-        claim_id = self._by_key.get((service, key))
+        claim_id = self._by_key.get(service, {}).get(key)
         return None if claim_id is None else self.claims[claim_id]
 
     def claim(self, command: Claim, now_s: float, index: LogIndex) -> Result:
@@ -154,20 +155,33 @@
         kept = _without_large_parts(answer)
         if kept is None or kept.body is None:
             return kept
-        added = len(kept.body) + len(kept.content_type)
-        if self.used_bytes + added > self.limit_bytes:
+        if self.used_bytes + len(kept.body) > self.limit_bytes:
             return replace(kept, body=None)
         return kept
 
     def _add(self, claim: ClaimRecord) -> None:
+        # Many claims have the same service, claimant and content type, and each decoded command or
+        # snapshot brings its own copies of them.
+        answer = claim.answer
+        if answer is not None:
+            answer = replace(answer, content_type=sys.intern(answer.content_type))
+        claim = replace(
+            claim,
+            service=ServiceId(sys.intern(claim.service)),
+            claimant=ProcessId(sys.intern(claim.claimant)),
+            answer=answer,
+        )
         self.claims[claim.claim] = claim
-        self._by_key[claim.service, claim.key] = claim.claim
+        self._by_key.setdefault(claim.service, {})[claim.key] = claim.claim
         heapq.heappush(self._by_expiry, (claim.expires_s, claim.claim))
         self.used_bytes += claim_bytes(claim)
 
     def _remove(self, claim: ClaimRecord) -> None:
         del self.claims[claim.claim]
-        del self._by_key[claim.service, claim.key]
+        of_service = self._by_key[claim.service]
+        del of_service[claim.key]
+        if not of_service:
+            del self._by_key[claim.service]
         self.used_bytes -= claim_bytes(claim)
         # A released claim leaves its place in the heap; without this, releases at a high rate would
         # fill the memory until their retry windows end.
@@ -194,8 +208,10 @@
 def _without_large_parts(answer: KeptAnswer | None) -> KeptAnswer | None:
     if answer is None:
         return None
-    if len(answer.content_type) > CONTENT_TYPE_LIMIT:
-        answer = replace(answer, content_type="")
+    shared = (
+        sys.intern(answer.content_type) if len(answer.content_type) <= CONTENT_TYPE_LIMIT else ""
+    )
+    answer = replace(answer, content_type=shared)
     if answer.body is not None and len(answer.body) > ANSWER_BODY_LIMIT_BYTES:
         answer = replace(answer, body=None)
     return answer
--- a/packages/core/src/marigolddoor_core/state/declarations.py
+++ b/packages/core/src/marigolddoor_core/state/declarations.py
@@ -1,6 +1,5 @@
-"""The declaration in force, its revision, and the results of the last requests to change it."""
+"""The declaration in force and its revision."""
 
-from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
 from marigolddoor_core.declaration.organisation import (
@@ -16,7 +15,6 @@
     OperatorId,
     OrganisationId,
     PoolId,
-    RequestId,
     Revision,
     ServiceId,
     TeamId,
@@ -32,14 +30,12 @@
     Result,
     RevisionConflict,
 )
-from marigolddoor_core.state.snapshots import RequestResult
 
 __all__ = ["EMPTY_DECLARATION", "Declarations"]
 
-# At 12,000 changes a day this remembers about two hours of requests.
-REQUESTS_KEPT = 1_000
 # A refusal is stored with its request, so it names only the first problems.
 PROBLEMS_NAMED = 5
+DETAIL_LIMIT = 1_000
 
 EMPTY_DECLARATION = Declaration(OrganisationId(""), (), (), ())
 
@@ -51,41 +47,15 @@
         self.journal = journal
         self.revision = Revision(0)
         self.author = OperatorId("")
-        self.requests: OrderedDict[RequestId, Result] = OrderedDict()
         self._set(EMPTY_DECLARATION)
 
     def apply(self, command: ApplyDeclaration, vms: Mapping[VmId, VmRecord]) -> Result:
-        """Return the result of `command`; that of a resend is the first one, without a change."""
-        if not command.request or not command.author:
-            return Refused(Refusal.INVALID, "a change needs a request id and an author")
-        kept = self.requests.get(command.request)
-        if kept is not None:
-            return kept
-        result = self._change(command, vms)
-        self.requests[command.request] = result
-        while len(self.requests) > REQUESTS_KEPT:
-            self.requests.popitem(last=False)
-        return result
-
-    def restore(
-        self,
-        revision: Revision,
-        author: OperatorId,
-        declaration: Declaration,
-        requests: Iterable[RequestResult],
-    ) -> None:
-        """Replace everything by the parts of a snapshot."""
-        self.revision = revision
-        self.author = author
-        self.requests = OrderedDict((kept.request, kept.result) for kept in requests)
-        self._set(declaration)
-
-    def _change(self, command: ApplyDeclaration, vms: Mapping[VmId, VmRecord]) -> Result:
+        """Make the declaration the next revision, if its base is the current one."""
         if command.base_revision != self.revision:
             return RevisionConflict(command.base_revision, self.revision, self.author)
         problem = self._problem(command.declaration, vms)
         if problem:
-            return Refused(Refusal.INVALID, problem)
+            return Refused(Refusal.INVALID, problem[:DETAIL_LIMIT])
         before = self.declaration
         self.revision = Revision(self.revision + 1)
         self.author = command.author
@@ -93,6 +63,12 @@
         self._record(before, command.declaration)
         return DeclarationAccepted(self.revision)
 
+    def restore(self, revision: Revision, author: OperatorId, declaration: Declaration) -> None:
+        """Replace everything by the parts of a snapshot."""
+        self.revision = revision
+        self.author = author
+        self._set(declaration)
+
     def _problem(self, declaration: Declaration, vms: Mapping[VmId, VmRecord]) -> str:
         named = self.declaration.organisation
         if named and declaration.organisation != named:
--- a/packages/core/src/marigolddoor_core/state/journal.py
+++ b/packages/core/src/marigolddoor_core/state/journal.py
@@ -5,12 +5,12 @@
 
 from marigolddoor_core.ids import DataCentreId, LogIndex
 from marigolddoor_core.state.objects import Change, ObjectKind, ObjectValue
-from marigolddoor_core.state.snapshots import SnapshotEntry
+from marigolddoor_core.state.snapshots import Compaction, SnapshotEntry
 
 __all__ = ["Journal"]
 
 # A watcher that lags by more removals than this gets a snapshot. The target size replaces 4,000 VMs
-# a day, so this many removals cover about a day.
+# a day, so this many removals of VMs cover about a day.
 TOMBSTONE_LIMIT = 4_096
 
 # Entry processes use these kinds, and the VMs of their own data centre.
@@ -24,24 +24,26 @@
     }
 )
 
-# The key of a VM includes its data centre, so that a removal reaches the watchers there even if the
-# id is used again elsewhere.
-Key = tuple[ObjectKind, str, DataCentreId | None]
+WATCHED_STREAM = "watched"
+OTHER_STREAM = "other"
+
+NOTHING_COMPACTED = LogIndex(0)
 
 
 class Journal:
     """Orders objects and removals by the log index of their last change.
 
-    `compacted_index` is the highest index of a removal that is no longer kept. The state machine
-    sets `index` before it applies a command.
+    There is a stream for the VMs of each data centre, one for the other kinds that entry processes
+    watch, and one for the rest. A watcher reads its streams only, so that the changes of tasks, or
+    of other data centres, cost it nothing and do not make it lag.
+
+    The state machine sets `index` before it applies a command.
     """
 
     def __init__(self, tombstone_limit: int = TOMBSTONE_LIMIT) -> None:
         self.index = LogIndex(0)
-        self.compacted_index = LogIndex(0)
         self.tombstone_limit = tombstone_limit
-        self._entries: OrderedDict[Key, SnapshotEntry] = OrderedDict()
-        self._tombstones: OrderedDict[Key, LogIndex] = OrderedDict()
+        self._streams: dict[str, Stream] = {}
 
     def put(
         self,
@@ -56,61 +58,104 @@
     def remove(self, kind: ObjectKind, key: str, data_centre: DataCentreId | None = None) -> None:
         """Record that the object was removed at the current index."""
         self._append(SnapshotEntry(Change(kind, key, self.index, None), data_centre))
-        while len(self._tombstones) > self.tombstone_limit:
-            oldest, index = self._tombstones.popitem(last=False)
-            del self._entries[oldest]
-            self.compacted_index = index
 
     def changes_after(
         self, index: LogIndex, data_centre: DataCentreId | None
     ) -> tuple[Change, ...] | None:
         """Return the changes after `index` in order; see `StateMachine.changes_after`."""
-        if index < self.compacted_index:
+        streams = self._read_by(data_centre)
+        if any(index < stream.compacted_index for stream in streams):
             return None
-        changes: list[Change] = []
-        for entry in reversed(self._entries.values()):
-            if entry.change.index <= index:
-                break
-            if _is_watched(entry, data_centre):
-                changes.append(entry.change)
-        changes.reverse()
-        return tuple(changes)
+        return _in_order(entry.change for stream in streams for entry in stream.after(index))
 
     def all_changes(self, data_centre: DataCentreId | None) -> tuple[Change, ...]:
         """Return every object that exists, in the order of its last change."""
-        return tuple(
+        return _in_order(
             entry.change
-            for entry in self._entries.values()
-            if entry.change.value is not None and _is_watched(entry, data_centre)
+            for stream in self._read_by(data_centre)
+            for entry in stream.entries.values()
+            if entry.change.value is not None
         )
 
-    def entries(self) -> Iterator[SnapshotEntry]:
-        """Iterate over objects and removals in the order of their last change."""
-        return iter(self._entries.values())
+    def entries(self) -> tuple[SnapshotEntry, ...]:
+        """Return the objects and removals in the order of their last change."""
+        entries = [entry for stream in self._read_by(None) for entry in stream.entries.values()]
+        return tuple(sorted(entries, key=lambda entry: entry.change.index))
+
+    def compactions(self) -> tuple[Compaction, ...]:
+        """Return the streams of which removals are no longer kept."""
+        return tuple(
+            Compaction(name, self._streams[name].compacted_index)
+            for name in sorted(self._streams)
+            if self._streams[name].compacted_index
+        )
 
     def restore(
-        self, index: LogIndex, compacted_index: LogIndex, entries: Iterable[SnapshotEntry]
+        self,
+        index: LogIndex,
+        entries: Iterable[SnapshotEntry],
+        compactions: Iterable[Compaction],
     ) -> None:
-        """Replace everything by `entries`, which are in the order of their last change."""
+        """Replace everything by the parts of a snapshot."""
         self.index = index
-        self.compacted_index = compacted_index
-        self._entries.clear()
-        self._tombstones.clear()
+        self._streams = {
+            kept.stream: Stream(self.tombstone_limit, kept.index) for kept in compactions
+        }
         for entry in entries:
             self._append(entry)
 
     def _append(self, entry: SnapshotEntry) -> None:
-        key = (entry.change.kind, entry.change.key, entry.data_centre)
-        self._entries[key] = entry
-        self._entries.move_to_end(key)
-        self._tombstones.pop(key, None)
+        name = _stream_name(entry.change.kind, entry.data_centre)
+        stream = self._streams.get(name)
+        if stream is None:
+            stream = self._streams[name] = Stream(self.tombstone_limit)
+        stream.append(entry)
+
+    def _read_by(self, data_centre: DataCentreId | None) -> tuple["Stream", ...]:
+        """Return the streams of a watcher in an order that is the same on every replica."""
+        names: Iterable[str] = sorted(self._streams)
+        if data_centre is not None:
+            names = (WATCHED_STREAM, _stream_name(ObjectKind.VM, data_centre))
+        return tuple(self._streams[name] for name in names if name in self._streams)
+
+
+class Stream:
+    """Objects and removals in the order of their last change, with a limit for the removals.
+
+    `compacted_index` is the highest index of a removal that is no longer kept.
+    """
+
+    def __init__(self, tombstone_limit: int, compacted_index: LogIndex = NOTHING_COMPACTED) -> None:
+        self.tombstone_limit = tombstone_limit
+        self.compacted_index = compacted_index
+        self.entries: OrderedDict[tuple[ObjectKind, str], SnapshotEntry] = OrderedDict()
+        self.tombstones: OrderedDict[tuple[ObjectKind, str], LogIndex] = OrderedDict()
+
+    def append(self, entry: SnapshotEntry) -> None:
+        """Record the latest change of an object."""
+        key = (entry.change.kind, entry.change.key)
+        self.entries[key] = entry
+        self.entries.move_to_end(key)
+        self.tombstones.pop(key, None)
         if entry.change.value is None:
-            self._tombstones[key] = entry.change.index
+            self.tombstones[key] = entry.change.index
+            while len(self.tombstones) > self.tombstone_limit:
+                oldest, self.compacted_index = self.tombstones.popitem(last=False)
+                del self.entries[oldest]
+
+    def after(self, index: LogIndex) -> Iterator[SnapshotEntry]:
+        """Iterate over the entries after `index`, the last one first."""
+        for entry in reversed(self.entries.values()):
+            if entry.change.index <= index:
+                return
+            yield entry
+
+
+def _stream_name(kind: ObjectKind, data_centre: DataCentreId | None) -> str:
+    if kind is ObjectKind.VM:
+        return f"vms of {data_centre}"
+    return WATCHED_STREAM if kind in WATCHED_KINDS else OTHER_STREAM
 
 
-def _is_watched(entry: SnapshotEntry, data_centre: DataCentreId | None) -> bool:
-    if data_centre is None:
-        return True
-    if entry.change.kind is ObjectKind.VM:
-        return entry.data_centre == data_centre
-    return entry.change.kind in WATCHED_KINDS
+def _in_order(changes: Iterable[Change]) -> tuple[Change, ...]:
+    return tuple(sorted(changes, key=lambda change: (change.index, change.kind.value, change.key)))
--- a/packages/core/src/marigolddoor_core/state/machine.py
+++ b/packages/core/src/marigolddoor_core/state/machine.py
@@ -38,6 +38,7 @@
     RegisterVm,
     ReleaseClaim,
     RenewLease,
+    RequestDrain,
     RetireVm,
     SetAsideTask,
     SubmitTask,
@@ -52,8 +53,9 @@
 )
 from marigolddoor_core.state.pools import Pools
 from marigolddoor_core.state.questions import Questions
-from marigolddoor_core.state.results import Refusal, Refused, Result
-from marigolddoor_core.state.snapshots import ClaimRecord, RequestResult, StateSnapshot
+from marigolddoor_core.state.requests import Requests
+from marigolddoor_core.state.results import DeclarationAccepted, Refusal, Refused, Result
+from marigolddoor_core.state.snapshots import ClaimRecord, StateSnapshot
 from marigolddoor_core.state.tasks import Tasks
 
 __all__ = ["StateMachine"]
@@ -80,6 +82,7 @@
         self.index = LogIndex(0)
         self.time_s = 0.0
         self._journal = Journal(tombstone_limit)
+        self._requests = Requests()
         self._declarations = Declarations(self._journal)
         self._pools = Pools(self._journal, self._declarations)
         self._tasks = Tasks(self._journal, self._declarations, self._pools)
@@ -105,6 +108,7 @@
             AnswerQuestion: self._questions.answer,
             CloseQuestion: self._questions.close,
             RecordMaintenance: self._pools.record_maintenance,
+            RequestDrain: self._request_drain,
         }
 
     @property
@@ -139,7 +143,7 @@
 
     @property
     def questions(self) -> Mapping[QuestionId, QuestionRecord]:
-        """The open questions and the last ones that ended."""
+        """The questions that stand and the last ones that were closed."""
         return self._questions.questions
 
     @property
@@ -203,22 +207,21 @@
             declarations.revision,
             declarations.author,
             declarations.declaration,
-            tuple(RequestResult(*kept) for kept in declarations.requests.items()),
+            tuple(self._requests.entries()),
             tuple(self._journal.entries()),
             tuple(self._claims.claims.values()),
-            self._journal.compacted_index,
             self._pools.retired_epoch,
             self._tasks.removed_token,
+            self._journal.compactions(),
         )
 
     def restore(self, snapshot: StateSnapshot) -> None:
         """Replace the whole state by that of `snapshot`."""
         self.index = snapshot.index
         self.time_s = snapshot.time_s
-        self._journal.restore(snapshot.index, snapshot.compacted_index, snapshot.entries)
-        self._declarations.restore(
-            snapshot.revision, snapshot.author, snapshot.declaration, snapshot.requests
-        )
+        self._journal.restore(snapshot.index, snapshot.entries, snapshot.compactions)
+        self._requests.restore(snapshot.requests)
+        self._declarations.restore(snapshot.revision, snapshot.author, snapshot.declaration)
         values = [entry.change.value for entry in snapshot.entries]
         self._pools.restore(
             (value for value in values if isinstance(value, VmRecord)), snapshot.retired_epoch
@@ -230,15 +233,23 @@
         self._claims.restore(snapshot.claims)
 
     def _apply_declaration(self, command: ApplyDeclaration, now_s: float) -> Result:
-        revision = self._declarations.revision
-        jobs = self._declarations.jobs
-        result = self._declarations.apply(command, self._pools.vms)
-        if self._declarations.revision != revision:
-            self._tasks.follow_jobs(jobs, now_s)
-        return result
+        def apply() -> Result:
+            jobs = self._declarations.jobs
+            result = self._declarations.apply(command, self._pools.vms)
+            if isinstance(result, DeclarationAccepted):
+                self._tasks.follow_jobs(jobs, now_s)
+            return result
+
+        return self._requests.once(command.request, command.author, apply)
+
+    def _request_drain(self, command: RequestDrain, now_s: float) -> Result:
+        return self._requests.once(
+            command.request, command.author, lambda: self._pools.request_drain(command, now_s)
+        )
 
     def _finish_move(self, command: FinishMove, now_s: float) -> Result:
         vm = self._pools.current(command.vm, command.epoch)
-        if not isinstance(vm, Refused) and self._tasks.has_lease_on(command.vm, now_s):
+        moves = isinstance(vm, VmRecord) and vm.next_pool is not None
+        if moves and self._tasks.has_lease_on(command.vm, now_s):
             return Refused(Refusal.LEASE_HELD, f"{command.vm} holds task leases")
         return self._pools.finish_move(command, now_s)
--- a/packages/core/src/marigolddoor_core/state/objects.py
+++ b/packages/core/src/marigolddoor_core/state/objects.py
@@ -74,7 +74,8 @@
     """A VM with its one assignment.
 
     `next_pool` is set while the VM drains for a move. `maintenance` is the last step recorded, and
-    `maintained_s` the agreed time at which the last maintenance was done.
+    `maintained_s` the agreed time at which the last maintenance was done, or that of registration.
+    `maintenance_requested` is set from an operator's request until the maintenance is done.
     """
 
     vm: VmId
@@ -88,6 +89,7 @@
     next_pool: PoolId | None = None
     maintenance: MaintenanceStep | None = None
     maintained_s: float = 0.0
+    maintenance_requested: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/state/pools.py
+++ b/packages/core/src/marigolddoor_core/state/pools.py
@@ -10,6 +10,7 @@
     MaintenanceStep,
     RecordMaintenance,
     RegisterVm,
+    RequestDrain,
     RetireVm,
 )
 from marigolddoor_core.state.declarations import Declarations
@@ -130,10 +131,28 @@
                 vm,
                 maintenance=command.step,
                 maintained_s=now_s if done else vm.maintained_s,
+                maintenance_requested=vm.maintenance_requested and not done,
             )
         )
         return Done()
 
+    def request_drain(self, command: RequestDrain, now_s: float) -> Result:
+        """Mark a VM, or the VMs of a pool, for maintenance; those in maintenance are left out."""
+        if (command.pool is None) == (command.vm is None):
+            return Refused(Refusal.INVALID, "name either a pool or a VM")
+        if command.vm is not None and command.vm not in self.vms:
+            return Refused(Refusal.UNKNOWN, f"no VM {command.vm!r}")
+        if command.pool is not None and command.pool not in self.declarations.pools:
+            return Refused(Refusal.UNKNOWN, f"no pool {command.pool!r}")
+        # Sorted, because the order of the changes is part of the state, and a restored replica may
+        # hold its VMs in another order.
+        for vm in sorted(self.vms):
+            record = self.vms[vm]
+            if command.pool in (None, record.pool) and command.vm in (None, vm):
+                requested = record.maintenance_requested or not in_maintenance(record)
+                self._put(replace(record, maintenance_requested=requested))
+        return Done()
+
     def current(self, vm_id: VmId, epoch: Epoch) -> VmRecord | Refused:
         """Return the VM if `epoch` is its current epoch, or else the refusal."""
         vm = self.vms.get(vm_id)
--- a/packages/core/src/marigolddoor_core/state/questions.py
+++ b/packages/core/src/marigolddoor_core/state/questions.py
@@ -1,4 +1,8 @@
-"""Questions to the operators: one open question a subject, and the first answer counts."""
+"""Questions to the operators: one a subject until it is closed, and the first answer counts.
+
+A question that was answered stands until it is closed, so that a late command that opens it does
+not ask the same again while its answer is carried out.
+"""
 
 from collections.abc import Iterable
 from dataclasses import replace
@@ -18,23 +22,23 @@
 
 __all__ = ["Questions"]
 
-# Questions that were answered or closed are kept for the operators' view, the oldest dropped first.
-ENDED_QUESTIONS_KEPT = 1_000
+# Closed questions are kept for the operators' view; the oldest are dropped first.
+CLOSED_QUESTIONS_KEPT = 1_000
 
 
 class Questions:
-    """Holds the open questions and the last ones that ended."""
+    """Holds the questions that stand and the last ones that were closed."""
 
     def __init__(self, journal: Journal) -> None:
         self.journal = journal
         self.questions: dict[QuestionId, QuestionRecord] = {}
-        self._open_by_subject: dict[str, QuestionId] = {}
-        # In the order in which they ended.
-        self._ended: dict[QuestionId, None] = {}
+        self._standing: dict[str, QuestionId] = {}
+        # In the order in which they were closed.
+        self._closed: dict[QuestionId, None] = {}
 
     def open(self, command: OpenQuestion, now_s: float, index: LogIndex) -> Result:
-        """Open a question, or name the one that is open on the same subject."""
-        known = self._open_by_subject.get(command.subject)
+        """Open a question, or name the one that stands on the same subject."""
+        known = self._standing.get(command.subject)
         if known is not None:
             return QuestionOpened(known)
         names = [choice.name for choice in command.choices]
@@ -87,26 +91,26 @@
     def restore(self, questions: Iterable[QuestionRecord]) -> None:
         """Replace everything by `questions`, which are in the order of their last change."""
         self.questions = {}
-        self._open_by_subject = {}
-        self._ended = {}
+        self._standing = {}
+        self._closed = {}
         for question in questions:
             self._index(question)
 
     def _put(self, question: QuestionRecord) -> None:
         self._index(question)
         self.journal.put(ObjectKind.QUESTION, question.question, question)
-        while len(self._ended) > ENDED_QUESTIONS_KEPT:
-            oldest = next(iter(self._ended))
-            del self._ended[oldest]
+        while len(self._closed) > CLOSED_QUESTIONS_KEPT:
+            oldest = next(iter(self._closed))
+            del self._closed[oldest]
             del self.questions[oldest]
             self.journal.remove(ObjectKind.QUESTION, oldest)
 
     def _index(self, question: QuestionRecord) -> None:
         self.questions[question.question] = question
-        if question.answer is None and not question.closed:
-            self._open_by_subject[question.subject] = question.question
+        if not question.closed:
+            self._standing[question.subject] = question.question
             return
-        if self._open_by_subject.get(question.subject) == question.question:
-            del self._open_by_subject[question.subject]
-        self._ended.pop(question.question, None)
-        self._ended[question.question] = None
+        if self._standing.get(question.subject) == question.question:
+            del self._standing[question.subject]
+        self._closed.pop(question.question, None)
+        self._closed[question.question] = None
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/state/requests.py
@@ -0,0 +1,45 @@
+"""The results of the last requests of operators, which resends get again."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+
+from marigolddoor_core.ids import OperatorId, RequestId
+from marigolddoor_core.state.results import Refusal, Refused, Result
+from marigolddoor_core.state.snapshots import RequestResult
+
+__all__ = ["Requests"]
+
+# At 12,000 changes a day this remembers about two hours of requests.
+REQUESTS_KEPT = 1_000
+NAME_LIMIT = 256
+
+
+class Requests:
+    """Keeps the first result of each request by its id."""
+
+    def __init__(self) -> None:
+        self.results: OrderedDict[RequestId, Result] = OrderedDict()
+
+    def once(self, request: RequestId, author: OperatorId, apply: Callable[[], Result]) -> Result:
+        """Return the result of the first call with `request`, calling `apply` only then."""
+        if not all(0 < len(name) <= NAME_LIMIT for name in (request, author)):
+            return Refused(
+                Refusal.INVALID,
+                f"a change needs a request id and an author, each of 1 to {NAME_LIMIT} characters",
+            )
+        kept = self.results.get(request)
+        if kept is not None:
+            return kept
+        result = apply()
+        self.results[request] = result
+        while len(self.results) > REQUESTS_KEPT:
+            self.results.popitem(last=False)
+        return result
+
+    def entries(self) -> Iterator[RequestResult]:
+        """Iterate over the results in the order of their requests."""
+        return (RequestResult(request, result) for request, result in self.results.items())
+
+    def restore(self, entries: Iterable[RequestResult]) -> None:
+        """Replace everything by the part of a snapshot."""
+        self.results = OrderedDict((kept.request, kept.result) for kept in entries)
--- a/packages/core/src/marigolddoor_core/state/snapshots.py
+++ b/packages/core/src/marigolddoor_core/state/snapshots.py
@@ -20,7 +20,7 @@
 from marigolddoor_core.state.objects import Change
 from marigolddoor_core.state.results import Result
 
-__all__ = ["ClaimRecord", "RequestResult", "SnapshotEntry", "StateSnapshot"]
+__all__ = ["ClaimRecord", "Compaction", "RequestResult", "SnapshotEntry", "StateSnapshot"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,13 +56,20 @@
     data_centre: DataCentreId | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Compaction:
+    """The highest index of a removal in a stream of the journal that is no longer kept."""
+
+    stream: str
+    index: LogIndex
+
+
 @dataclass(frozen=True, slots=True)
 class StateSnapshot:
     """Everything that the results of later commands depend on.
 
     `entries` are in the order of their last change, `claims` in the order of their grants and
-    `requests` in the order of their arrival. `compacted_index` is the highest index of a removal
-    that is no longer among the entries.
+    `requests` in the order of their arrival.
     """
 
     index: LogIndex
@@ -73,6 +80,6 @@
     requests: tuple[RequestResult, ...]
     entries: tuple[SnapshotEntry, ...]
     claims: tuple[ClaimRecord, ...]
-    compacted_index: LogIndex
     retired_epoch: Epoch
     removed_token: FencingToken
+    compactions: tuple[Compaction, ...]
--- a/packages/core/src/marigolddoor_core/state/tasks.py
+++ b/packages/core/src/marigolddoor_core/state/tasks.py
@@ -43,9 +43,8 @@
         self.pools = pools
         self.tasks: dict[TaskId, TaskRecord] = {}
         self.removed_token = FencingToken(0)
-        # Dicts as ordered sets: every replica visits the tasks in the same order.
-        self._of_job: dict[JobId, dict[TaskId, None]] = {}
-        self._leased_on: dict[VmId, dict[TaskId, None]] = {}
+        self._of_job: dict[JobId, set[TaskId]] = {}
+        self._leased_on: dict[VmId, set[TaskId]] = {}
 
     def submit(self, command: SubmitTask, now_s: float) -> Result:
         """Accept a task, or put one that was set aside back in line."""
@@ -160,8 +159,10 @@
                 self._declare(declared_task(job.id, number), job.id, now_s)
             for number in range(job.tasks, declared):
                 self._cancel_if_open(declared_task(job.id, number))
-        for job_id in [job_id for job_id in self._of_job if job_id not in after]:
-            for task_id in list(self._of_job[job_id]):
+        # Sorted, because the order of the changes is part of the state, and a restored replica has
+        # built its sets in another order.
+        for job_id in sorted(self._of_job.keys() - after.keys()):
+            for task_id in sorted(self._of_job[job_id]):
                 if self.tasks[task_id].lease_until_s <= now_s:
                     self._remove(self.tasks[task_id])
                 else:
@@ -224,16 +225,16 @@
         if before is not None and before.vm is not None and before.vm != task.vm:
             self._forget_vm(before.vm, task.task)
         if task.vm is not None:
-            self._leased_on.setdefault(task.vm, {})[task.task] = None
+            self._leased_on.setdefault(task.vm, set()).add(task.task)
         self.tasks[task.task] = task
-        self._of_job.setdefault(task.job, {})[task.task] = None
+        self._of_job.setdefault(task.job, set()).add(task.task)
 
     def _remove(self, task: TaskRecord) -> None:
         if task.vm is not None:
             self._forget_vm(task.vm, task.task)
         del self.tasks[task.task]
         of_job = self._of_job[task.job]
-        del of_job[task.task]
+        of_job.remove(task.task)
         if not of_job:
             del self._of_job[task.job]
         self.removed_token = max(self.removed_token, task.token)
@@ -241,6 +242,6 @@
 
     def _forget_vm(self, vm: VmId, task: TaskId) -> None:
         leased = self._leased_on[vm]
-        del leased[task]
+        leased.remove(task)
         if not leased:
             del self._leased_on[vm]
--- a/packages/wire/idl/state.thrift
+++ b/packages/wire/idl/state.thrift
@@ -52,7 +52,7 @@
 struct AlreadyAnswered { 1: string choice, 2: string author }
 
 struct RevisionRecord { 1: i64 revision, 2: string author }
-struct VmRecord { 1: string vm, 2: string data_centre, 3: string rack, 4: string address, 5: Resources capacity, 6: i64 slots, 7: string pool, 8: i64 epoch, 9: optional string next_pool, 10: optional string maintenance, 11: double maintained_s }
+struct VmRecord { 1: string vm, 2: string data_centre, 3: string rack, 4: string address, 5: Resources capacity, 6: i64 slots, 7: string pool, 8: i64 epoch, 9: optional string next_pool, 10: optional string maintenance, 11: double maintained_s, 12: bool maintenance_requested }
 struct TaskRecord { 1: string task, 2: string job, 3: string state, 4: i64 token, 5: optional string vm, 6: double lease_until_s, 7: double submitted_s, 8: i64 failures, 9: list<string> failed_on, 10: string reason }
 struct QuestionRecord { 1: string question, 2: string subject, 3: string sentence, 4: list<Fact> facts, 5: list<Choice> choices, 6: string default, 7: double default_at_s, 8: double opened_s, 9: optional string answer, 10: optional string author, 11: bool closed }
 struct Change { 1: string kind, 2: string key, 3: i64 index, 4: optional Tagged value }
@@ -60,4 +60,5 @@
 struct ClaimRecord { 1: i64 claim, 2: string service_id, 3: string key, 4: binary body_digest, 5: string claimant, 6: double expires_s, 7: bool finished, 8: optional KeptAnswer answer }
 struct RequestResult { 1: string request, 2: Tagged result }
 struct SnapshotEntry { 1: Change change, 2: optional string data_centre }
-struct StateSnapshot { 1: i64 index, 2: double time_s, 3: i64 revision, 4: string author, 5: Declaration declaration, 6: list<RequestResult> requests, 7: list<SnapshotEntry> entries, 8: list<ClaimRecord> claims, 9: i64 compacted_index, 10: i64 retired_epoch, 11: i64 removed_token }
+struct Compaction { 1: string stream, 2: i64 index }
+struct StateSnapshot { 1: i64 index, 2: double time_s, 3: i64 revision, 4: string author, 5: Declaration declaration, 6: list<RequestResult> requests, 7: list<SnapshotEntry> entries, 8: list<ClaimRecord> claims, 10: i64 retired_epoch, 11: i64 removed_token, 12: list<Compaction> compactions }
--- a/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/state/ttypes.py
@@ -4382,6 +4382,7 @@
      - next_pool
      - maintenance
      - maintained_s
+     - maintenance_requested
 
     """
 
@@ -4397,10 +4398,11 @@
         'next_pool',
         'maintenance',
         'maintained_s',
+        'maintenance_requested',
     )
 
 
-    def __init__(self, vm=None, data_centre=None, rack=None, address=None, capacity=None, slots=None, pool=None, epoch=None, next_pool=None, maintenance=None, maintained_s=None,):
+    def __init__(self, vm=None, data_centre=None, rack=None, address=None, capacity=None, slots=None, pool=None, epoch=None, next_pool=None, maintenance=None, maintained_s=None, maintenance_requested=None,):
         self.vm = vm
         self.data_centre = data_centre
         self.rack = rack
@@ -4412,6 +4414,7 @@
         self.next_pool = next_pool
         self.maintenance = maintenance
         self.maintained_s = maintained_s
+        self.maintenance_requested = maintenance_requested
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4478,6 +4481,11 @@
                     self.maintained_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.maintenance_requested = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4532,6 +4540,10 @@
             oprot.writeFieldBegin('maintained_s', TType.DOUBLE, 11)
             oprot.writeDouble(self.maintained_s)
             oprot.writeFieldEnd()
+        if self.maintenance_requested is not None:
+            oprot.writeFieldBegin('maintenance_requested', TType.BOOL, 12)
+            oprot.writeBool(self.maintenance_requested)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5367,6 +5379,86 @@
         return not (self == other)
 
 
+class Compaction(object):
+    """
+    Attributes:
+     - stream
+     - index
+
+    """
+
+    __slots__ = (
+        'stream',
+        'index',
+    )
+
+
+    def __init__(self, stream=None, index=None,):
+        self.stream = stream
+        self.index = index
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.stream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Compaction')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRING, 1)
+            oprot.writeString(self.stream.encode('utf-8') if sys.version_info[0] == 2 else self.stream)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I64, 2)
+            oprot.writeI64(self.index)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StateSnapshot(object):
     """
     Attributes:
@@ -5378,9 +5470,9 @@
      - requests
      - entries
      - claims
-     - compacted_index
      - retired_epoch
      - removed_token
+     - compactions
 
     """
 
@@ -5393,13 +5485,13 @@
         'requests',
         'entries',
         'claims',
-        'compacted_index',
         'retired_epoch',
         'removed_token',
+        'compactions',
     )
 
 
-    def __init__(self, index=None, time_s=None, revision=None, author=None, declaration=None, requests=None, entries=None, claims=None, compacted_index=None, retired_epoch=None, removed_token=None,):
+    def __init__(self, index=None, time_s=None, revision=None, author=None, declaration=None, requests=None, entries=None, claims=None, retired_epoch=None, removed_token=None, compactions=None,):
         self.index = index
         self.time_s = time_s
         self.revision = revision
@@ -5408,9 +5500,9 @@
         self.requests = requests
         self.entries = entries
         self.claims = claims
-        self.compacted_index = compacted_index
         self.retired_epoch = retired_epoch
         self.removed_token = removed_token
+        self.compactions = compactions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5480,11 +5572,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.I64:
-                    self.compacted_index = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.I64:
                     self.retired_epoch = iprot.readI64()
@@ -5495,6 +5582,17 @@
                     self.removed_token = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.compactions = []
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = Compaction()
+                        _elem86.read(iprot)
+                        self.compactions.append(_elem86)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5528,28 +5626,24 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter81 in self.requests:
-                iter81.write(oprot)
+            for iter87 in self.requests:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter82 in self.entries:
-                iter82.write(oprot)
+            for iter88 in self.entries:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter83 in self.claims:
-                iter83.write(oprot)
+            for iter89 in self.claims:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.compacted_index is not None:
-            oprot.writeFieldBegin('compacted_index', TType.I64, 9)
-            oprot.writeI64(self.compacted_index)
-            oprot.writeFieldEnd()
         if self.retired_epoch is not None:
             oprot.writeFieldBegin('retired_epoch', TType.I64, 10)
             oprot.writeI64(self.retired_epoch)
@@ -5558,6 +5652,13 @@
             oprot.writeFieldBegin('removed_token', TType.I64, 11)
             oprot.writeI64(self.removed_token)
             oprot.writeFieldEnd()
+        if self.compactions is not None:
+            oprot.writeFieldBegin('compactions', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.compactions))
+            for iter90 in self.compactions:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5921,6 +6022,7 @@
     (9, TType.STRING, 'next_pool', 'UTF8', None, ),  # 9
     (10, TType.STRING, 'maintenance', 'UTF8', None, ),  # 10
     (11, TType.DOUBLE, 'maintained_s', None, None, ),  # 11
+    (12, TType.BOOL, 'maintenance_requested', None, None, ),  # 12
 )
 all_structs.append(TaskRecord)
 TaskRecord.thrift_spec = (
@@ -5983,6 +6085,12 @@
     (1, TType.STRUCT, 'change', [Change, None], None, ),  # 1
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
 )
+all_structs.append(Compaction)
+Compaction.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'index', None, None, ),  # 2
+)
 all_structs.append(StateSnapshot)
 StateSnapshot.thrift_spec = (
     None,  # 0
@@ -5994,9 +6102,10 @@
     (6, TType.LIST, 'requests', (TType.STRUCT, [RequestResult, None], False), None, ),  # 6
     (7, TType.LIST, 'entries', (TType.STRUCT, [SnapshotEntry, None], False), None, ),  # 7
     (8, TType.LIST, 'claims', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 8
-    (9, TType.I64, 'compacted_index', None, None, ),  # 9
+    None,  # 9
     (10, TType.I64, 'retired_epoch', None, None, ),  # 10
     (11, TType.I64, 'removed_token', None, None, ),  # 11
+    (12, TType.LIST, 'compactions', (TType.STRUCT, [Compaction, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/core/declaration/test_plan.py
+++ b/tests/core/declaration/test_plans.py
@@ -3,8 +3,7 @@
 from dataclasses import replace
 
 import testtools
-from marigolddoor_core.declaration import Declaration, Weights
-from marigolddoor_core.declaration.plan import Effect, plan
+from marigolddoor_core.declaration import Effect, Weights, plan
 from marigolddoor_core.ids import JobId, LogIndex, OrganisationId, PoolId, ServiceId
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_core.state.results import DeclarationAccepted
@@ -17,7 +16,6 @@
 ORDERS, HELP = BASE.services
 REPORT = BASE.jobs[0]
 SHOP = BASE.teams[0]
-EMPTY = Declaration(OrganisationId(""), (), (), ())
 
 
 class PlanTest(testtools.TestCase):
@@ -139,7 +137,7 @@
     """The first declaration adds every part and lacks every VM."""
 
     def test_first(self) -> None:
-        items = plan(EMPTY, BASE, {}).items
+        items = plan(None, BASE, {}).items
         counts = [(item.key, item.count) for item in items if item.effect is Effect.ADD]
         self.assertIn(("web", 6), counts)
         self.assertIn(("spare", 6), counts)
--- /dev/null
+++ b/tests/core/state/driver.py
@@ -0,0 +1,245 @@
+"""Drives a state machine with random commands of racing, late and resending parties.
+
+The driver keeps a second machine that is replaced from a snapshot of the first one at random
+steps, and hands every step to checkers. A checker sees commands, results and public state only.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+from marigolddoor_core.ids import (
+    ClaimId,
+    DataCentreId,
+    Epoch,
+    FencingToken,
+    JobId,
+    LogIndex,
+    PoolId,
+    QuestionId,
+    TaskId,
+    VmId,
+)
+from marigolddoor_core.state import commands as c
+from marigolddoor_core.state import results as r
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, VmRecord
+from marigolddoor_core.targets import TaskPhase
+
+from tests.core.state import fixtures as f
+
+VMS = [f"vm-{n}" for n in range(4)]
+POOLS = ["web", "spare"]
+KEYS = [f"k{n}" for n in range(6)]
+TASKS = ["report/0", "report/1", "report/2", "t0"]
+TOMBSTONE_LIMIT = 3
+CLAIMS_LIMIT_BYTES = 2_600
+
+Make = Callable[[], StateMachine]
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """The public state before a step."""
+
+    time_s: float
+    revision: int
+    vms: dict[VmId, VmRecord]
+    tasks: dict[TaskId, TaskRecord]
+    questions: dict[QuestionId, QuestionRecord]
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One command with its result on both machines. `restored` is the second machine."""
+
+    command: Any
+    result: r.Result
+    before: View
+    machine: StateMachine
+    restored: StateMachine
+    restored_result: r.Result
+
+
+class Checker(Protocol):
+    """Looks at each step and describes what breaks its rule."""
+
+    def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
+        ...
+
+
+def new_machine() -> StateMachine:
+    """Return a machine with limits so small that the driver reaches them."""
+    return StateMachine(CLAIMS_LIMIT_BYTES, TOMBSTONE_LIMIT)
+
+
+def first_fault(
+    seed: int, steps: int, checkers: Sequence[Checker], make: Make = new_machine
+) -> str | None:
+    """Return the first fault that a checker reports, with its step, or None."""
+    chance = random.Random(seed)
+    machine, restored = make(), make()
+    party = Party(chance)
+    for number in range(steps):
+        if chance.random() < 0.05:
+            restored = make()
+            restored.restore(machine.snapshot())
+        command = party.next_command(machine)
+        index = LogIndex(machine.index + chance.choice((1, 1, 1, 2)))
+        before = View(
+            machine.time_s,
+            machine.revision,
+            dict(machine.vms),
+            dict(machine.tasks),
+            dict(machine.questions),
+        )
+        result = machine.apply(index, command)
+        step = Step(command, result, before, machine, restored, restored.apply(index, command))
+        party.learn(result)
+        for checker in checkers:
+            fault = checker.check(step)
+            if fault is not None:
+                name = type(checker).__name__
+                return f"seed {seed}, step {number}: {name}: {fault}; after {command}"
+    return None
+
+
+class Party:
+    """Operators, workers, entry processes and leaders that act on old and new knowledge."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.sent: list[Any] = []
+        self.claims: list[ClaimId] = []
+        self.requests = 0
+        self.time_s = 0.0
+
+    def next_command(self, machine: StateMachine) -> Any:
+        """Return a new command, or one that was sent before and arrives late or again."""
+        if self.sent and self.chance.random() < 0.25:
+            command = self.chance.choice(self.sent[-60:])
+            return command if self.chance.random() < 0.5 else replace(command, time_s=self.time_s)
+        steps_s = (0.0, 0.0, 0.1, 1.0, 1.0, 5.0, 20.0)
+        self.time_s += 650.0 if self.chance.random() < 0.01 else self.chance.choice(steps_s)
+        # A new leader's clock may be behind that of the last one.
+        time_s = self.time_s - self.chance.choice((0.0, 0.0, 30.0))
+        command = replace(self._command(machine), time_s=time_s)
+        self.sent.append(command)
+        return command
+
+    def learn(self, result: r.Result) -> None:
+        """Remember the claims that were granted."""
+        if isinstance(result, r.ClaimGranted):
+            self.claims.append(result.claim)
+
+    def _command(self, machine: StateMachine) -> Any:
+        choose = self.chance.choice
+        make = choose(
+            (
+                self._declare,
+                self._register,
+                self._vm_command,
+                self._vm_command,
+                self._vm_command,
+                self._task_command,
+                self._task_command,
+                self._task_command,
+                self._claim_command,
+                self._claim_command,
+                self._question_command,
+            )
+        )
+        return make(machine)
+
+    def _declare(self, machine: StateMachine) -> Any:
+        self.requests += 1
+        base = max(machine.revision - self.chance.choice((0, 0, 0, 1)), 0)
+        declaration = f.with_job(self.chance.randrange(4), self.chance.choice("12"))
+        if self.chance.random() < 0.1:
+            declaration = replace(declaration, jobs=())
+        if self.chance.random() < 0.1:
+            declaration = replace(declaration, pools=declaration.pools[:1])
+        author = self.chance.choice(("ann", "ben"))
+        return f.declare(base, f"r{self.requests}", declaration, author)
+
+    def _register(self, machine: StateMachine) -> Any:
+        vm = self.chance.choice(VMS)
+        home = "east" if vm in VMS[:2] else "west"
+        return f.register(
+            vm,
+            self.chance.choice(POOLS),
+            home if self.chance.random() < 0.8 else self.chance.choice(("east", "west")),
+            address=self.chance.choice(("127.0.0.1:9000", "127.0.0.1:9001")),
+        )
+
+    def _epoch(self, machine: StateMachine, vm: VmId) -> Epoch:
+        known = machine.vms.get(vm)
+        epoch = 1 if known is None else known.epoch
+        return Epoch(epoch - self.chance.choice((0, 0, 0, 0, 1)))
+
+    def _vm_command(self, machine: StateMachine) -> Any:
+        vm = VmId(self.chance.choice(VMS))
+        epoch = self._epoch(machine, vm)
+        begin = c.BeginMove(vm, epoch, PoolId(self.chance.choice(POOLS)))
+        finish = c.FinishMove(vm, epoch)
+        step = c.RecordMaintenance(vm, epoch, self.chance.choice(list(c.MaintenanceStep)))
+        self.requests += 1
+        drain = f.drain(None, vm, f"r{self.requests}")
+        return self.chance.choice(
+            (*[begin] * 4, *[finish] * 4, *[step] * 3, c.RetireVm(vm, epoch), drain)
+        )
+
+    def _task_command(self, machine: StateMachine) -> Any:
+        task = TaskId(self.chance.choice(TASKS))
+        vm = VmId(self.chance.choice(VMS))
+        known = machine.tasks.get(task)
+        token = 1 if known is None else known.token
+        token = FencingToken(token - self.chance.choice((0, 0, 0, 1)))
+        lease_s = self.chance.choice((1.0, 45.0))
+        grant = c.GrantLease(task, vm, self._epoch(machine, vm), lease_s)
+        finish = c.FinishTask(task, token, self.chance.choice(list(TaskPhase)))
+        return self.chance.choice(
+            (
+                *[c.SubmitTask(task, JobId("report"))] * 2,
+                *[grant] * 6,
+                *[c.RenewLease(task, token, lease_s)] * 2,
+                *[finish] * 3,
+                c.CancelTask(task),
+                c.SetAsideTask(task, "fails"),
+            )
+        )
+
+    def _claim_command(self, machine: StateMachine) -> Any:
+        claimant = self.chance.choice(("p1", "p2"))
+        known = self.claims[-6:] or [ClaimId(1)]
+        body = self.chance.choice((b"a", b"b" * 300, None))
+        return self.chance.choice(
+            (
+                f.claim(
+                    self.chance.choice(KEYS),
+                    claimant,
+                    self.chance.choice((b"d", b"d", b"e")),
+                    self.time_s + 10.0,
+                ),
+                f.claim(self.chance.choice(KEYS), claimant, b"d", self.time_s + 10.0),
+                f.answered(self.chance.choice(known), f.kept(body), claimant),
+                f.answered(self.chance.choice(known), None, claimant),
+                f.release(self.chance.choice(known), claimant),
+                c.ExpireClaims(),
+            )
+        )
+
+    def _question_command(self, machine: StateMachine) -> Any:
+        question = self.chance.choice([*machine.questions, "q0"])
+        return self.chance.choice(
+            (
+                f.ask(self.chance.choice(("vm-1", "quota"))),
+                f.answer(question, self.chance.choice(("wait", "replace"))),
+                c.CloseQuestion(QuestionId(question), "over"),
+            )
+        )
+
+
+EAST = DataCentreId("east")
--- a/tests/core/state/fixtures.py
+++ b/tests/core/state/fixtures.py
@@ -95,6 +95,26 @@
     return c.RecordMaintenance(VmId("vm-1"), Epoch(epoch), step, time_s)
 
 
+MAINTENANCE = [
+    maintain(step)
+    for step in (
+        c.MaintenanceStep.DRAINING,
+        c.MaintenanceStep.REBOOTING,
+        c.MaintenanceStep.VERIFYING,
+        c.MaintenanceStep.DONE,
+    )
+]
+
+
+def drain(pool: str | None = None, vm: str | None = None, request: str = "d1") -> c.RequestDrain:
+    return c.RequestDrain(
+        None if pool is None else PoolId(pool),
+        None if vm is None else VmId(vm),
+        OperatorId("ann"),
+        RequestId(request),
+    )
+
+
 def submit(task: str = "t", job: str = "report") -> c.SubmitTask:
     return c.SubmitTask(TaskId(task), JobId(job))
 
--- a/tests/core/state/test_machine.py
+++ b/tests/core/state/test_machine.py
@@ -105,6 +105,16 @@
                 [f.register(), f.retire(), f.register(), f.begin()],
                 r.Refusal.OLD_EPOCH,
             ),
+            ("a drain of a pool", [f.drain(pool="web")], r.Done()),
+            ("a drain of an unknown pool", [f.drain(pool="none")], r.Refusal.UNKNOWN),
+            ("a drain of an unknown VM", [f.drain(vm="vm-1")], r.Refusal.UNKNOWN),
+            ("a drain of nothing", [f.drain()], r.Refusal.INVALID),
+            ("a drain of a pool and a VM", [f.drain("web", "vm-1")], r.Refusal.INVALID),
+            (
+                "a resend of a drain that was refused",
+                [f.drain(vm="vm-1"), f.register(), f.drain(vm="vm-1")],
+                r.Refusal.UNKNOWN,
+            ),
             ("a task of an unknown job", [f.submit(job="none")], r.Refusal.UNKNOWN),
             ("a task with the id of another job", [f.submit("other/0")], r.Refusal.INVALID),
             ("a lease", [f.register(), f.grant()], r.LeaseGranted(FencingToken(1))),
@@ -258,8 +268,13 @@
                 r.QuestionOpened(QuestionId("q2")),
             ),
             (
-                "a question on a subject whose question was answered",
+                "a question on a subject whose question was answered but not closed",
                 [f.ask(), f.answer("q2"), f.ask()],
+                r.QuestionOpened(QuestionId("q2")),
+            ),
+            (
+                "a question on a subject whose question was closed",
+                [f.ask(), c.CloseQuestion(QuestionId("q2"), "back"), f.ask()],
                 r.QuestionOpened(QuestionId("q4")),
             ),
             ("a default that is no choice", [f.ask(default="x")], r.Refusal.INVALID),
@@ -295,3 +310,32 @@
         machine = StateMachine()
         machine.apply(LogIndex(3), f.declare())
         self.assertRaises(InvalidInputError, machine.apply, LogIndex(3), f.register())
+
+
+class DrainRequestTest(testtools.TestCase):
+    """A request for maintenance stands until the maintenance is done, and is not repeated then."""
+
+    scenarios = [
+        (name, {"commands": commands, "expected": expected})
+        for name, commands, expected in [
+            ("requested", [f.drain(pool="web")], True),
+            ("another pool", [f.drain(pool="spare")], False),
+            ("under way", [f.drain(vm="vm-1"), f.maintain(STEP.DRAINING)], True),
+            ("already under way", [f.maintain(STEP.DRAINING), f.drain(vm="vm-1")], False),
+            (
+                "done",
+                [f.drain(vm="vm-1"), *f.MAINTENANCE],
+                False,
+            ),
+            (
+                "a resend after it is done",
+                [f.drain(vm="vm-1"), *f.MAINTENANCE, f.drain(vm="vm-1")],
+                False,
+            ),
+        ]
+    ]
+
+    def test_requested(self) -> None:
+        machine = StateMachine()
+        f.apply_all(machine, f.declare(), f.register(), *self.commands)
+        self.assertEqual(self.expected, machine.vms[f.register().vm].maintenance_requested)
--- /dev/null
+++ b/tests/core/state/test_random.py
@@ -0,0 +1,452 @@
+"""Guards against sequences of racing, late and repeated commands that break a rule.
+
+Each checker also runs against machines without the guard that it watches, and must report them.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import testtools
+from marigolddoor_core.ids import DataCentreId, Epoch, FencingToken, LogIndex
+from marigolddoor_core.state import commands as c
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.objects import ObjectKind, TaskState
+from marigolddoor_core.state.results import (
+    ClaimGranted,
+    DeclarationAccepted,
+    LeaseGranted,
+    RevisionConflict,
+)
+
+from tests.core.state import checkers as k
+from tests.core.state.driver import CLAIMS_LIMIT_BYTES, EAST, Step, first_fault, new_machine
+
+SEEDS = range(12)
+STEPS = 700
+# A broken machine is reported by one of these runs.
+TWIN_SEEDS = range(40)
+
+
+def all_checkers() -> list[Any]:
+    """Return a fresh checker of each kind."""
+    return [
+        k.RevisionChecker(),
+        k.ResendChecker(),
+        k.PoolChecker(),
+        k.EpochChecker(),
+        k.LeaseChecker(),
+        k.DrainChecker(),
+        k.TaskChecker(),
+        k.ClaimChecker(),
+        k.MemoryChecker(CLAIMS_LIMIT_BYTES),
+        k.AnswerChecker(),
+        k.QuestionChecker(),
+        k.TimeChecker(),
+        k.SnapshotChecker(),
+        k.WatchChecker(None, 1),
+        k.WatchChecker(EAST, 5),
+    ]
+
+
+class RandomTest(testtools.TestCase):
+    """No checker reports a fault of the machine itself."""
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in SEEDS]
+
+    def test_no_fault(self) -> None:
+        self.assertIsNone(first_fault(self.seed, STEPS, all_checkers()))
+
+
+class CoverageTest(testtools.TestCase):
+    """The driver reaches accepted and refused commands of every kind, so that checkers see both."""
+
+    def test_results(self) -> None:
+        seen: set[tuple[type[Any], str]] = set()
+
+        class Recorder:
+            def check(self, step: Step) -> str | None:
+                refusal = getattr(step.result, "refusal", None)
+                name = type(step.result).__name__
+                seen.add((type(step.command), name if refusal is None else refusal.value))
+                return None
+
+        for seed in SEEDS:
+            first_fault(seed, STEPS, [Recorder()])
+        results = {result for _, result in seen}
+        self.assertLessEqual(
+            {
+                "DeclarationAccepted",
+                "RevisionConflict",
+                "MoveBegun",
+                "LeaseGranted",
+                "ClaimGranted",
+                "ClaimPending",
+                "ClaimFinished",
+                "BodyMismatch",
+                "ClaimsFull",
+                "QuestionOpened",
+                "AlreadyAnswered",
+                "old epoch",
+                "old token",
+                "lease held",
+                "not draining",
+                "draining",
+                "finished",
+                "invalid",
+                "not claimant",
+                "unknown",
+            },
+            results,
+        )
+        for command_type in c.Command.__args__:
+            accepted = {result for command, result in seen if command is command_type}
+            self.assertTrue(
+                accepted & {"Done", "MoveBegun", "LeaseGranted", "ClaimGranted", "QuestionOpened"}
+                or DeclarationAccepted.__name__ in accepted,
+                f"{command_type.__name__} is never accepted",
+            )
+
+
+def ignore_base_revision(machine: StateMachine) -> None:
+    part = machine._declarations
+    apply = part.apply
+    part.apply = lambda command, vms: apply(replace(command, base_revision=part.revision), vms)
+
+
+def forget_requests(machine: StateMachine) -> None:
+    part = machine._requests
+    once = part.once
+
+    def forgetful(request: Any, author: Any, apply: Any) -> Any:
+        part.results.clear()
+        return once(request, author, apply)
+
+    part.once = forgetful
+
+
+def lower_revision(machine: StateMachine) -> None:
+    apply = machine._declarations.apply
+
+    def lower(command: Any, vms: Any) -> Any:
+        result = apply(command, vms)
+        if isinstance(result, RevisionConflict):
+            machine._declarations.revision = command.base_revision
+        return result
+
+    machine._declarations.apply = lower
+
+
+def ignore_epoch(machine: StateMachine) -> None:
+    part = machine._pools
+    current = part.current
+    part.current = lambda vm, epoch: current(vm, part.vms[vm].epoch if vm in part.vms else epoch)
+
+
+def keep_epoch(machine: StateMachine) -> None:
+    part = machine._pools
+    put = part._put
+
+    def keep(vm: Any) -> None:
+        known = part.vms.get(vm.vm)
+        put(vm if known is None else replace(vm, epoch=known.epoch))
+
+    part._put = keep
+
+
+def skip_drain(machine: StateMachine) -> None:
+    part = machine._pools
+
+    def move(command: Any, now_s: float) -> Any:
+        vm = part.current(command.vm, command.epoch)
+        if hasattr(vm, "pool"):
+            pool = command.pool
+            part._put(replace(vm, pool=pool, epoch=Epoch(vm.epoch + 1), next_pool=None))
+        return vm if not hasattr(vm, "pool") else LeaseGranted(FencingToken(0))
+
+    machine._appliers[c.BeginMove] = move
+
+
+def repeat_epochs(machine: StateMachine) -> None:
+    part = machine._pools
+    retire = part.retire
+
+    def forgetful(command: Any, now_s: float) -> Any:
+        result = retire(command, now_s)
+        part.retired_epoch = Epoch(0)
+        return result
+
+    machine._appliers[c.RetireVm] = forgetful
+
+
+def ignore_leases_of_movers(machine: StateMachine) -> None:
+    machine._tasks.has_lease_on = lambda vm, now_s: False
+
+
+def ignore_lease(machine: StateMachine) -> None:
+    part = machine._tasks
+    open_task = part._open
+
+    def opened(task: Any) -> Any:
+        found = open_task(task)
+        return replace(found, lease_until_s=0.0) if hasattr(found, "token") else found
+
+    part._open = opened
+
+
+def repeat_token(machine: StateMachine) -> None:
+    part = machine._tasks
+    put = part._put
+
+    def keep(task: Any) -> None:
+        put(replace(task, token=FencingToken(1)) if task.state is TaskState.LEASED else task)
+
+    part._put = keep
+
+
+def repeat_removed_tokens(machine: StateMachine) -> None:
+    part = machine._tasks
+    follow = part.follow_jobs
+
+    def forgetful(before: Any, now_s: float) -> None:
+        follow(before, now_s)
+        part.removed_token = FencingToken(0)
+
+    part.follow_jobs = forgetful
+
+
+def ignore_token(machine: StateMachine) -> None:
+    part = machine._tasks
+    held = part._held
+    part._held = lambda task, token: held(task, part.tasks[task].token if task in part.tasks else 0)
+
+
+def ignore_drain(machine: StateMachine) -> None:
+    part = machine._tasks
+    grant = part.grant
+
+    def grant_anyway(command: Any, now_s: float) -> Any:
+        vm = machine._pools.vms.get(command.vm)
+        if vm is not None:
+            machine._pools.vms[vm.vm] = replace(vm, next_pool=None)
+        result = grant(command, now_s)
+        if vm is not None:
+            machine._pools.vms[vm.vm] = vm
+        return result
+
+    machine._appliers[c.GrantLease] = grant_anyway
+
+
+def lose_tasks(machine: StateMachine) -> None:
+    part = machine._tasks
+    cancel = part.cancel
+
+    def lose(command: Any, now_s: float) -> Any:
+        result = cancel(command, now_s)
+        if command.task in part.tasks:
+            part._remove(part.tasks[command.task])
+        return result
+
+    machine._appliers[c.CancelTask] = lose
+
+
+def run_finished_tasks(machine: StateMachine) -> None:
+    part = machine._tasks
+    open_task = part._open
+    part._open = lambda task: part.tasks.get(task) or open_task(task)
+
+
+def drop_claims_early(machine: StateMachine) -> None:
+    expire = machine._claims.expire
+    machine._appliers[c.ExpireClaims] = lambda command, now_s: expire(command, now_s + 60.0)
+
+
+def drop_claims_when_full(machine: StateMachine) -> None:
+    part = machine._claims
+    part._expire = lambda now_s: [part._remove(claim) for claim in list(part.claims.values())]
+
+
+def grant_without_claim(machine: StateMachine) -> None:
+    part = machine._claims
+    claim = part.claim
+
+    def grant(command: Any, now_s: float, index: LogIndex) -> Any:
+        result = claim(command, now_s, index)
+        return ClaimGranted(result.claim) if hasattr(result, "claimant") else result
+
+    part.claim = grant
+
+
+def ignore_memory(machine: StateMachine) -> None:
+    machine._claims.limit_bytes = 10**9
+
+
+def change_answers(machine: StateMachine) -> None:
+    part = machine._claims
+    held = part._held
+
+    def forget(claim: Any, claimant: Any) -> Any:
+        found = held(claim, claimant)
+        return replace(found, finished=False) if hasattr(found, "finished") else found
+
+    part._held = forget
+
+
+def change_question_answers(machine: StateMachine) -> None:
+    part = machine._questions
+    answer = part.answer
+
+    def forget(command: Any, now_s: float) -> Any:
+        known = part.questions.get(command.question)
+        if known is not None:
+            part.questions[known.question] = replace(known, answer=None, author=None)
+        return answer(command, now_s)
+
+    machine._appliers[c.AnswerQuestion] = forget
+
+
+def ask_twice(machine: StateMachine) -> None:
+    part = machine._questions
+    ask = part.open
+
+    def forget(command: Any, now_s: float, index: LogIndex) -> Any:
+        part._standing.clear()
+        return ask(command, now_s, index)
+
+    part.open = forget
+
+
+def follow_clock(machine: StateMachine) -> None:
+    apply = machine.apply
+
+    def turn_back(index: LogIndex, command: Any) -> Any:
+        machine.time_s = min(machine.time_s, command.time_s)
+        return apply(index, command)
+
+    machine.apply = turn_back
+
+
+def without(**changes: Any) -> Callable[[StateMachine], None]:
+    """Return a break that leaves a part out of snapshots."""
+
+    def patch(machine: StateMachine) -> None:
+        snapshot = machine.snapshot
+        machine.snapshot = lambda: replace(snapshot(), **changes)
+
+    patch.__name__ = f"snapshot without {', '.join(changes)}"
+    return patch
+
+
+def restore_without(part: str, attribute: str) -> Callable[[StateMachine], None]:
+    """Return a break that loses an attribute of a part when a snapshot is restored."""
+
+    def patch(machine: StateMachine) -> None:
+        restore = machine.restore
+
+        def lose(snapshot: Any) -> None:
+            restore(snapshot)
+            getattr(getattr(machine, part), attribute).clear()
+
+        machine.restore = lose
+
+    patch.__name__ = f"restore without {attribute}"
+    return patch
+
+
+def forget_leases_when_restored(machine: StateMachine) -> None:
+    restore = machine.restore
+
+    def lose(snapshot: Any) -> None:
+        restore(snapshot)
+        ignore_leases_of_movers(machine)
+
+    machine.restore = lose
+
+
+def drop_removals(machine: StateMachine) -> None:
+    machine._journal.remove = lambda kind, key, data_centre=None: [
+        stream.entries.pop((kind, key), None) for stream in machine._journal._streams.values()
+    ]
+
+
+def forget_compaction(machine: StateMachine) -> None:
+    journal = machine._journal
+    changes_after = journal.changes_after
+
+    def forget(index: LogIndex, data_centre: Any) -> Any:
+        for stream in journal._streams.values():
+            stream.compacted_index = LogIndex(0)
+        return changes_after(index, data_centre)
+
+    journal.changes_after = forget
+
+
+def ignore_data_centre_of_removals(machine: StateMachine) -> None:
+    journal = machine._journal
+    remove = journal.remove
+
+    def elsewhere(kind: ObjectKind, key: str, data_centre: Any = None) -> None:
+        for stream in journal._streams.values():
+            stream.entries.pop((kind, key), None)
+        remove(kind, key, DataCentreId("none") if data_centre else None)
+
+    journal.remove = elsewhere
+
+
+class TwinTest(testtools.TestCase):
+    """A checker reports a machine from which the guard of its rule is taken out."""
+
+    scenarios = [
+        (f"{checker}, {guard.__name__}", {"guard": guard, "make": make})
+        for guard, checker, make in [
+            (guard, make().__class__.__name__, make)
+            for guard, make in [
+                (ignore_base_revision, k.RevisionChecker),
+                (lower_revision, k.RevisionChecker),
+                (forget_requests, k.ResendChecker),
+                (ignore_epoch, k.EpochChecker),
+                (keep_epoch, k.PoolChecker),
+                (skip_drain, k.PoolChecker),
+                (repeat_epochs, k.PoolChecker),
+                (ignore_leases_of_movers, k.DrainChecker),
+                (ignore_drain, k.DrainChecker),
+                (ignore_lease, k.LeaseChecker),
+                (repeat_token, k.LeaseChecker),
+                (repeat_removed_tokens, k.LeaseChecker),
+                (ignore_token, k.LeaseChecker),
+                (lose_tasks, k.TaskChecker),
+                (run_finished_tasks, k.TaskChecker),
+                (drop_claims_early, k.ClaimChecker),
+                (drop_claims_when_full, k.ClaimChecker),
+                (grant_without_claim, k.ClaimChecker),
+                (ignore_memory, lambda: k.MemoryChecker(CLAIMS_LIMIT_BYTES)),
+                (change_answers, k.AnswerChecker),
+                (change_question_answers, k.AnswerChecker),
+                (ask_twice, k.QuestionChecker),
+                (follow_clock, k.TimeChecker),
+                (without(requests=()), k.SnapshotChecker),
+                (without(claims=()), k.SnapshotChecker),
+                (without(time_s=0.0), k.SnapshotChecker),
+                (without(retired_epoch=Epoch(0)), k.SnapshotChecker),
+                (without(removed_token=FencingToken(0)), k.SnapshotChecker),
+                (without(compactions=()), k.SnapshotChecker),
+                (restore_without("_questions", "_standing"), k.SnapshotChecker),
+                (forget_leases_when_restored, k.SnapshotChecker),
+                (restore_without("_claims", "_by_expiry"), k.SnapshotChecker),
+                (drop_removals, lambda: k.WatchChecker(None, 1)),
+                (forget_compaction, lambda: k.WatchChecker(None, 40)),
+                (ignore_data_centre_of_removals, lambda: k.WatchChecker(EAST, 5)),
+            ]
+        ]
+    ]
+
+    def test_reported(self) -> None:
+        def broken() -> StateMachine:
+            machine = new_machine()
+            self.guard(machine)
+            return machine
+
+        self.assertTrue(
+            any(first_fault(seed, STEPS, [self.make()], broken) for seed in TWIN_SEEDS),
+            f"no run reports {self.guard.__name__}",
+        )
