--- a/packages/core/src/marigolddoor_core/declaration/__init__.py
+++ b/packages/core/src/marigolddoor_core/declaration/__init__.py
@@ -9,7 +9,7 @@
     Team,
     Weights,
 )
-from marigolddoor_core.declaration.plans import Effect, Plan, PlanItem, plan
+from marigolddoor_core.declaration.plans import Effect, PartKind, Plan, PlanItem, plan
 from marigolddoor_core.declaration.reader import read_declaration
 
 __all__ = [
@@ -18,6 +18,7 @@
     "DeclarationProblem",
     "Effect",
     "Job",
+    "PartKind",
     "Plan",
     "PlanItem",
     "Pool",
