Add the detection of trouble and its questions

Cause: staff rarely report trouble unless they are asked. Change: detectors for silent VMs and racks, pools over budget, quotas that cannot be met, overdue waves and data centres that are cut off; answers and defaults are carried out. Choices that raise a budget name the new budget. Conclusion: an answer has to be idempotent by its content, not only by its id.

--- /dev/null
+++ b/packages/core/src/marigolddoor_core/questions/detection.py
@@ -0,0 +1,127 @@
+"""Asks the operators about trouble that they would not report, and carries the answers out."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+from marigolddoor_core.actions import Action, ProposeCommand
+from marigolddoor_core.declaration.organisation import Declaration
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ids import RequestId
+from marigolddoor_core.maintenance.budget import BudgetLedger
+from marigolddoor_core.placement.concerns import SILENT_TARGET
+from marigolddoor_core.questions import detectors
+from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S, Concern, QuestionBook
+from marigolddoor_core.questions.detectors import Detector, Finding
+from marigolddoor_core.state.commands import ApplyDeclaration, RetireVm
+from marigolddoor_core.state.objects import QuestionRecord
+from marigolddoor_core.targets import Resources
+
+__all__ = ["DETECTORS", "Detection"]
+
+DETECTORS: tuple[Detector, ...] = (
+    detectors.silent_targets,
+    detectors.silent_racks,
+    detectors.pools_over_budget,
+    detectors.unmeetable_quotas,
+    detectors.overdue_waves,
+    detectors.cut_off_data_centres,
+)
+PREFIXES = (
+    SILENT_TARGET,
+    detectors.SILENT_RACK,
+    detectors.POOL_BUDGET,
+    detectors.QUOTA,
+    detectors.OVERDUE,
+    detectors.CUT_OFF,
+)
+
+
+class Detection:
+    """The decision that opens, answers by default and closes questions about trouble.
+
+    Args:
+      ledger: shared with the decisions that take VMs out of service.
+      found_by: the detectors to use.
+    """
+
+    def __init__(
+        self,
+        ledger: BudgetLedger | None = None,
+        found_by: Sequence[Detector] = DETECTORS,
+    ) -> None:
+        self.ledger = ledger or BudgetLedger()
+        self.found_by = found_by
+        self.questions = QuestionBook(PREFIXES)
+        self.since_s: dict[str, float] = {}
+        self.carried_out_s: dict[str, float] = {}
+
+    def decide(self, fleet: Fleet) -> tuple[Action, ...]:
+        """Return the questions to open and close, and what answers cause."""
+        now_s = fleet.now_s
+        self.questions.read(fleet)
+        losses = self.ledger.losses(fleet)
+        findings = [finding for found in self.found_by for finding in found(fleet, losses)]
+        subjects = {finding.concern.subject for finding in findings}
+        self.since_s = {subject: self.since_s.get(subject, now_s) for subject in sorted(subjects)}
+        actions = self.questions.reconcile(now_s, self._lasting(findings, now_s))
+        for finding in findings:
+            actions += self._carry_out(fleet, finding)
+        return tuple(actions)
+
+    def _lasting(self, findings: Sequence[Finding], now_s: float) -> list[Concern]:
+        """Return what has lasted long enough, or is asked about already."""
+        return [
+            finding.concern
+            for finding in findings
+            if now_s - self.since_s[finding.concern.subject] >= finding.after_s
+            or finding.concern.subject in self.questions.standing
+        ]
+
+    def _carry_out(self, fleet: Fleet, finding: Finding) -> list[Action]:
+        subject = finding.concern.subject
+        record = self.questions.standing.get(subject)
+        if record is None or record.answer is None:
+            return []
+        last_s = self.carried_out_s.get(record.question, -PROPOSAL_PATIENCE_S)
+        if fleet.now_s - last_s < PROPOSAL_PATIENCE_S:
+            return []
+        self.carried_out_s[record.question] = fleet.now_s
+        if record.answer in ("retire", "lost"):
+            return [ProposeCommand(RetireVm(vm.vm, vm.epoch, fleet.now_s)) for vm in finding.vms]
+        if record.answer == "fit":
+            return _revise(fleet, record, _fitted(fleet, record))
+        if record.answer.startswith(detectors.ALLOW):
+            return _revise(fleet, record, _allowed(fleet.declaration, record))
+        return []
+
+
+def _fitted(fleet: Fleet, record: QuestionRecord) -> Declaration:
+    """Return the declaration with a quota that can be met."""
+    name = record.subject.removeprefix(detectors.QUOTA)
+    declared = fleet.declaration
+    total = sum((vm.capacity for vm in fleet.vms.values()), Resources(0.0, 0))
+    teams = tuple(
+        detectors.fitted_team(team, declared.jobs, total) if team.id == name else team
+        for team in declared.teams
+    )
+    return replace(declared, teams=teams)
+
+
+def _allowed(declared: Declaration, record: QuestionRecord) -> Declaration:
+    """Return the declaration with the budget that the answer names."""
+    name = record.subject.partition(":")[2]
+    vms = int((record.answer or "").removeprefix(detectors.ALLOW))
+    pools = tuple(
+        replace(pool, max_unavailable=max(pool.max_unavailable, vms)) if pool.id == name else pool
+        for pool in declared.pools
+    )
+    return replace(declared, pools=pools)
+
+
+def _revise(fleet: Fleet, record: QuestionRecord, revised: Declaration) -> list[Action]:
+    """Propose a revision. The request id names the base, so that a conflict is tried again."""
+    if revised == fleet.declaration or record.author is None:
+        return []
+    request = RequestId(f"answer:{record.question}:{fleet.revision}")
+    command = ApplyDeclaration(fleet.revision, request, record.author, revised, fleet.now_s)
+    return [ProposeCommand(command)]
--- a/standins/src/marigolddoor_standins/virtual/state.py
+++ b/standins/src/marigolddoor_standins/virtual/state.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from marigolddoor_core.declaration import Declaration
-from marigolddoor_core.ids import Epoch, FencingToken, QuestionId, Revision, TaskId, VmId
+from marigolddoor_core.ids import Epoch, FencingToken, QuestionId, RequestId, Revision, TaskId, VmId
 from marigolddoor_core.state.commands import (
     AnswerQuestion,
     ApplyDeclaration,
@@ -35,6 +35,7 @@
     def __init__(self, declaration: Declaration) -> None:
         self.declaration = declaration
         self.revision = Revision(1)
+        self.requests: set[RequestId] = set()
         self.vms: dict[VmId, VmRecord] = {}
         self.tasks: dict[TaskId, TaskRecord] = {}
         self.questions: dict[QuestionId, QuestionRecord] = {}
@@ -48,7 +49,10 @@
                 return self._apply_vm(command, now_s)
             case OpenQuestion() | AnswerQuestion() | CloseQuestion():
                 return self._apply_question(command, now_s)
-            case ApplyDeclaration() if command.base_revision == self.revision:
+            case ApplyDeclaration() if (
+                command.base_revision == self.revision and command.request not in self.requests
+            ):
+                self.requests.add(command.request)
                 self.declaration = command.declaration
                 self.revision = Revision(self.revision + 1)
                 return True
--- /dev/null
+++ b/tests/core/questions/test_questions.py
@@ -0,0 +1,212 @@
+"""Guards questions: asked once, with facts and choices, closed in time, and carried out."""
+
+from dataclasses import replace
+
+import testtools
+from marigolddoor_core.declaration import Team
+from marigolddoor_core.ids import DataCentreId, OperatorId, RequestId, VmId
+from marigolddoor_core.maintenance import BudgetLedger, Maintenance
+from marigolddoor_core.questions.detection import Detection
+from marigolddoor_core.state.commands import AnswerQuestion, ApplyDeclaration, OpenQuestion
+from marigolddoor_standins.virtual import VirtualFleet, VirtualState
+from marigolddoor_standins.virtual.samples import TEAM, add_workers, job, organisation, pool
+
+HUGE_TEAM = (Team(TEAM, 10, 1_000.0),)
+SMALL_TEAM = (Team(TEAM, 10, 2.0),)
+GOOD_TEAM = (Team(TEAM, 10, 50.0),)
+
+
+def silence(*vms: str):
+    def act(fleet: VirtualFleet, on: bool) -> None:
+        for vm in vms:
+            fleet.workers[VmId(vm)].silent = on
+
+    return act
+
+
+def cut_off(fleet: VirtualFleet, on: bool) -> None:
+    data_centre = DataCentreId("dc-0")
+    if on:
+        fleet.cut_off.add(data_centre)
+    else:
+        fleet.cut_off.clear()
+
+
+def old_maintenance(fleet: VirtualFleet, on: bool) -> None:
+    for vm, record in fleet.state.vms.items():
+        maintained_s = fleet.now_s - (4e6 if on else 0.0)
+        fleet.state.vms[vm] = replace(record, maintained_s=maintained_s)
+
+
+def with_teams(teams: tuple[Team, ...]):
+    def act(fleet: VirtualFleet, on: bool) -> None:
+        declared = replace(fleet.state.declaration, teams=teams if on else GOOD_TEAM)
+        request = RequestId(f"r{fleet.state.revision}")
+        fleet.state.apply(
+            ApplyDeclaration(fleet.state.revision, request, OperatorId("ada"), declared),
+            fleet.now_s,
+        )
+
+    return act
+
+
+CASES = [
+    ("one target", {"act": silence("web-5"), "wait_s": 45, "subjects": ["target-silent:web-5"]}),
+    (
+        "a rack",
+        {
+            "act": silence("web-0", "web-1", "web-2", "web-3"),
+            "wait_s": 80,
+            "subjects": ["pool-budget:web", "rack-silent:dc-0/web-rack-0"],
+        },
+    ),
+    (
+        "a data centre",
+        {
+            "act": cut_off,
+            "wait_s": 80,
+            "subjects": ["data-centre-silent:dc-0", "pool-budget:web"],
+        },
+    ),
+    (
+        "a quota above the fleet",
+        {"act": with_teams(HUGE_TEAM), "wait_s": 3, "subjects": ["quota:kitchen"]},
+    ),
+    (
+        "a quota below a task",
+        {"act": with_teams(SMALL_TEAM), "wait_s": 3, "subjects": ["quota:kitchen"]},
+    ),
+    (
+        "an overdue wave",
+        {"act": old_maintenance, "wait_s": 3_610, "subjects": ["wave-overdue:web"]},
+    ),
+]
+
+
+def fleet_of(with_maintenance: bool = False) -> VirtualFleet:
+    declared = organisation([pool("web")], [job("j")], GOOD_TEAM)
+
+    def leader() -> list[Detection | Maintenance]:
+        ledger = BudgetLedger()
+        maintenance = [Maintenance(ledger)] if with_maintenance else []
+        return [*maintenance, Detection(ledger)]
+
+    fleet = VirtualFleet(VirtualState(declared), leader)
+    add_workers(fleet, "web", 6)
+    fleet.run(5)
+    return fleet
+
+
+def subjects(fleet: VirtualFleet, closed: bool = False) -> list[str]:
+    questions = fleet.state.questions.values()
+    return sorted(question.subject for question in questions if question.closed is closed)
+
+
+class TestDetection(testtools.TestCase):
+    """Guards against trouble that nobody is asked about, or is asked about twice."""
+
+    scenarios = CASES
+
+    def test_asked_once_and_closed(self) -> None:
+        fleet = fleet_of()
+        fleet.run(100)
+        self.assertEqual([], subjects(fleet))
+        self.act(fleet, True)
+        fleet.run(self.wait_s)
+        self.assertEqual(self.subjects, subjects(fleet))
+        fleet.run(200)
+        self.assertEqual(self.subjects, subjects(fleet))
+        fleet.change_leader()
+        fleet.run(200)
+        self.assertEqual(self.subjects, subjects(fleet))
+        for question in fleet.state.questions.values():
+            self.assertTrue(question.facts and question.sentence.endswith("?"))
+            self.assertIn(question.default, [choice.name for choice in question.choices])
+        self.act(fleet, False)
+        fleet.run(60)
+        self.assertEqual([], subjects(fleet))
+        self.assertEqual(self.subjects, subjects(fleet, closed=True))
+
+    def test_an_answered_question_is_not_asked_again(self) -> None:
+        fleet = fleet_of()
+        self.act(fleet, True)
+        fleet.run(self.wait_s)
+        for question in tuple(fleet.state.questions.values()):
+            choice = question.choices[0].name if question.default != "reboot" else "wait"
+            answer = AnswerQuestion(question.question, choice, OperatorId("ada"), RequestId("r"))
+            fleet.state.apply(answer, fleet.now_s)
+        fleet.run(100)
+        self.assertEqual(self.subjects, subjects(fleet))
+
+
+class TestAnswers(testtools.TestCase):
+    """Guards against answers that nobody carries out."""
+
+    scenarios = [
+        ("retire", {"case": 0, "choice": "retire", "check": lambda f: len(f.state.vms) == 5}),
+        ("reboot", {"case": 0, "choice": "reboot", "check": lambda f: len(f.reboots) == 1}),
+        ("lost", {"case": 2, "choice": "lost", "check": lambda f: len(f.state.vms) == 2}),
+        (
+            "budget",
+            {
+                "case": 1,
+                "choice": "allow-4",
+                "check": lambda f: f.state.declaration.pools[0].max_unavailable == 4,
+            },
+        ),
+        ("fit down", {"case": 3, "choice": "fit", "check": lambda f: _cores(f) == 96.0}),
+        ("fit up", {"case": 4, "choice": "fit", "check": lambda f: _cores(f) == 4.0}),
+        (
+            "one more",
+            {
+                "case": 5,
+                "choice": "allow-2",
+                "check": lambda f: f.state.declaration.pools[0].max_unavailable == 2,
+            },
+        ),
+    ]
+
+    def test_carried_out(self) -> None:
+        fleet = fleet_of(with_maintenance=self.choice == "reboot")
+        case = CASES[self.case][1]
+        case["act"](fleet, True)
+        fleet.run(case["wait_s"])
+        for question in tuple(fleet.state.questions.values()):
+            if self.choice in [choice.name for choice in question.choices]:
+                answer = AnswerQuestion(
+                    question.question, self.choice, OperatorId("ada"), RequestId("r")
+                )
+                fleet.state.apply(answer, fleet.now_s)
+        fleet.run(10)
+        fleet.change_leader()
+        fleet.run(50)
+        self.assertTrue(self.check(fleet))
+
+
+def _cores(fleet: VirtualFleet) -> float:
+    return fleet.state.declaration.teams[0].cores
+
+
+class TestDefault(testtools.TestCase):
+    """Guards against a default that is never applied, or applied over an answer."""
+
+    scenarios = [
+        ("no answer", {"answer": None, "reboots": 1}),
+        ("wait", {"answer": "wait", "reboots": 0}),
+    ]
+
+    def test_default(self) -> None:
+        fleet = fleet_of(with_maintenance=True)
+        fleet.workers[VmId("web-5")].silent = True
+        fleet.run(45)
+        (question,) = fleet.state.questions.values()
+        if self.answer is not None:
+            answer = AnswerQuestion(
+                question.question, self.answer, OperatorId("ada"), RequestId("r")
+            )
+            fleet.state.apply(answer, fleet.now_s)
+        fleet.run(580)
+        self.assertEqual(0, len(fleet.reboots))
+        fleet.run(60)
+        self.assertEqual(self.reboots, len(fleet.reboots))
+        self.assertEqual(1, fleet.applied[OpenQuestion])
