--- a/packages/control/src/marigolddoor_control/operators/service.py
+++ b/packages/control/src/marigolddoor_control/operators/service.py
@@ -37,7 +37,6 @@
     TimelinePosition,
     TimelineSource,
 )
-from marigolddoor_core.plain_values import to_plain
 from marigolddoor_core.ports import Proposer
 from marigolddoor_core.state.commands import AnswerQuestion, ApplyDeclaration, RequestDrain
 from marigolddoor_core.state.results import (
@@ -115,7 +114,7 @@
         """
         proposed = self._read(request.declaration)
         plan = self.rules.plan(self.view.declaration, proposed, self.view.vms)
-        return PlanReport(self.view.revision, to_plain(plan))
+        return PlanReport(self.view.revision, plan)
 
     async def apply(self, request: ApplyRequest, author: OperatorId) -> ApplyReport:
         """Make a declaration the next revision.
--- a/packages/core/src/marigolddoor_core/operations/reports.py
+++ b/packages/core/src/marigolddoor_core/operations/reports.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from marigolddoor_core.declaration.plan import Plan
 from marigolddoor_core.ids import (
     DataCentreId,
     Epoch,
@@ -174,10 +175,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PlanReport:
-    """What a declaration would change against `revision`. `plan` is the plan's plain form."""
+    """What a declaration would change against `revision`."""
 
     revision: Revision
-    plan: object
+    plan: Plan
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/operations/views.py
+++ b/packages/core/src/marigolddoor_core/operations/views.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from marigolddoor_core.declaration.organisation import Declaration, Job
+from marigolddoor_core.declaration.plan import Plan
 from marigolddoor_core.fleet import ObservedTarget
 from marigolddoor_core.ids import (
     DataCentreId,
@@ -134,8 +135,8 @@
 
     def plan(
         self, current: Declaration, proposed: Declaration, vms: Mapping[VmId, VmRecord]
-    ) -> object:
-        """Return the plan of a change, a dataclass."""
+    ) -> Plan:
+        """Return the plan of a change."""
         ...
 
 
--- a/packages/operator/src/marigolddoor_operator/commands.py
+++ b/packages/operator/src/marigolddoor_operator/commands.py
@@ -90,7 +90,7 @@
     except MarigolddoorError as error:
         command.show_error(error)
         return exit_code(error)
-    return ExitCode.DONE
+    return command.code
 
 
 class Command:
@@ -100,6 +100,7 @@
         self.options = options
         self.around = around
         self.shown_gaps = ""
+        self.code = ExitCode.DONE
 
     def show(self, report: Any, text: str) -> None:
         """Print a report as JSON or as text."""
@@ -163,6 +164,8 @@
         source = read_declaration_files(self.options.organisation, self.options.template)
         report = _report(PlanReport, await client.ask("/v1/plan", PlanRequest(source)))
         self.show(report, texts.plan_text(report))
+        if report.plan.blocked:
+            self.code = ExitCode.REFUSED
 
     async def apply(self, client: OperatorClient) -> None:
         """Make a declaration the next revision."""
--- a/packages/operator/src/marigolddoor_operator/main.py
+++ b/packages/operator/src/marigolddoor_operator/main.py
@@ -1,13 +1,11 @@
 """The command `marigolddoor`."""
 
-import importlib
 import os
 import sys
 from collections.abc import Sequence
-from typing import cast
 
 import anyio
-from marigolddoor_core.operations.views import DeclarationRules
+from marigolddoor_core.operations import CurrentRules
 
 from marigolddoor_operator.arguments import build_parser
 from marigolddoor_operator.commands import Surroundings, run_command
@@ -19,10 +17,8 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command and return its exit code."""
     options = build_parser().parse_args(arguments)
-    # The module has the functions `read_declaration` and `plan`.
-    rules = cast(DeclarationRules, importlib.import_module("marigolddoor_core.declaration"))
     try:
-        return anyio.run(run_command, options, Surroundings(rules, os.environ))
+        return anyio.run(run_command, options, Surroundings(CurrentRules(), os.environ))
     except KeyboardInterrupt:
         # The usual end of `timeline --follow`; a change that was interrupted has no known outcome.
         changes = ("apply", "drain", "answer")
--- a/packages/operator/src/marigolddoor_operator/texts.py
+++ b/packages/operator/src/marigolddoor_operator/texts.py
@@ -1,9 +1,9 @@
 """Reports as text for a terminal."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from datetime import UTC, datetime, timedelta
-from typing import Any
 
+from marigolddoor_core.declaration.plan import Effect
 from marigolddoor_core.operations.reports import (
     ApplyReport,
     ErrorReport,
@@ -138,32 +138,18 @@
 
 
 def plan_text(report: PlanReport) -> str:
-    """Return a plan as an indented list."""
-    lines = [f"against revision {report.revision}:", *_plain_lines(report.plan, "  ")]
+    """Return the effects of a change, one a line, those that block it last."""
+    items = report.plan.items
+    if not items:
+        return f"nothing changes against revision {report.revision}\n"
+    lines = [f"against revision {report.revision}:"]
+    lines += [f"  {item.sentence}" for item in items if item.effect is not Effect.BLOCKED]
+    if report.plan.blocked:
+        lines.append("the change would be refused:")
+        lines += [f"  {item.sentence}" for item in items if item.effect is Effect.BLOCKED]
     return _joined(lines)
 
 
-def _plain_lines(value: Any, indent: str) -> list[str]:
-    if isinstance(value, Mapping):
-        lines = []
-        for name, part in value.items():
-            label = str(name).replace("_", " ")
-            if isinstance(part, Mapping | list) and part:
-                lines += [f"{indent}{label}:", *_plain_lines(part, indent + "  ")]
-            elif isinstance(part, Mapping | list):
-                lines.append(f"{indent}{label}: none")
-            else:
-                lines.append(f"{indent}{label}: {part}")
-        return lines
-    if isinstance(value, list):
-        lines = []
-        for part in value:
-            nested = _plain_lines(part, indent + "  ")
-            lines += [f"{indent}- {nested[0].strip()}", *nested[1:]] if nested else []
-        return lines
-    return [f"{indent}{value}"]
-
-
 def apply_text(report: ApplyReport) -> str:
     """Return what was applied."""
     return _joined([f"revision {report.revision} by {report.author}"])
