Drop the second implementation of the declaration rules

Cause: the module marigolddoor_core.declaration satisfies the Protocol by itself. Change: CurrentRules removed. Conclusion: none needed.

--- a/packages/core/src/marigolddoor_core/operations/__init__.py
+++ b/packages/core/src/marigolddoor_core/operations/__init__.py
@@ -7,7 +7,6 @@
     RevisionConflictError,
     UnknownSubjectError,
 )
-from marigolddoor_core.operations.rules import CurrentRules
 from marigolddoor_core.operations.views import (
     DeclarationRules,
     InForce,
@@ -20,7 +19,6 @@
 __all__ = [
     "AlreadyAnsweredError",
     "BadRequestError",
-    "CurrentRules",
     "DeclarationRules",
     "InForce",
     "MetricsSource",
--- a/packages/core/src/marigolddoor_core/operations/reports.py
+++ b/packages/core/src/marigolddoor_core/operations/reports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from marigolddoor_core.declaration.plan import Plan
+from marigolddoor_core.declaration.plans import Plan
 from marigolddoor_core.ids import (
     DataCentreId,
     Epoch,
--- a/packages/core/src/marigolddoor_core/operations/views.py
+++ b/packages/core/src/marigolddoor_core/operations/views.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from marigolddoor_core.declaration.organisation import Declaration, Job
-from marigolddoor_core.declaration.plan import Plan
+from marigolddoor_core.declaration.plans import Plan
 from marigolddoor_core.fleet import ObservedTarget
 from marigolddoor_core.ids import (
     DataCentreId,
--- a/packages/operator/src/marigolddoor_operator/texts.py
+++ b/packages/operator/src/marigolddoor_operator/texts.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from datetime import UTC, datetime, timedelta
 
-from marigolddoor_core.declaration.plan import Effect
+from marigolddoor_core.declaration.plans import Effect
 from marigolddoor_core.operations.reports import (
     ApplyReport,
     ErrorReport,
--- a/tests/operator/sessions.py
+++ b/tests/operator/sessions.py
@@ -17,8 +17,8 @@
 
 import anyio
 from marigolddoor_control.operators import serve_operators
+from marigolddoor_core import declaration
 from marigolddoor_core.ids import OperatorId, RequestId, VmId
-from marigolddoor_core.operations import CurrentRules
 from marigolddoor_core.plain_values import to_plain
 from marigolddoor_core.state.commands import ApplyDeclaration
 from marigolddoor_core.timeline import EventKind, Subject
@@ -287,7 +287,7 @@
         command = command.replace(word, value)
     out, problems = io.StringIO(), io.StringIO()
     around = Surroundings(
-        CurrentRules(), {"HOME": names["FOLDER"]}, out, problems, stage.new_request_id, stage.pause
+        declaration, {"HOME": names["FOLDER"]}, out, problems, stage.new_request_id, stage.pause
     )
     os.environ["COLUMNS"] = COLUMNS
     with contextlib.redirect_stdout(out), contextlib.redirect_stderr(problems):
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 from marigolddoor_control.operators import OperatorsApplication, OperatorService, parse_tokens
+from marigolddoor_core import declaration
 from marigolddoor_core.declaration import read_declaration
 from marigolddoor_core.fleet import ObservedTarget
 from marigolddoor_core.ids import (
@@ -28,7 +29,7 @@
     TaskId,
     VmId,
 )
-from marigolddoor_core.operations import CurrentRules, InForce, TimelinePosition
+from marigolddoor_core.operations import InForce, TimelinePosition
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 from marigolddoor_core.state.commands import (
     ApplyDeclaration,
@@ -292,5 +293,5 @@
         f"{name} {hashlib.sha256(token.encode()).hexdigest()}\n"
         for name, token in (("ann", ANN_TOKEN), ("ben", BEN_TOKEN))
     )
-    service = OperatorService(system, system, CurrentRules(), timeline or FakeTimeline())
+    service = OperatorService(system, system, declaration, timeline or FakeTimeline())
     return OperatorsApplication(service, parse_tokens("".join(lines)), FakeMetrics())
