--- a/packages/daemon/src/marigolddoor_daemon/roles.py
+++ b/packages/daemon/src/marigolddoor_daemon/roles.py
@@ -1,31 +1,94 @@
 """Starts the roles of a process."""
 
+import ssl
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import anyio
+from marigolddoor_control.operators import ListenerTls
+from marigolddoor_control.process import ControlProcess, ControlProcessSettings
+from marigolddoor_entry.runtime import EntryRuntime, EntryRuntimeSettings
+from marigolddoor_entry.settings import EntrySettings
 
-from marigolddoor_daemon.errors import RoleMissingError
-from marigolddoor_daemon.settings import Role, Settings
+from marigolddoor_daemon.settings import Role, Settings, TlsSettings
 
 __all__ = ["RUNNERS", "RoleRunner", "run_roles"]
 
 # Runs a role until the event is set, then shuts it down gracefully and returns.
 RoleRunner = Callable[[Settings, anyio.Event], Coroutine[Any, Any, None]]
 
-# The entry and control packages are connected here.
-RUNNERS: Mapping[Role, RoleRunner] = {}
-
 
 async def run_roles(settings: Settings, stopping: anyio.Event) -> None:
-    """Run every role of `settings` on this loop until `stopping` is set.
-
-    Raises:
-      RoleMissingError: this build doesn't contain one of the roles; none was started.
-    """
-    missing = [role.value for role in settings.roles if role not in RUNNERS]
-    if missing:
-        raise RoleMissingError(f"this build has no role {', '.join(missing)}")
+    """Run every role of `settings` on this loop until `stopping` is set."""
     async with anyio.create_task_group() as group:
         for role in settings.roles:
             group.start_soon(RUNNERS[role], settings, stopping)
+
+
+async def run_entry(settings: Settings, stopping: anyio.Event) -> None:
+    """Run the role `entry`."""
+    entry = settings.entry
+    assert entry is not None
+    runtime = EntryRuntime(
+        EntryRuntimeSettings(
+            EntrySettings(settings.name, settings.data_centre, entry.callers, entry.targets),
+            entry.peer,
+            entry.peers,
+            entry.control,
+            settings.timeline.capacity,
+        ),
+        settings.key,
+        _server_tls(settings.tls),
+        _client_tls(settings.tls),
+    )
+    await runtime.run(stopping)
+
+
+async def run_control(settings: Settings, stopping: anyio.Event) -> None:
+    """Run the role `control`."""
+    control = settings.control
+    assert control is not None
+    tls = settings.tls
+    process = ControlProcess(
+        ControlProcessSettings(
+            settings.name,
+            control.replica,
+            control.peer,
+            tuple(
+                member.address for member in control.members if member.address != control.peer
+            ),
+            control.data_folder,
+            control.operators,
+            control.tokens,
+            control.platform,
+            None if tls is None else ListenerTls(tls.certificate, tls.key),
+            settings.timeline.capacity,
+        ),
+        settings.key,
+        _server_tls(tls),
+        _client_tls(tls),
+    )
+    await process.run(stopping)
+
+
+RUNNERS: Mapping[Role, RoleRunner] = {Role.ENTRY: run_entry, Role.CONTROL: run_control}
+
+
+def _server_tls(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.authority is not None:
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _client_tls(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    # Addresses are IP numbers from the settings; the shared key proves who is there.
+    context.check_hostname = False
+    return context
--- /dev/null
+++ b/packages/entry/src/marigolddoor_entry/runtime.py
@@ -0,0 +1,225 @@
+"""Connects an entry process with its peers and the control processes."""
+
+import random
+import ssl
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from loguru import logger
+from marigolddoor_core.errors import MarigolddoorError
+from marigolddoor_core.ids import IdempotencyKey, ServiceId
+from marigolddoor_core.ports import NoQuorumError
+from marigolddoor_core.state.results import ClaimFinished, ClaimPending
+from marigolddoor_core.timeline import EventKind, Recorder, Subject
+from marigolddoor_wire.errors import RemoteError
+from marigolddoor_wire.handshake import SharedKey
+from marigolddoor_wire.messages import (
+    Acknowledgement,
+    ErrorKind,
+    FetchTimeline,
+    FetchTimelineReply,
+    ReadClaim,
+    ReadClaimReply,
+    ReportDemand,
+    ReportDemandReply,
+    ShareReport,
+    WatchReply,
+)
+from marigolddoor_wire.peers import Address, PeerPool, PeerServer
+
+from marigolddoor_entry.control_link import ControlLink
+from marigolddoor_entry.data_centre import DataCentre
+from marigolddoor_entry.ports import EntryPorts
+from marigolddoor_entry.process import BoundAddresses, EntryProcess
+from marigolddoor_entry.settings import EntrySettings
+
+__all__ = ["EntryAddresses", "EntryRuntime", "EntryRuntimeSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRuntimeSettings:
+    """What the role `entry` reads once, at its start.
+
+    `peers` are the other entry processes of the data centre; `control` are the control processes,
+    the one of the data centre first.
+    """
+
+    entry: EntrySettings
+    peer: Address
+    peers: tuple[Address, ...]
+    control: tuple[Address, ...]
+    timeline_capacity: int = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAddresses:
+    """The addresses on which an entry process listens, with the ports in use."""
+
+    callers: Address
+    targets: Address
+    peer: Address
+
+
+class AgreedTimeEstimate:
+    """An estimate of the agreed time, from the leader's last reply and the monotonic clock."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.offset_s: float | None = None
+
+    def learn(self, time_s: float) -> None:
+        """Take the agreed time that the leader just said."""
+        self.offset_s = time_s - self.clock()
+
+    def read(self) -> float:
+        """Return the estimate; 0 before the first reply, and the state machine then uses its own."""
+        return 0.0 if self.offset_s is None else self.clock() + self.offset_s
+
+
+class EntryRuntime:
+    """Runs an entry process with everything that it needs from outside."""
+
+    def __init__(
+        self,
+        settings: EntryRuntimeSettings,
+        key: SharedKey,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.key = key
+        self.server_tls = server_tls
+        self.client_tls = client_tls
+        self.rng = rng
+        self.clock = time.monotonic
+        self.time = AgreedTimeEstimate(self.clock)
+        self.recorder = Recorder(settings.entry.process, settings.timeline_capacity)
+        self.process: EntryProcess | None = None
+        self.data_centre: DataCentre | None = None
+        self.link: ControlLink | None = None
+        self.address = Address("")
+
+    async def run(
+        self,
+        stopping: anyio.Event,
+        *,
+        task_status: TaskStatus[EntryAddresses] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until `stopping` is set and every request in flight has its answer.
+
+        Raises:
+          OSError: an address can't be used.
+        """
+        settings = self.settings
+        async with PeerPool(self.key, self.client_tls) as pool, anyio.create_task_group() as group:
+            link = ControlLink(
+                pool, settings.control, settings.entry.process, settings.entry.data_centre
+            )
+            data_centre = DataCentre(link, pool, settings.peers, self._targets_changed, self.clock)
+            self.link = link
+            self.data_centre = data_centre
+            process = EntryProcess(
+                settings.entry,
+                EntryPorts(
+                    link,
+                    data_centre,
+                    data_centre,
+                    self,
+                    self.time.read,
+                    self._report_demand,
+                    data_centre.exchange_demand,
+                ),
+                self.rng,
+            )
+            self.process = process
+            server = PeerServer(self.key, self._handle, self.server_tls)
+            self.address = await group.start(server.run, settings.peer)
+            data_centre.address = self.address
+            group.start_soon(data_centre.run)
+            group.start_soon(link.watch, lambda: process.revision, self._apply)
+            self._record(EventKind.PROCESS_STARTED, Subject())
+            await self._serve(process, stopping, task_status)
+            group.cancel_scope.cancel()
+
+    async def _serve(
+        self,
+        process: EntryProcess,
+        stopping: anyio.Event,
+        task_status: TaskStatus[EntryAddresses],
+    ) -> None:
+        async with anyio.create_task_group() as serving:
+
+            async def run_process(*, task_status: TaskStatus[BoundAddresses]) -> None:
+                await process.run(task_status=task_status)
+                serving.cancel_scope.cancel()
+
+            bound = await serving.start(run_process)
+            task_status.started(EntryAddresses(bound.callers, bound.targets, self.address))
+            await stopping.wait()
+            self._record(EventKind.PROCESS_STOPPING, Subject())
+            process.request_stop()
+            await anyio.sleep_forever()
+
+    async def read_claim(
+        self, service: ServiceId, key: IdempotencyKey
+    ) -> ClaimPending | ClaimFinished | None:
+        """Return the claim, or None if none is kept.
+
+        Raises:
+          NoQuorumError: the group can't be read now.
+        """
+        assert self.link is not None
+        try:
+            reply = await self.link.call(ReadClaim(service, key))
+        except MarigolddoorError as error:
+            raise NoQuorumError(str(error)) from error
+        assert isinstance(reply, ReadClaimReply)
+        return reply.claim
+
+    def _apply(self, reply: WatchReply) -> None:
+        assert self.process is not None and self.data_centre is not None
+        before = self.process.revision
+        self.process.apply_changes(reply.index, reply.changes, reply.snapshot)
+        self.data_centre.assignments.services = {
+            service.pool: service.id for service in self.process.catalogue.services.values()
+        }
+        revision = self.process.revision
+        if revision > before:
+            logger.info("entry: revision {} is in force.", revision)
+            self._record(EventKind.REVISION_IN_FORCE, Subject(revision=revision))
+
+    def _targets_changed(self) -> None:
+        if self.process is not None:
+            self.process.targets_changed()
+
+    async def _handle(self, message: Any) -> Any:
+        assert self.data_centre is not None and self.process is not None
+        reply = await self.data_centre.handle(message)
+        if reply is not None:
+            return reply
+        if isinstance(message, ShareReport):
+            self.process.receive_share(message)
+            return Acknowledgement()
+        if isinstance(message, FetchTimeline):
+            part = self.recorder.fetch(message.wanted, message.after_sequence, message.limit)
+            return FetchTimelineReply(part, self.recorder.last)
+        raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
+
+    async def _report_demand(self, report: ReportDemand) -> None:
+        assert self.link is not None and self.process is not None
+        message = replace(report, in_force=self.process.revision, address=self.address)
+        try:
+            reply = await self.link.call(message)
+        except MarigolddoorError as error:
+            logger.debug("entry: the demand report failed. {}", error)
+            return
+        assert isinstance(reply, ReportDemandReply)
+        self.time.learn(reply.time_s)
+
+    def _record(self, kind: EventKind, subject: Subject) -> None:
+        self.recorder.record(kind, time.time_ns() // 1_000_000, subject)
--- a/packages/wire/idl/messages.thrift
+++ b/packages/wire/idl/messages.thrift
@@ -26,6 +26,9 @@
 struct ReadClaim { 1: string service_id, 2: string key }
 struct ReadClaimReply { 1: optional state.Tagged claim }
 struct TargetDelta { 1: string process, 2: i64 sequence, 3: bool full, 4: list<TargetReport> targets, 5: list<string> gone }
+struct TargetDigest { 1: string process, 2: string address, 3: i64 sequence, 4: i64 targets, 5: i64 checksum }
+struct AskTargets {}
+struct TargetObservation { 1: string process, 2: string vm, 3: bool reached }
 struct ShareReport { 1: string process, 2: list<ServiceDemand> demand }
 struct FetchTimeline { 1: timeline.TimelineFilter wanted, 2: i64 after_sequence, 3: i64 limit, 4: optional timeline.HybridTime time }
 struct FetchTimelineReply { 1: timeline.ProcessTimeline timeline, 2: optional timeline.HybridTime time }
--- a/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
@@ -2042,6 +2042,264 @@
         return not (self == other)
 
 
+class TargetDigest(object):
+    """
+    Attributes:
+     - process
+     - address
+     - sequence
+     - targets
+     - checksum
+
+    """
+
+    __slots__ = (
+        'process',
+        'address',
+        'sequence',
+        'targets',
+        'checksum',
+    )
+
+
+    def __init__(self, process=None, address=None, sequence=None, targets=None, checksum=None,):
+        self.process = process
+        self.address = address
+        self.sequence = sequence
+        self.targets = targets
+        self.checksum = checksum
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.targets = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.checksum = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetDigest')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.I64, 4)
+            oprot.writeI64(self.targets)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.I64, 5)
+            oprot.writeI64(self.checksum)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AskTargets(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskTargets')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetObservation(object):
+    """
+    Attributes:
+     - process
+     - vm
+     - reached
+
+    """
+
+    __slots__ = (
+        'process',
+        'vm',
+        'reached',
+    )
+
+
+    def __init__(self, process=None, vm=None, reached=None,):
+        self.process = process
+        self.vm = vm
+        self.reached = reached
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetObservation')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 2)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.reached is not None:
+            oprot.writeFieldBegin('reached', TType.BOOL, 3)
+            oprot.writeBool(self.reached)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareReport(object):
     """
     Attributes:
@@ -2466,6 +2724,25 @@
     (4, TType.LIST, 'targets', (TType.STRUCT, [TargetReport, None], False), None, ),  # 4
     (5, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(TargetDigest)
+TargetDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'targets', None, None, ),  # 4
+    (5, TType.I64, 'checksum', None, None, ),  # 5
+)
+all_structs.append(AskTargets)
+AskTargets.thrift_spec = (
+)
+all_structs.append(TargetObservation)
+TargetObservation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'vm', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'reached', None, None, ),  # 3
+)
 all_structs.append(ShareReport)
 ShareReport.thrift_spec = (
     None,  # 0
--- a/packages/wire/src/marigolddoor_wire/messages.py
+++ b/packages/wire/src/marigolddoor_wire/messages.py
@@ -24,6 +24,7 @@
 
 __all__ = [
     "Acknowledgement",
+    "AskTargets",
     "ErrorKind",
     "ErrorReply",
     "FetchTimeline",
@@ -40,6 +41,8 @@
     "ServiceDemand",
     "ShareReport",
     "TargetDelta",
+    "TargetDigest",
+    "TargetObservation",
     "TargetReport",
     "Watch",
     "WatchReply",
@@ -216,6 +219,31 @@
     gone: tuple[VmId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TargetDigest:
+    """Number and checksum of a holder's targets as of `sequence`, to find lost deltas."""
+
+    process: ProcessId
+    address: str
+    sequence: int
+    targets: int
+    checksum: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskTargets:
+    """Ask a holder for a full `TargetDelta`."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetObservation:
+    """Whether `process` reached a target that its holder suspects."""
+
+    process: ProcessId
+    vm: VmId
+    reached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ShareReport:
     """The recent demand of an entry process, from which its peers compute their shares."""
