Add the membership of targets: holder, directory, observers

Cause: entry processes have to know the targets of their data centre without a list of all workers and within the control limits of a node. Change: TargetHolder answers announcements, places at most 16 of them in a second, suspects silent targets and sends deltas and digests; TargetDirectory follows the deltas of all holders; Observers confirm deaths and hold them back while a data centre is cut off; Members joins the three behind the interfaces of the entry process. Conclusion: peers still need messages for digests, requests for a full delta and failed probes.

--- a/packages/core/src/marigolddoor_core/membership/__init__.py
+++ b/packages/core/src/marigolddoor_core/membership/__init__.py
@@ -1,1 +1,20 @@
 """Which targets exist, which are suspected and which have gone."""
+
+from marigolddoor_core.membership.assignments import Assignments
+from marigolddoor_core.membership.deltas import HolderDelta, HolderDigest
+from marigolddoor_core.membership.directory import DeltaOutcome, TargetDirectory
+from marigolddoor_core.membership.holder import DIGEST_INTERVAL_S, TargetHolder
+from marigolddoor_core.membership.members import Members
+from marigolddoor_core.membership.observers import Observers
+
+__all__ = [
+    "DIGEST_INTERVAL_S",
+    "Assignments",
+    "DeltaOutcome",
+    "HolderDelta",
+    "HolderDigest",
+    "Members",
+    "Observers",
+    "TargetDirectory",
+    "TargetHolder",
+]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/membership/directory.py
@@ -0,0 +1,278 @@
+"""All targets of a data centre, as one entry process knows them."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from marigolddoor_core.fleet import ObservedTarget
+from marigolddoor_core.ids import Epoch, PoolId, ProcessId, VmId
+from marigolddoor_core.instants import Instant, after
+from marigolddoor_core.membership.assignments import Assignments
+from marigolddoor_core.membership.deltas import HolderDelta, HolderDigest, fingerprint
+from marigolddoor_core.routing.policies import TargetView
+from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.state.pools import in_maintenance
+from marigolddoor_core.targets import TargetState
+
+__all__ = ["DeltaOutcome", "TargetDirectory"]
+
+# A target of a lost holder announces itself elsewhere within its interval, at most 20 s; this is
+# three of them.
+LOST_HOLDER_GRACE_S = 60.0
+# Incarnations of a VM that are remembered as ended.
+ENDED_INCARNATIONS = 4
+# VMs for which incarnations are remembered; more than the target size of a data centre, 762.
+REMEMBERED_VMS = 4_096
+
+
+class DeltaOutcome(Enum):
+    """What became of a delta."""
+
+    APPLIED = "applied"
+    OLD = "old"
+    WANT_FULL = "want full"
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    """What a holder said of a target, and when the target had announced that."""
+
+    target: ObservedTarget
+    announced: Instant
+
+
+@dataclass(slots=True)
+class _Holder:
+    """What a holder said last. `complete` is False while a delta is missing."""
+
+    sequence: int = 0
+    complete: bool = False
+    reports: dict[VmId, _Report] = field(default_factory=dict)
+    checksum: int = 0
+    lost_at: Instant | None = None
+
+
+@dataclass(slots=True)
+class _History:
+    """What is remembered of a VM's incarnations, also after it has gone."""
+
+    current: str = ""
+    ended: deque[str] = field(default_factory=lambda: deque(maxlen=ENDED_INCARNATIONS))
+    left: deque[str] = field(default_factory=lambda: deque(maxlen=ENDED_INCARNATIONS))
+
+
+class TargetDirectory:
+    """Keeps the targets of the data centre from the deltas of all holders, its own included.
+
+    A delta that changes one target costs the same with any number of targets. `changed_pools`
+    collects the pools whose targets changed until the caller takes them.
+    """
+
+    def __init__(self, assignments: Assignments) -> None:
+        self.assignments = assignments
+        self.changed_pools: set[PoolId] = set()
+        self._holders: dict[ProcessId, _Holder] = {}
+        self._holders_of: dict[VmId, dict[ProcessId, None]] = {}
+        self._views: dict[VmId, TargetView] = {}
+        self._pools: dict[PoolId, dict[VmId, TargetView]] = {}
+        self._histories: OrderedDict[VmId, _History] = OrderedDict()
+
+    def apply(self, delta: HolderDelta, now: Instant) -> DeltaOutcome:
+        """Apply the delta of a holder.
+
+        A delta that is not newer than the last one of its holder changes nothing. After a gap the
+        delta is applied, because each report in it is newer than what is known, and the caller has
+        to ask the holder for a full one.
+        """
+        holder = self._holders.setdefault(delta.process, _Holder())
+        if delta.full:
+            # A full delta of the same sequence fills the gap that made the caller ask for it.
+            if delta.sequence < holder.sequence:
+                return DeltaOutcome.OLD
+            listed = {target.announcement.vm for target in delta.targets}
+            for vm in [vm for vm in holder.reports if vm not in listed]:
+                self._remove(delta.process, vm)
+            holder.complete = True
+        elif delta.sequence <= holder.sequence:
+            return DeltaOutcome.OLD
+        elif delta.sequence > holder.sequence + 1:
+            holder.complete = False
+        holder.sequence = delta.sequence
+        holder.lost_at = None
+        for target in delta.targets:
+            self._put(delta.process, target, now)
+        for vm in delta.gone:
+            self._remove(delta.process, vm)
+        # The first delta of a holder that has just started is complete.
+        if delta.sequence == 1:
+            holder.complete = True
+        return DeltaOutcome.APPLIED if holder.complete else DeltaOutcome.WANT_FULL
+
+    def check(self, digest: HolderDigest) -> bool:
+        """Return whether what is known of a holder agrees with its digest.
+
+        The caller asks the holder for a full delta if it does not. A digest that is older than the
+        last delta says nothing.
+        """
+        holder = self._holders.get(digest.process)
+        if holder is None:
+            return digest.targets == 0
+        if digest.sequence < holder.sequence:
+            return True
+        return (digest.sequence, digest.targets, digest.checksum) == (
+            holder.sequence,
+            len(holder.reports),
+            holder.checksum,
+        )
+
+    def lose_holder(self, process: ProcessId, now: Instant) -> None:
+        """Record that an entry process is gone. Its targets stay until they had time to move."""
+        holder = self._holders.get(process)
+        if holder is not None and holder.lost_at is None:
+            holder.lost_at = now
+
+    def expire(self, now: Instant) -> None:
+        """Remove the targets of lost holders that did not announce themselves elsewhere."""
+        for process, holder in list(self._holders.items()):
+            if holder.lost_at is not None and after(holder.lost_at, LOST_HOLDER_GRACE_S) <= now:
+                for vm in list(holder.reports):
+                    self._remove(process, vm)
+                del self._holders[process]
+
+    def assign(self, records: Iterable[VmRecord]) -> None:
+        """Replace the committed assignments."""
+        self.refresh(self.assignments.replace(records))
+
+    def refresh(self, vms: Iterable[VmId]) -> None:
+        """Rebuild the views of VMs whose assignments changed."""
+        for vm in vms:
+            self._refresh(vm)
+
+    def targets(self) -> Sequence[TargetView]:
+        """Return all targets that have a pool."""
+        return tuple(self._views.values())
+
+    def targets_of(self, pool: PoolId) -> Sequence[TargetView]:
+        """Return the targets of one pool."""
+        return tuple(self._pools.get(pool, {}).values())
+
+    def find(self, vm: VmId) -> TargetView | None:
+        """Return one target, or None if it has not announced itself or has no pool."""
+        return self._views.get(vm)
+
+    def is_held(self, vm: VmId) -> bool:
+        """Return whether some holder reports a VM, with a pool or without."""
+        return vm in self._holders_of
+
+    def __len__(self) -> int:
+        """Return the number of VMs that some holder reports, with a pool or without."""
+        return len(self._holders_of)
+
+    def _put(self, process: ProcessId, target: ObservedTarget, now: Instant) -> None:
+        vm = target.announcement.vm
+        holder = self._holders[process]
+        old = holder.reports.get(vm)
+        if old is not None:
+            holder.checksum ^= fingerprint(old.target)
+        holder.reports[vm] = _Report(target, after(now, -target.age_s))
+        holder.checksum ^= fingerprint(target)
+        self._holders_of.setdefault(vm, {})[process] = None
+        incarnation = target.announcement.incarnation
+        if target.state is TargetState.LEAVING and incarnation:
+            left = self._history(vm).left
+            if incarnation not in left:
+                left.append(incarnation)
+        self._refresh(vm)
+
+    def _remove(self, process: ProcessId, vm: VmId) -> None:
+        holder = self._holders[process]
+        old = holder.reports.pop(vm, None)
+        if old is None:
+            return
+        holder.checksum ^= fingerprint(old.target)
+        holders = self._holders_of[vm]
+        del holders[process]
+        if not holders:
+            del self._holders_of[vm]
+        elif self._latest(vm) is None:
+            # Only reports of incarnations that seemed ended remain. Unless the last one has left,
+            # the holder that gave the VM up was wrong about their order.
+            history = self._history(vm)
+            if history.current not in history.left:
+                history.ended.clear()
+        self._refresh(vm)
+
+    def _latest(self, vm: VmId) -> _Report | None:
+        """Return the latest report of a VM, leaving out incarnations that have ended."""
+        latest: _Report | None = None
+        ended = self._histories[vm].ended if vm in self._histories else ()
+        for process in self._holders_of.get(vm, ()):
+            report = self._holders[process].reports[vm]
+            if report.target.announcement.incarnation in ended:
+                continue
+            if latest is None or report.announced >= latest.announced:
+                latest = report
+        return latest
+
+    def _refresh(self, vm: VmId) -> None:
+        report = self._latest(vm)
+        record = self.assignments.records.get(vm)
+        if report is not None:
+            self._note_incarnation(vm, report.target.announcement.incarnation)
+        old = self._views.get(vm)
+        new = None
+        if report is not None and record is not None:
+            new = self._view(report.target, record)
+        if new == old:
+            return
+        if old is not None:
+            self._pools[old.pool].pop(vm)
+            self.changed_pools.add(old.pool)
+            del self._views[vm]
+        if new is not None:
+            self._pools.setdefault(new.pool, {})[vm] = new
+            self.changed_pools.add(new.pool)
+            self._views[vm] = new
+
+    def _view(self, target: ObservedTarget, record: VmRecord) -> TargetView:
+        facts = target.announcement
+        return TargetView(
+            record.vm,
+            record.pool,
+            facts.address,
+            facts.slots,
+            facts.busy_slots,
+            record.epoch,
+            self._state(target, record),
+            facts.incarnation,
+        )
+
+    def _state(self, target: ObservedTarget, record: VmRecord) -> TargetState:
+        facts = target.announcement
+        # A leave stands for its incarnation, whatever another holder reports later.
+        history = self._histories.get(record.vm)
+        if history is not None and facts.incarnation in history.left:
+            return TargetState.LEAVING
+        if target.state is not TargetState.READY:
+            return target.state
+        follows = facts.epoch in (Epoch(0), record.epoch)
+        if record.next_pool is not None or in_maintenance(record) or not follows:
+            return TargetState.DRAINING
+        return TargetState.READY
+
+    def _note_incarnation(self, vm: VmId, incarnation: str) -> None:
+        history = self._history(vm)
+        if history.current != incarnation:
+            if history.current:
+                history.ended.append(history.current)
+            history.current = incarnation
+
+    def _history(self, vm: VmId) -> _History:
+        history = self._histories.get(vm)
+        if history is None:
+            history = self._histories[vm] = _History()
+            while len(self._histories) > REMEMBERED_VMS:
+                self._histories.popitem(last=False)
+        self._histories.move_to_end(vm)
+        return history
