--- a/packages/operator/src/marigolddoor_operator/texts.py
+++ b/packages/operator/src/marigolddoor_operator/texts.py
@@ -1,9 +1,9 @@
 """Reports as text for a terminal."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from datetime import UTC, datetime, timedelta
-from typing import Any
 
+from marigolddoor_core.declaration.plans import Effect
 from marigolddoor_core.operations.reports import (
     ApplyReport,
     ErrorReport,
@@ -17,6 +17,7 @@
 from marigolddoor_core.timeline import Event, Subject, Timeline
 
 __all__ = [
+    "NOT_LEADER",
     "apply_text",
     "clean",
     "duration_text",
@@ -32,6 +33,8 @@
     "time_text",
 ]
 
+NOT_LEADER = "note: the leader did not answer; states of VMs and processes may be missing\n"
+
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -45,7 +48,7 @@
     leader = "unknown" if report.leader is None else report.leader
     lines = [
         f"organisation  {report.organisation or 'none declared'}",
-        f"revision      {report.revision}",
+        f"revision      {report.revision}" + (f" by {report.author}" if report.author else ""),
         f"leader        {leader} (answered by {report.replica} at log index {report.index})",
         f"VMs           {report.vms}, {report.ready} ready",
         f"tasks         {report.tasks_leased} running, {report.tasks_waiting} waiting, "
@@ -55,7 +58,12 @@
     if report.in_force:
         lines += ["", "revision in force on each entry process:"]
         rows = [
-            [one.process, one.data_centre, f"revision {one.revision}", f"{one.age_s:.1f} s ago"]
+            [
+                one.process,
+                one.data_centre or "-",
+                f"revision {one.revision}",
+                "-" if one.age_s is None else f"{one.age_s:.1f} s ago",
+            ]
             for one in report.in_force
         ]
         lines += _table(rows)
@@ -130,32 +138,18 @@
 
 
 def plan_text(report: PlanReport) -> str:
-    """Return a plan as an indented list."""
-    lines = [f"against revision {report.revision}:", *_plain_lines(report.plan, "  ")]
+    """Return the effects of a change, one a line, those that block it last."""
+    items = report.plan.items
+    if not items:
+        return f"nothing changes against revision {report.revision}\n"
+    lines = [f"against revision {report.revision}:"]
+    lines += [f"  {item.sentence}" for item in items if item.effect is not Effect.BLOCKED]
+    if report.plan.blocked:
+        lines.append("the change would be refused:")
+        lines += [f"  {item.sentence}" for item in items if item.effect is Effect.BLOCKED]
     return _joined(lines)
 
 
-def _plain_lines(value: Any, indent: str) -> list[str]:
-    if isinstance(value, Mapping):
-        lines = []
-        for name, part in value.items():
-            label = str(name).replace("_", " ")
-            if isinstance(part, Mapping | list) and part:
-                lines += [f"{indent}{label}:", *_plain_lines(part, indent + "  ")]
-            elif isinstance(part, Mapping | list):
-                lines.append(f"{indent}{label}: none")
-            else:
-                lines.append(f"{indent}{label}: {part}")
-        return lines
-    if isinstance(value, list):
-        lines = []
-        for part in value:
-            nested = _plain_lines(part, indent + "  ")
-            lines += [f"{indent}- {nested[0].strip()}", *nested[1:]] if nested else []
-        return lines
-    return [f"{indent}{value}"]
-
-
 def apply_text(report: ApplyReport) -> str:
     """Return what was applied."""
     return _joined([f"revision {report.revision} by {report.author}"])
