Give interrupted requests an outcome, and record claims before a stop ends

Cause: new tests showed that a fault or a hard stop of the entry process made hypercorn answer 500 without an outcome; a stop could also end before the answer of a claim was committed, and a fault in a claimed run ended the whole process. Change: such requests get 504 unknown; a stop waits for the ends of claims; a fault in a claimed run finishes or releases its claim; routing is updated only for pools whose targets changed.

--- a/packages/entry/src/marigolddoor_entry/application.py
+++ b/packages/entry/src/marigolddoor_entry/application.py
@@ -1,19 +1,22 @@
 """The ASGI applications of the callers' and the targets' listeners."""
 
+import traceback
 from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import Any
 from urllib.parse import unquote
 
-from marigolddoor_core.ids import IdempotencyKey, ServiceId, VmId
+import anyio
+from loguru import logger
+from marigolddoor_core.ids import IdempotencyKey, RequestId, ServiceId, VmId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.requests.outcomes import OUTCOMES_PATH
-from marigolddoor_core.requests.refusals import RequestError
+from marigolddoor_core.requests.refusals import OutcomeUnknownError, RequestError
 
 from marigolddoor_entry.callers import CallersService, read_body
 from marigolddoor_entry.json_forms import JsonFormError, announcement_from_json, to_json
 from marigolddoor_entry.ports import Holder
-from marigolddoor_entry.replies import Reply, json_reply
+from marigolddoor_entry.replies import Reply, error_reply, json_reply
 
 __all__ = ["Application", "ListenerKind"]
 
@@ -59,7 +62,23 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        reply = await self._reply(scope, receive)
+        try:
+            reply = await self._reply(scope, receive)
+        except BaseException as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            logger.error(
+                "entry: a request ended with {} in {}:{}.",
+                type(error).__name__,
+                place.filename,
+                place.lineno,
+            )
+            # hypercorn would answer 500, which is none of the four outcomes.
+            with anyio.CancelScope(shield=True):
+                await self._send(_interrupted(), send)
+            raise
+        await self._send(reply, send)
+
+    async def _send(self, reply: Reply, send: Send) -> None:
         headers = reply.headers
         if self.is_stopping():
             headers.append((b"connection", b"close"))
@@ -127,3 +146,8 @@
         known = self.holder.leave(VmId(announcement.vm), Instant(self.clock()))
         self.targets_changed()
         return json_reply(200 if known else 404, {"status": "leaving" if known else "unknown"})
+
+
+def _interrupted() -> Reply:
+    error = OutcomeUnknownError("the entry process was interrupted")
+    return error_reply(error, RequestId(""), None)
--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -15,7 +15,7 @@
 from marigolddoor_core.ports import NoQuorumError
 from marigolddoor_core.requests.answers import TargetAnswer
 from marigolddoor_core.requests.catalogue import Catalogue
-from marigolddoor_core.requests.claims import ClaimKey, ClaimNextStep
+from marigolddoor_core.requests.claims import ClaimKey, ClaimNextStep, ClaimPhase
 from marigolddoor_core.requests.contract import MAX_BODY_BYTES, CallerRequest, parse_request
 from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.requests.refusals import (
@@ -285,10 +285,14 @@
             self.claimant.finish(
                 key, exchange.digest, None, ran=not isinstance(error, RunFailedError)
             )
-        except BaseException:
-            phase = book.phase(key)
-            logger.error("entry: a claimed run ended while its claim was {}", phase)
-            raise
+        except Exception as error:
+            # A fault here must not end the process, nor leave the claim pending.
+            logger.error("entry: a claimed run failed with {}.", type(error).__name__)
+            run.error = OutcomeUnknownError("the entry process was interrupted")
+            if book.phase(key) is ClaimPhase.DISPATCHED:
+                self.claimant.finish(key, exchange.digest, None, ran=True)
+            elif book.phase(key) is ClaimPhase.GRANTED:
+                self.claimant.release(key)
         finally:
             self._free(exchange)
             run.done.set()
--- a/packages/entry/src/marigolddoor_entry/claimant.py
+++ b/packages/entry/src/marigolddoor_entry/claimant.py
@@ -33,6 +33,9 @@
         self.proposer = proposer
         self.group = group
         self.book = ClaimBook(process)
+        # Ends of claims that the group has not committed yet.
+        self.unrecorded = 0
+        self.recorded = anyio.Event()
 
     async def claim(
         self,
@@ -87,6 +90,16 @@
 
     async def _propose_until_done(self, command: ReleaseClaim | FinishClaim, key: ClaimKey) -> None:
         """Propose a command again until it is committed; proposing it twice changes nothing."""
+        self.unrecorded += 1
+        try:
+            await self._propose_with_backoff(command, key)
+        finally:
+            self.unrecorded -= 1
+            self.recorded.set()
+
+    async def _propose_with_backoff(
+        self, command: ReleaseClaim | FinishClaim, key: ClaimKey
+    ) -> None:
         backoff_s = FIRST_BACKOFF_S
         with anyio.move_on_after(MAX_RECORDING_S):
             while True:
@@ -99,6 +112,14 @@
                     backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
         logger.warning("entry: the end of a claimed request could not be recorded")
 
+    async def wait_recorded(self) -> None:
+        """Wait until the end of every claim is committed."""
+        # The tasks that were started just now have not counted themselves yet.
+        await anyio.sleep(0)
+        while self.unrecorded:
+            self.recorded = anyio.Event()
+            await self.recorded.wait()
+
     async def _abandon(self, key: ClaimKey, command: Claim, forget_at: Instant) -> None:
         """Release a claim that may have been committed, unless another request has taken it up."""
         await anyio.sleep(FIRST_BACKOFF_S)
--- a/packages/entry/src/marigolddoor_entry/process.py
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -66,6 +66,8 @@
         self.stop_requested = anyio.Event()
         self.close_listeners = anyio.Event()
         self.slots: dict[PoolId, int] = {}
+        # What routing knows of each pool: its budget and its targets.
+        self.routed: dict[PoolId, tuple[int, list[TargetView]]] = {}
 
     @property
     def revision(self) -> Revision:
@@ -99,7 +101,11 @@
             by_pool.setdefault(view.pool, []).append(view)
         for pool_id, views in by_pool.items():
             pool = self.catalogue.pools.get(pool_id)
-            self.routing.update(pool_id, views, pool.max_unavailable if pool else 0)
+            max_unavailable = pool.max_unavailable if pool else 0
+            # Most announcements change nothing, and the others one pool.
+            if self.routed.get(pool_id) != (max_unavailable, views):
+                self.routed[pool_id] = (max_unavailable, views)
+                self.routing.update(pool_id, views, max_unavailable)
         slots = {
             pool_id: sum(view.slots for view in views if view.state is TargetState.READY)
             for pool_id, views in by_pool.items()
@@ -150,6 +156,8 @@
                 self.close_listeners.set()
             with anyio.move_on_after(settings.stop_timeout_s):
                 await callers.wait_idle()
+                # Without its answer, a claim would leave resends with an unknown outcome.
+                await callers.claimant.wait_recorded()
             await self.dispatcher.close()
             group.cancel_scope.cancel()
         logger.info("entry: stopped")
