Bound the bodies in memory; report attempts and latencies through ports

Cause: up to 32 requests a slot wait with bodies of up to 1 MiB each, which a flood can turn into hundreds of MB. The holder and the metrics learned nothing of attempts and requests. Change: bodies of requests in progress take 64 MiB at most, then queue-full before the body is read; EntryPorts has report_dispatch and observe, which do nothing unless they are connected.

--- a/packages/core/src/marigolddoor_core/requests/contract.py
+++ b/packages/core/src/marigolddoor_core/requests/contract.py
@@ -14,6 +14,7 @@
     PRIORITY_HEADER,
     SERVICE_HEADER,
     TEAM_HEADER,
+    TRANSFER_ENCODING_HEADER,
 )
 from marigolddoor_core.requests.refusals import (
     BadHeaderError,
@@ -39,6 +40,7 @@
         DEADLINE_MS_HEADER,
         IDEMPOTENCY_KEY_HEADER,
         CONTENT_LENGTH_HEADER,
+        TRANSFER_ENCODING_HEADER,
     )
 )
 
@@ -56,7 +58,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A request that keeps the contract. `deadline` is on the clock of the entry process."""
+    """A request that keeps the contract. `deadline` is on the clock of the entry process.
+
+    `body_bytes` is the announced length of the body, the largest allowed one if none is announced.
+    """
 
     service: Service
     team: TeamId
@@ -64,6 +69,7 @@
     received: Instant
     deadline: Instant
     key: IdempotencyKey | None
+    body_bytes: int = 0
 
 
 def parse_request(
@@ -96,7 +102,7 @@
     priority = _PRIORITIES.get(values.get(b"marigolddoor-priority", "normal"))
     if priority is None:
         raise BadHeaderError("Marigolddoor-Priority must be batch, normal or urgent")
-    _check_length(values.get(b"content-length"))
+    body_bytes = _body_bytes(values)
     remaining_s = _remaining_s(values.get(b"marigolddoor-deadline-ms"), service)
     key = values.get(b"idempotency-key")
     if key is None and not service.idempotent:
@@ -111,6 +117,7 @@
         deadline=Instant(now + remaining_s),
         # An idempotent request needs no claim, so its key has no effect.
         key=None if key is None or service.idempotent else IdempotencyKey(key),
+        body_bytes=body_bytes,
     )
 
 
@@ -142,9 +149,13 @@
     return milliseconds / 1000
 
 
-def _check_length(text: str | None) -> None:
-    if text is not None and text.isdecimal() and int(text) > MAX_BODY_BYTES:
+def _body_bytes(values: dict[bytes, str]) -> int:
+    text = values.get(b"content-length")
+    if text is None or not text.isdecimal():
+        return MAX_BODY_BYTES if b"transfer-encoding" in values else 0
+    if int(text) > MAX_BODY_BYTES:
         raise BodyTooLargeError(f"the body must be at most {MAX_BODY_BYTES} bytes")
+    return int(text)
 
 
 def _check_key(key: str) -> None:
--- a/packages/core/src/marigolddoor_core/requests/outcomes.py
+++ b/packages/core/src/marigolddoor_core/requests/outcomes.py
@@ -20,6 +20,7 @@
 DEADLINE_MS_HEADER = "marigolddoor-deadline-ms"
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 CONTENT_LENGTH_HEADER = "content-length"
+TRANSFER_ENCODING_HEADER = "transfer-encoding"
 
 OUTCOME_HEADER = "marigolddoor-outcome"
 ERROR_HEADER = "marigolddoor-error"
--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -27,6 +27,7 @@
     NoQuorumForClaimError,
     NoTargetError,
     OutcomeUnknownError,
+    QueueFullError,
     RequestError,
     RequestRefusedError,
     RunFailedError,
@@ -39,7 +40,7 @@
 from marigolddoor_entry.claimant import FAILED_CONTENT_TYPE, Claimant
 from marigolddoor_entry.demand import DemandMeter
 from marigolddoor_entry.dispatcher import Dispatcher, Forwarded
-from marigolddoor_entry.ports import ClaimReader
+from marigolddoor_entry.ports import EntryPorts
 from marigolddoor_entry.replies import Reply, answer_reply, claim_outcome_reply, error_reply
 
 __all__ = ["CallersService"]
@@ -49,6 +50,8 @@
 # A body that is too large is read and dropped up to this size, so that the caller, who sends before
 # it reads, gets the refusal instead of a broken connection.
 MAX_DROPPED_BYTES = 16 * MAX_BODY_BYTES
+# The bodies of all requests in progress, so that a flood of large ones can't take all memory.
+MAX_BODIES_BYTES = 64 * MAX_BODY_BYTES
 # A claimed request may go on this long after its caller's deadline; its answer is kept.
 CLAIMED_GRACE_S = 30.0
 # A resend asks for the claim of another process again after these waits.
@@ -95,9 +98,8 @@
         routing: RoutingPolicy,
         dispatcher: Dispatcher,
         claimant: Claimant,
-        reader: ClaimReader,
+        ports: EntryPorts,
         group: TaskGroup,
-        agreed_time: Callable[[], float],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -106,15 +108,15 @@
         self.routing = routing
         self.dispatcher = dispatcher
         self.claimant = claimant
-        self.reader = reader
+        self.ports = ports
         self.group = group
-        self.agreed_time = agreed_time
         self.clock = clock
         self.rng = rng
         self.budget = RetryBudget()
         self.meters: dict[ServiceId, DemandMeter] = {}
         self.waiters: dict[Ticket, anyio.Event] = {}
         self.active = 0
+        self.body_bytes = 0
         self.idle = anyio.Event()
         self.sequence = 0
 
@@ -126,15 +128,20 @@
         request_id = RequestId(f"{self.claimant.process}-{self.sequence}")
         key: ClaimKey | None = None
         meter: DemandMeter | None = None
+        received = self._now()
+        outcome = Outcome.UNKNOWN
+        held_bytes = 0
         self.active += 1
         try:
-            request = parse_request(
-                headers, self.catalogue.services.get, self._is_team, self._now()
-            )
+            request = parse_request(headers, self.catalogue.services.get, self._is_team, received)
             meter = self.meter(request.service.id)
             meter.arrived += 1
             if request.key is not None:
                 key = ClaimKey(request.service.id, request.key)
+            if self.body_bytes + request.body_bytes > MAX_BODIES_BYTES:
+                raise QueueFullError("too many bodies are held", NO_TARGET_RETRY_S)
+            held_bytes = request.body_bytes
+            self.body_bytes += held_bytes
             body = await read_body(receive, request.deadline - self._now())
             forwarded = Forwarded(
                 request_id, request.service.id, method, path, tuple(headers), body
@@ -148,15 +155,20 @@
             )
             exchange = _Exchange(request, forwarded, ticket)
             answer = await self._answer(exchange, receive)
+            outcome = Outcome.ANSWERED
             meter.answered += 1
             if self._now() > request.deadline:
                 meter.late += 1
             return answer_reply(answer, request_id, method)
         except RequestError as error:
+            outcome = error.outcome
             if meter is not None and isinstance(error, RequestRefusedError):
                 meter.refused += 1
             return error_reply(error, request_id, key)
         finally:
+            self.body_bytes -= held_bytes
+            if meter is not None:
+                self.ports.observe(request.service.id, outcome, self._now() - received)
             self.active -= 1
             if not self.active:
                 self.idle.set()
@@ -169,7 +181,7 @@
             if local is not None and local.answer is not None and local.claim is not None:
                 found = ClaimFinished(local.claim, local.answer)
             else:
-                found = await self.reader.read_claim(service, key)
+                found = await self.ports.claims.read_claim(service, key)
         except NoQuorumError:
             error = NoQuorumForClaimError("the claims can't be read", NO_TARGET_RETRY_S)
             return claim_outcome_reply(Outcome.UNKNOWN, 503, {"error": error.code})
@@ -254,7 +266,7 @@
         return await self.claimant.claim(
             key,
             exchange.digest,
-            self.agreed_time() + remaining_s,
+            self.ports.agreed_time() + remaining_s,
             remaining_s,
             Instant(request.deadline + request.service.retry_window_s),
         )
@@ -386,6 +398,8 @@
             finally:
                 after = self._now()
                 self.routing.finish(dispatch, end, failed, after - now, after)
+                reached = end is not AttemptEnd.NOT_STARTED or not failed
+                self.ports.report_dispatch(dispatch.vm, reached)
             exchange.is_timed = not failed or attempt.timed_out
             if attempt.refused:
                 self.routing.refused(dispatch)
--- a/packages/entry/src/marigolddoor_entry/ports.py
+++ b/packages/entry/src/marigolddoor_entry/ports.py
@@ -7,6 +7,7 @@
 from marigolddoor_core.ids import IdempotencyKey, ServiceId, VmId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.ports import NoQuorumError, Proposer
+from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.routing.policies import TargetView
 from marigolddoor_core.state.objects import VmRecord
 from marigolddoor_core.state.results import ClaimFinished, ClaimPending
@@ -76,13 +77,19 @@
     return 0.0
 
 
+def _ignore(*arguments: object) -> None:
+    """Ignore an observation that nobody wants."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryPorts:
     """What an entry process needs from outside.
 
     `agreed_time` returns an estimate of the agreed time of the group in seconds, for the deadlines
     of claims. `report_demand` takes the demand of each second for the leader, `exchange_demand`
-    that of each half second for the entry processes of the data centre.
+    that of each half second for the entry processes of the data centre. `report_dispatch` takes
+    the VM of each attempt and whether it was reached, `observe` the service, outcome and latency in
+    seconds of each request.
     """
 
     proposer: Proposer
@@ -92,3 +99,5 @@
     agreed_time: Callable[[], float] = _no_time
     report_demand: Callable[[ReportDemand], Awaitable[None]] = _drop
     exchange_demand: Callable[[ShareReport], Awaitable[None]] = _drop
+    report_dispatch: Callable[[VmId, bool], None] = _ignore
+    observe: Callable[[ServiceId, Outcome, float], None] = _ignore
--- a/packages/entry/src/marigolddoor_entry/process.py
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -170,9 +170,8 @@
             routing=self.routing,
             dispatcher=self.dispatcher,
             claimant=Claimant(self.settings.process, ports.proposer, group),
-            reader=ports.claims,
+            ports=ports,
             group=group,
-            agreed_time=ports.agreed_time,
             clock=self.clock,
             rng=self.rng,
         )
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -13,6 +13,7 @@
 from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.requests.refusals import OutcomeUnknownError, RunFailedError, refusal_types
 from marigolddoor_core.state.commands import Claim
+from marigolddoor_entry.callers import MAX_BODIES_BYTES
 from marigolddoor_entry.json_forms import to_json
 
 from tests.entry.fakes import (
@@ -193,6 +194,31 @@
         self.assertEqual(len(responses) - len(refused), target.runs)
 
 
+class LargeBodiesTest(testtools.TestCase):
+    """A flood of large bodies is refused before it fills the memory."""
+
+    def test_bodies(self) -> None:
+        anyio.run(self.bodies)
+
+    async def bodies(self) -> None:
+        target = renewals(Behaviour.SLOW, delay_s=0.02)
+        outcomes: set[tuple[int, str, str]] = set()
+        async with running_entry([target]) as entry:
+            callers = entry.process.callers
+            assert callers is not None
+            callers.body_bytes = MAX_BODIES_BYTES - 3 * MAX_BODY_BYTES
+
+            async def send() -> None:
+                response = await entry.post(b"x" * MAX_BODY_BYTES, RENEWALS)
+                outcomes.add(seen(response))
+
+            async with anyio.create_task_group() as group:
+                for _ in range(8):
+                    group.start_soon(send)
+            self.assertEqual(MAX_BODIES_BYTES - 3 * MAX_BODY_BYTES, callers.body_bytes)
+        self.assertEqual({(200, "answered", ""), (503, "not-run", "queue-full")}, outcomes)
+
+
 class HangUpTest(testtools.TestCase):
     """A caller that hangs up stops what has not been dispatched; what runs goes on."""
 
--- a/tests/entry/test_targets.py
+++ b/tests/entry/test_targets.py
@@ -11,6 +11,7 @@
     FencingToken,
     JobId,
     PoolId,
+    ProcessId,
     ServiceId,
     TaskId,
     VmId,
@@ -34,6 +35,7 @@
     to_json,
 )
 from marigolddoor_entry.local_targets import INTERVAL_S, SILENT_INTERVALS, LocalTargets
+from marigolddoor_wire.messages import ServiceDemand, ShareReport
 
 from tests.entry.fakes import CAPACITY, DATA_CENTRE, FakeTarget, running_entry
 
@@ -178,6 +180,27 @@
         self.assertEqual(self.record.pool if self.record else None, reply.pool)
 
 
+class ShareTest(testtools.TestCase):
+    """Two processes never use more of the slots than there are, whoever has the demand."""
+
+    scenarios = [
+        ("peer idle", {"queued": 0, "due": 4}),
+        ("peer busy", {"queued": 30, "due": 1}),
+    ]
+
+    def test_share(self) -> None:
+        anyio.run(self.share)
+
+    async def share(self) -> None:
+        target = FakeTarget(VmId("vm-1"), PoolId("renewals"))
+        async with running_entry([target]) as entry:
+            demand = ServiceDemand(ServiceId("renewals"), 0, 0, 0, 0, 0, 0, self.queued, 0.0)
+            entry.process.receive_share(ShareReport(ProcessId("entry-2"), (demand,)))
+            entry.process.receive_share(ShareReport(ProcessId("entry-1"), (demand,)))
+            slots = entry.process.admission.pools[PoolId("renewals")].limit.slots
+        self.assertEqual(self.due, slots)
+
+
 class DemandTest(testtools.TestCase):
     """Each report counts what happened since the last one, and slots by the time they are held."""
 
