--- a/packages/control/src/marigolddoor_control/leadership.py
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable, Sequence
 
 from marigolddoor_core.actions import Decision
+from marigolddoor_core.capacity import Capacity
 from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.maintenance import BudgetLedger, Maintenance
 from marigolddoor_core.placement import Placement
+from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.registration import Registrar
 from marigolddoor_core.reports import EntryReport, FleetReports
 from marigolddoor_core.state.expiry import ClaimExpiry
@@ -40,7 +42,15 @@
         """Return new decisions for a leadership that begins."""
         self.reports.clear()
         self.placement = Placement()
-        return (Registrar(), self.placement, Maintenance(BudgetLedger()), ClaimExpiry())
+        ledger = BudgetLedger()
+        return (
+            Registrar(),
+            self.placement,
+            Maintenance(ledger),
+            Capacity(ledger),
+            Detection(ledger),
+            ClaimExpiry(),
+        )
 
     def look(self) -> Fleet | None:
         """Return the fleet as it is now, or None while this process does not lead."""
--- a/packages/control/src/marigolddoor_control/operators/listener.py
+++ b/packages/control/src/marigolddoor_control/operators/listener.py
@@ -1,6 +1,5 @@
 """The listener of the operators' HTTP."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -8,9 +7,8 @@
 
 import anyio
 from anyio.abc import TaskStatus
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
-from marigolddoor_wire.peers import Address, parse_address
+from marigolddoor_wire.http_listener import bound_address, http_config, listen, serve_http
+from marigolddoor_wire.peers import Address
 
 from marigolddoor_control.operators.application import OperatorsApplication
 
@@ -19,7 +17,6 @@
 # Operators send few and small requests; longer idle connections only hold sockets.
 KEEP_ALIVE_S = 30
 SHUTDOWN_S = 3.0
-BACKLOG = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,20 +40,10 @@
     Raises:
       OSError: the address can't be used.
     """
-    host, port = parse_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
-    bound = listening.getsockname()[1]
-    config = Config()
-    config.bind = [f"fd://{listening.detach()}"]
-    config.accesslog = None
-    config.errorlog = None
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = SHUTDOWN_S
-    config.include_server_header = False
+    listener = listen(address)
+    config = http_config(SHUTDOWN_S, KEEP_ALIVE_S)
     if tls is not None:
         config.certfile = str(tls.certificate)
         config.keyfile = str(tls.key)
-    shown = f"[{host}]" if ":" in host else host
-    task_status.started(Address(f"{shown}:{bound}"))
-    await serve(application, config, shutdown_trigger=shutdown)
+    task_status.started(bound_address(listener))
+    await serve_http(application, listener, config, shutdown)
--- a/packages/control/src/marigolddoor_control/recorded_machine.py
+++ b/packages/control/src/marigolddoor_control/recorded_machine.py
@@ -1,13 +1,14 @@
 """The state machine of a replica, with an event on the timeline for each command it applies."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from marigolddoor_core.ids import LogIndex
 from marigolddoor_core.state.commands import Command
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_core.state.results import Result
-from marigolddoor_core.timeline import Recorder
+from marigolddoor_core.timeline import Recorder, Subject
 from marigolddoor_core.timeline.command_events import command_event
 
 __all__ = ["RecordedMachine"]
@@ -34,9 +35,17 @@
         if self.is_recording():
             event = command_event(command, result)
             if event is not None:
-                self.recorder.record(event.kind, self.wall_ms(), event.subject, event.text)
+                subject = self._with_pool(event.subject)
+                self.recorder.record(event.kind, self.wall_ms(), subject, event.text)
         return result
 
+    def _with_pool(self, subject: Subject) -> Subject:
+        """Name the pool of the VM, so that the timeline of a pool shows what its VMs did."""
+        record = None if subject.vm is None else self.state.vms.get(subject.vm)
+        if record is None or subject.pool is not None:
+            return subject
+        return replace(subject, pool=record.pool)
+
     def snapshot(self) -> Any:
         """Return the whole state."""
         return self.state.snapshot()
--- a/packages/core/src/marigolddoor_core/membership/directory.py
+++ b/packages/core/src/marigolddoor_core/membership/directory.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from marigolddoor_core.fleet import ObservedTarget
-from marigolddoor_core.ids import Epoch, PoolId, ProcessId, VmId
+from marigolddoor_core.ids import PoolId, ProcessId, VmId
 from marigolddoor_core.instants import Instant, after
 from marigolddoor_core.membership.assignments import Assignments
 from marigolddoor_core.membership.deltas import HolderDelta, HolderDigest, fingerprint
@@ -256,7 +256,8 @@
             return TargetState.LEAVING
         if target.state is not TargetState.READY:
             return target.state
-        follows = facts.epoch in (Epoch(0), record.epoch)
+        # A target that has not taken over its assignment yet refuses requests of that epoch.
+        follows = facts.epoch == record.epoch
         if record.next_pool is not None or in_maintenance(record) or not follows:
             return TargetState.DRAINING
         return TargetState.READY
--- a/packages/core/src/marigolddoor_core/membership/holder.py
+++ b/packages/core/src/marigolddoor_core/membership/holder.py
@@ -32,6 +32,9 @@
 # A single refused connection may come from a full backlog.
 FAILED_DISPATCHES = 3
 DIGEST_INTERVAL_S = 5.0
+# A target without an assignment serves nothing, so it does not wait for its turn. 4,000 restarts a
+# day over 50 processes are too few of these to matter.
+UNASSIGNED_INTERVAL_S = 1.0
 # Peers count their own work on a target; a change of others' work matters to them from this share
 # of its slots.
 BUSY_SHARE = 0.5
@@ -247,7 +250,7 @@
         orders = _renewal_orders(held, now)
         record = self.assignments.records.get(held.announcement.vm)
         if record is None:
-            return AnnouncementReply(held.interval_s, orders=orders)
+            return AnnouncementReply(min(held.interval_s, UNASSIGNED_INTERVAL_S), orders=orders)
         return AnnouncementReply(
             held.interval_s,
             record.pool,
--- a/packages/core/src/marigolddoor_core/operations/summaries.py
+++ b/packages/core/src/marigolddoor_core/operations/summaries.py
@@ -100,6 +100,7 @@
     return (
         target is not None
         and target.state is TargetState.READY
+        and target.announcement.epoch == vm.epoch
         and vm.next_pool is None
         and vm.maintenance in (None, MaintenanceStep.DONE)
     )
--- a/packages/daemon/src/marigolddoor_daemon/roles.py
+++ b/packages/daemon/src/marigolddoor_daemon/roles.py
@@ -10,6 +10,7 @@
 from marigolddoor_entry.runtime import EntryRuntime, EntryRuntimeSettings
 from marigolddoor_entry.settings import EntrySettings
 
+from marigolddoor_daemon.errors import RoleMissingError
 from marigolddoor_daemon.settings import Role, Settings, TlsSettings
 
 __all__ = ["RUNNERS", "RoleRunner", "run_roles"]
@@ -19,7 +20,14 @@
 
 
 async def run_roles(settings: Settings, stopping: anyio.Event) -> None:
-    """Run every role of `settings` on this loop until `stopping` is set."""
+    """Run every role of `settings` on this loop until `stopping` is set.
+
+    Raises:
+      RoleMissingError: this build doesn't contain one of the roles; none was started.
+    """
+    missing = [role.value for role in settings.roles if role not in RUNNERS]
+    if missing:
+        raise RoleMissingError(f"this build has no role {', '.join(missing)}")
     async with anyio.create_task_group() as group:
         for role in settings.roles:
             group.start_soon(RUNNERS[role], settings, stopping)
@@ -54,9 +62,7 @@
             settings.name,
             control.replica,
             control.peer,
-            tuple(
-                member.address for member in control.members if member.address != control.peer
-            ),
+            tuple(member.address for member in control.members if member.address != control.peer),
             control.data_folder,
             control.operators,
             control.tokens,
--- a/packages/entry/src/marigolddoor_entry/control_link.py
+++ b/packages/entry/src/marigolddoor_entry/control_link.py
@@ -100,14 +100,24 @@
     ) -> None:
         """Follow the state until cancelled; `apply` gets each reply that has news."""
         index = LogIndex(0)
+        is_interrupted = False
         while True:
             try:
                 reply = await self._watch_once(index, in_force())
             except (NoControlProcessError, PeerTimeoutError, RemoteError) as error:
-                logger.warning("entry: the watch was interrupted. {}", error)
+                # One line for each interruption: a partition lasts for hundreds of tries.
+                logger.log(
+                    "DEBUG" if is_interrupted else "WARNING",
+                    "entry: the watch was interrupted. {}",
+                    error,
+                )
+                is_interrupted = True
                 self._next()
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
+            if is_interrupted:
+                is_interrupted = False
+                logger.info("entry: the watch goes on.")
             if reply.index > index:
                 apply(reply)
                 index = reply.index
--- a/packages/entry/src/marigolddoor_entry/data_centre.py
+++ b/packages/entry/src/marigolddoor_entry/data_centre.py
@@ -13,12 +13,10 @@
 from marigolddoor_core.ids import ProcessId, VmId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.membership import (
-    Assignments,
-    DeltaOutcome,
+    DIGEST_INTERVAL_S,
     HolderDelta,
     HolderDigest,
-    TargetDirectory,
-    TargetHolder,
+    Members,
 )
 from marigolddoor_core.placement import LeaseRenewal
 from marigolddoor_core.routing.policies import TargetView
@@ -32,19 +30,23 @@
     ShareReport,
     TargetDelta,
     TargetDigest,
+    TargetObservation,
     TargetReport,
 )
-from marigolddoor_wire.peers import Address, PeerPool
+from marigolddoor_wire.peers import Address, PeerPool, parse_address
 
 from marigolddoor_entry.control_link import ControlLink
 
 __all__ = ["DataCentre"]
 
-DIGEST_INTERVAL_S = 5.0
 # Reports to the leader are at least this far apart, so that announcements share them.
 REPORT_GAP_S = 0.25
 REPORT_RETRY_S = 1.0
 PEER_TIMEOUT_S = 1.0
+# Three digests; a peer that is silent for longer is not an observer.
+SILENT_PEER_S = 15.0
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.5
 
 
 class DataCentre:
@@ -71,49 +73,43 @@
         self.peers = peers
         self.targets_changed = targets_changed
         self.clock = clock
-        self.assignments = Assignments()
-        self.holder = TargetHolder(link.process, self.assignments)
-        self.directory = TargetDirectory(self.assignments)
+        self.members = Members(link.process)
         self.address = Address("")
-        self.outgoing: list[TargetDelta] = []
         self.news = anyio.Event()
         self.report_due = anyio.Event()
         self.wants_full: set[Address] = set()
         self.addresses: dict[ProcessId, Address] = {}
+        self.heard: dict[ProcessId, float] = {}
 
     # The ports of the entry process.
 
     def targets(self) -> Sequence[TargetView]:
         """Return all known targets that have a pool."""
-        return self.directory.targets()
+        return self.members.targets()
 
     def announce(self, announcement: Announcement, now: Instant) -> AnnouncementReply:
         """Record an announcement and return the reply."""
-        reply = self.holder.announce(announcement, now)
+        reply = self.members.announce(announcement, now)
         self.report_due.set()
-        self._publish(now)
+        self._carry_news()
         return reply
 
     def leave(self, vm: VmId, now: Instant) -> bool:
         """Record that a target leaves; return whether it was known."""
-        known = self.holder.leave(vm, now)
-        self._publish(now)
+        known = self.members.leave(vm, now)
+        self._carry_news()
         return known
 
     def suspect(self, now: Instant) -> bool:
         """Mark the targets that are silent for too long; return whether any changed."""
-        changed = self.holder.suspect(now)
-        self._publish(now)
+        changed = self.members.suspect(now)
+        self._carry_news()
         return changed
 
     def assign(self, records: Sequence[VmRecord]) -> None:
         """Replace the committed assignments of the VMs of the data centre."""
-        before = self.assignments.records
-        self.holder.assign(records)
-        after = self.assignments.records
-        changed = [vm for vm, record in after.items() if before.get(vm) is not record]
-        self.directory.refresh([*changed, *(vm for vm in before if vm not in after)])
-        self._publish(Instant(self.clock()))
+        self.members.assign(records)
+        self._carry_news()
 
     # Messages of peers.
 
@@ -125,12 +121,14 @@
         if isinstance(message, TargetDigest):
             self._take_digest(message)
             return Acknowledgement()
+        if isinstance(message, TargetObservation):
+            self._take_observation(message)
+            return Acknowledgement()
         if isinstance(message, AskTargets):
-            return _delta_message(self.holder.full_delta(Instant(self.clock())))
+            return _delta_message(self.members.holder.full_delta(self._now()))
         return None
 
     def _take_delta(self, message: TargetDelta) -> None:
-        now = Instant(self.clock())
         delta = HolderDelta(
             message.process,
             message.sequence,
@@ -141,38 +139,43 @@
             ),
             message.gone,
         )
-        self.holder.yield_to(delta, now)
-        outcome = self.directory.apply(delta, now)
-        if outcome is DeltaOutcome.WANT_FULL:
+        self._hear(message.process)
+        if self.members.receive(delta, self._now()):
             self._ask_for_full(message.process)
-        self._publish(now)
+        self._carry_news()
         self.targets_changed()
 
     def _take_digest(self, message: TargetDigest) -> None:
         self.addresses[message.process] = Address(message.address)
-        digest = HolderDigest(
-            message.process, message.sequence, message.targets, message.checksum
-        )
-        if not self.directory.check(digest):
+        self._hear(message.process)
+        digest = HolderDigest(message.process, message.sequence, message.targets, message.checksum)
+        if self.members.check(digest):
             self._ask_for_full(message.process)
 
+    def _take_observation(self, message: TargetObservation) -> None:
+        self._hear(message.process)
+        if self.members.unreached(message.vm, message.process, self._now()):
+            self.targets_changed()
+        self._carry_news()
+
     def _ask_for_full(self, process: ProcessId) -> None:
         address = self.addresses.get(process)
         if address is not None:
             self.wants_full.add(address)
             self.news.set()
 
-    def _publish(self, now: Instant) -> None:
-        """Apply what the holder has to tell here, and queue it for the peers."""
-        delta = self.holder.take_delta(now)
-        if delta is None:
-            return
-        self.directory.apply(delta, now)
-        if self.peers:
-            self.outgoing.append(_delta_message(delta))
+    def _hear(self, process: ProcessId) -> None:
+        self.heard[process] = self.clock()
+
+    def _now(self) -> Instant:
+        return Instant(self.clock())
+
+    def _carry_news(self) -> None:
+        """Wake the senders if the members have something to tell."""
+        if self.members.outbox:
             self.news.set()
-        self.report_due.set()
-        self.targets_changed()
+            self.report_due.set()
+            self.targets_changed()
 
     # Timers.
 
@@ -181,6 +184,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._send_news)
             group.start_soon(self._send_digests)
+            group.start_soon(self._probe_suspects)
             group.start_soon(self._report)
 
     async def exchange_demand(self, report: ShareReport) -> None:
@@ -192,10 +196,11 @@
         while True:
             await self.news.wait()
             self.news = anyio.Event()
-            deltas, self.outgoing = self.outgoing, []
+            deltas = tuple(self.members.outbox)
+            self.members.outbox.clear()
             for delta in deltas:
                 for peer in self.peers:
-                    await self.pool.post(peer, delta)
+                    await self.pool.post(peer, _delta_message(delta))
             wanted, self.wants_full = self.wants_full, set()
             for address in wanted:
                 await self._fetch_full(address)
@@ -212,13 +217,38 @@
     async def _send_digests(self) -> None:
         while True:
             await anyio.sleep(DIGEST_INTERVAL_S)
-            digest = self.holder.digest()
+            digest = self.members.publish(self._now())
+            self._carry_news()
+            self._check_peers()
             message = TargetDigest(
                 digest.process, self.address, digest.sequence, digest.targets, digest.checksum
             )
             for peer in self.peers:
                 await self.pool.post(peer, message)
 
+    def _check_peers(self) -> None:
+        """Tell the observers which peers are alive, and the directory which holders are lost."""
+        now = self._now()
+        for process, heard in list(self.heard.items()):
+            if now - heard > SILENT_PEER_S:
+                del self.heard[process]
+                self.members.directory.lose_holder(process, now)
+        self.members.observers.set_processes((self.link.process, *self.heard))
+        self.members.directory.expire(now)
+
+    async def _probe_suspects(self) -> None:
+        """Try to reach the targets that peers suspect, and tell the peers of those that fail."""
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            for vm in self.members.observers.unreached_targets():
+                view = self.members.directory.find(vm)
+                if view is None or vm in self.members.holder.held:
+                    continue
+                if not await _is_reachable(Address(view.address)):
+                    message = TargetObservation(self.link.process, vm, False)
+                    for peer in self.peers:
+                        await self.pool.post(peer, message)
+
     async def _report(self) -> None:
         full = True
         while True:
@@ -234,8 +264,8 @@
             await anyio.sleep(REPORT_GAP_S)
 
     async def _report_once(self, full: bool) -> bool:
-        now = Instant(self.clock())
-        delta = self.holder.take_report(now, full)
+        now = self._now()
+        delta = self.members.holder.take_report(now, full)
         if delta is None:
             return False
         message = ReportTargets(
@@ -248,7 +278,7 @@
         )
         reply = await self.link.call(message)
         assert isinstance(reply, ReportTargetsReply)
-        self.holder.renew(
+        self.members.holder.renew(
             [
                 LeaseRenewal(renewal.vm, renewal.task, renewal.token, renewal.lease_s)
                 for renewal in reply.renewals
@@ -260,6 +290,17 @@
         return reply.want_full
 
 
+async def _is_reachable(address: Address) -> bool:
+    host, port = parse_address(address)
+    try:
+        with anyio.fail_after(PROBE_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError):
+        return False
+    await stream.aclose()
+    return True
+
+
 def _report_of(target: ObservedTarget) -> TargetReport:
     return TargetReport(target.announcement, target.state, target.age_s)
 
--- a/packages/entry/src/marigolddoor_entry/runtime.py
+++ b/packages/entry/src/marigolddoor_entry/runtime.py
@@ -76,7 +76,7 @@
         self.offset_s = time_s - self.clock()
 
     def read(self) -> float:
-        """Return the estimate; 0 before the first reply, and the state machine then uses its own."""
+        """Return the estimate; 0 before the first reply, which the state machine replaces."""
         return 0.0 if self.offset_s is None else self.clock() + self.offset_s
 
 
@@ -185,7 +185,7 @@
         assert self.process is not None and self.data_centre is not None
         before = self.process.revision
         self.process.apply_changes(reply.index, reply.changes, reply.snapshot)
-        self.data_centre.assignments.services = {
+        self.data_centre.members.assignments.services = {
             service.pool: service.id for service in self.process.catalogue.services.values()
         }
         revision = self.process.revision
--- a/standins/src/marigolddoor_standins/http_server.py
+++ b/standins/src/marigolddoor_standins/http_server.py
@@ -19,6 +19,8 @@
 # Longer than the longest interval between announcements, so that connections are reused.
 KEEP_ALIVE_S = 60
 GRACEFUL_STOP_S = 5.0
+# Idle connections close at once; this is for requests in flight when the stand-in is cancelled.
+ABRUPT_STOP_S = 0.5
 
 
 async def serve_http(
@@ -41,7 +43,20 @@
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.graceful_timeout = GRACEFUL_STOP_S
     task_status.started(f"{host}:{bound}")
-    await serve(application, config, shutdown_trigger=anyio.sleep_forever)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop_when_cancelled, config, stop)
+        # hypercorn fails if it is cancelled while it closes connections.
+        with anyio.CancelScope(shield=True):
+            await serve(application, config, shutdown_trigger=stop.wait)
+
+
+async def _stop_when_cancelled(config: Config, stop: anyio.Event) -> None:
+    try:
+        await anyio.sleep_forever()
+    finally:
+        config.graceful_timeout = ABRUPT_STOP_S
+        stop.set()
 
 
 async def read_body(receive: Receive) -> bytes:
--- a/standins/src/marigolddoor_standins/tasks.py
+++ b/standins/src/marigolddoor_standins/tasks.py
@@ -54,9 +54,11 @@
     """Starts, renews and stops tasks, and ends a task whose lease has run out.
 
     The command of a task says what it does: `run 2.5` finishes after 2.5 s, `fail` fails at once,
-    `forever` never ends.
+    `forever` never ends, anything else finishes after `default_run_s`.
     """
 
+    default_run_s = 1.0
+
     def __init__(self, ledger: Ledger, changed: Callable[[], None]) -> None:
         self.ledger = ledger
         self.changed = changed
@@ -116,7 +118,7 @@
             order["task"],
             order["job"],
             order["token"],
-            float(argument) if verb == "run" else float("inf"),
+            self._run_s(verb, argument),
             size["cores"],
             size["memory_mb"],
             size["accelerators"],
@@ -133,6 +135,11 @@
             return
         group.start_soon(self._run, task)
 
+    def _run_s(self, verb: str, argument: str) -> float:
+        if verb == "run":
+            return float(argument)
+        return float("inf") if verb == "forever" else self.default_run_s
+
     async def _run(self, task: RunningTask) -> None:
         with anyio.CancelScope() as task.scope:
             end = task.started + task.run_s
--- a/tests/core/membership/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -253,9 +253,12 @@
         self.assertEqual(expected, directory.changed_pools)
 
     def test_before_the_first_epoch(self) -> None:
+        """A target refuses requests until it has taken over its first assignment."""
         directory = TargetDirectory(Assignments())
         directory.assign([f.record()])
         directory.apply(told(1, target(epoch=Epoch(0))), at(0.0))
+        self.assertEqual("draining", directory.find(VmId("vm-1")).state.value)
+        directory.apply(told(2, target()), at(1.0))
         self.assertEqual("ready", directory.find(VmId("vm-1")).state.value)
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,1 +1,229 @@
-"""The demo: the main job over real sockets in one process."""
+"""The demo: the main job over real sockets, with the whole system in one process.
+
+It applies the declaration of an example organisation, lets 30 stand-in targets announce
+themselves, sends callers' requests, runs the declared jobs, maintains a pool and shows what
+happened. It exits with status 1 if anything did not happen as it must.
+"""
+
+import json
+import os
+import sys
+import tempfile
+from argparse import Namespace
+from collections import Counter
+from collections.abc import Callable
+from io import StringIO
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+from loguru import logger
+from marigolddoor_core import declaration
+from marigolddoor_daemon.roles import run_roles
+from marigolddoor_daemon.settings import load_settings
+from marigolddoor_operator.arguments import build_parser
+from marigolddoor_operator.commands import Surroundings, run_command
+from marigolddoor_standins.folders import SystemFolder
+from marigolddoor_standins.ledger import Ledger
+from marigolddoor_standins.platform import Platform
+from marigolddoor_standins.target import Target, TargetSettings
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE = ROOT / "examples" / "tidewater"
+# A larger budget than the example's makes the wave short enough for a demo.
+BUDGET_VMS = 2
+TARGETS = 30
+WORKERS_A_RACK = 4
+REQUESTS = 200
+STEP_TIMEOUT_S = 45.0
+MAINTAINED_POOL = "orders"
+
+
+class DemoError(Exception):
+    """Something did not happen as it must."""
+
+
+def check(what: str, condition: bool) -> None:
+    """Print what was checked, or raise DemoError."""
+    if not condition:
+        raise DemoError(what)
+    print(f"   ok: {what}")
+
+
+class Operator:
+    """Runs the command line in this process."""
+
+    def __init__(self, folder: SystemFolder) -> None:
+        self.remote = ["--token-file", str(folder.token_file)]
+        for endpoint in folder.operators:
+            self.remote += ["--endpoint", endpoint]
+
+    async def run(self, *arguments: str) -> str:
+        """Return the output of a command that must succeed."""
+        remote = [] if arguments[0] == "validate" else self.remote
+        options: Namespace = build_parser().parse_args([*arguments, *remote])
+        out, problems = StringIO(), StringIO()
+        code = await run_command(options, Surroundings(declaration, os.environ, out, problems))
+        if code != 0:
+            raise DemoError(f"marigolddoor {arguments[0]}: exit {code}. {problems.getvalue()}")
+        return out.getvalue()
+
+    async def show(self, *arguments: str) -> None:
+        """Run a command and print what it says."""
+        print(f"$ marigolddoor {' '.join(arguments)}")
+        for line in (await self.run(*arguments)).splitlines():
+            print(f"   {line}")
+
+    async def read(self, *arguments: str) -> Any:
+        """Return the JSON of a command."""
+        return json.loads(await self.run(*arguments, "--json"))
+
+
+async def wait_until(what: str, condition: Callable[[], Any]) -> None:
+    """Wait until an asynchronous condition holds; raise DemoError after STEP_TIMEOUT_S."""
+    with anyio.move_on_after(STEP_TIMEOUT_S):
+        while not await condition():
+            await anyio.sleep(0.1)
+        print(f"   ok: {what}")
+        return
+    raise DemoError(f"not within {STEP_TIMEOUT_S:.0f} s: {what}")
+
+
+async def send_requests(callers: str, ledger: Ledger) -> None:
+    """Send requests of every service, each non-idempotent one twice with the same key."""
+    outcomes: Counter[str] = Counter()
+    services = ["canning", "orders", "renewals", "settlements", "support"]
+
+    async def send_one(client: httpx.AsyncClient, number: int) -> None:
+        service = services[number % len(services)]
+        headers = {
+            "Marigolddoor-Service": service,
+            "Marigolddoor-Team": "grocers",
+            "Idempotency-Key": f"demo-{number}",
+        }
+        first = await client.post(f"http://{callers}/", headers=headers, content=b"jar")
+        again = await client.post(f"http://{callers}/", headers=headers, content=b"jar")
+        outcome = first.headers.get("marigolddoor-outcome", "none")
+        outcomes[outcome if outcome == "answered" else f"{outcome}: {first.text}"] += 1
+        if service != "support" and first.content != again.content:
+            outcomes["resend differs"] += 1
+
+    limits = httpx.Limits(max_connections=20)
+    async with (
+        httpx.AsyncClient(limits=limits, timeout=30) as client,
+        anyio.create_task_group() as group,
+    ):
+        for number in range(REQUESTS):
+            group.start_soon(send_one, client, number)
+    check(
+        f"{REQUESTS} requests were answered whole: {dict(outcomes)}",
+        outcomes == Counter({"answered": REQUESTS}),
+    )
+    claimed = [
+        ledger.requests[f"demo-{number}"]
+        for number in range(REQUESTS)
+        if services[number % len(services)] != "support"
+    ]
+    check(f"each of {len(claimed)} non-idempotent requests ran once", set(claimed) == {1})
+
+
+def write_organisation(folder: Path) -> Path:
+    """Write the example organisation with another value of one template parameter."""
+    text = (EXAMPLE / "organisation.toml").read_text()
+    path = folder / "organisation.toml"
+    path.write_text(text.replace("[parameters]", f"[parameters]\nbudget_vms = {BUDGET_VMS}"))
+    return path
+
+
+async def main_job(folder: SystemFolder, ledger: Ledger) -> None:
+    """Run the steps of the demo."""
+    operator = Operator(folder)
+
+    async def can_answer() -> bool:
+        try:
+            return bool((await operator.read("status"))["leader"])
+        except DemoError:
+            return False
+
+    async def all_ready() -> bool:
+        return bool((await operator.read("status"))["ready"] == TARGETS)
+
+    async def jobs_done() -> bool:
+        jobs = (await operator.read("jobs"))["jobs"]
+        return all(job["finished"] == job["tasks"] for job in jobs)
+
+    async def pool_maintained() -> bool:
+        pool = (await operator.read("pools", "--pool", MAINTAINED_POOL))["pools"][0]
+        return all(vm["maintenance"] == "done" for vm in pool["vms"])
+
+    await wait_until("the operators' HTTP answers", can_answer)
+    organisation = write_organisation(folder.folder)
+    template = str(EXAMPLE.relative_to(ROOT) / "template.toml")
+    await operator.show("validate", str(organisation), "--template", template)
+    await operator.show("apply", str(organisation), "--template", template)
+    await wait_until(f"{TARGETS} targets announced themselves and are in pools", all_ready)
+    await operator.show("pools")
+    print("callers:")
+    await send_requests(folder.entries[0].callers, ledger)
+    print("jobs:")
+    await wait_until("every task of every declared job finished", jobs_done)
+    check("no task ran twice", set(ledger.tasks.values()) == {1})
+    await operator.show("drain", "--pool", MAINTAINED_POOL)
+    await wait_until(f"every VM of {MAINTAINED_POOL} was drained and rebooted", pool_maintained)
+    check("no request was cut off", ledger.cut_off == 0)
+    check("6 reboots, each VM once", len(set(ledger.reboots)) == len(ledger.reboots) == 6)
+    await operator.show("questions")
+    await operator.show("timeline", "--pool", MAINTAINED_POOL)
+    await operator.show("status")
+
+
+async def run_demo(path: Path) -> None:
+    """Start the system and its surroundings, run the main job, and stop."""
+    ledger = Ledger()
+    targets: dict[str, Target] = {}
+    platform = Platform(targets)
+    stopping = anyio.Event()
+    async with anyio.create_task_group() as surroundings:
+        url = await surroundings.start(platform.run)
+        folder = SystemFolder(path, data_centres=1, entries=1, platform=url, embedded=True)
+        async with anyio.create_task_group() as system:
+            settings = load_settings(folder.entries[0].settings)
+            system.start_soon(run_roles, settings, stopping)
+            for number in range(TARGETS):
+                target = Target(
+                    TargetSettings(
+                        f"vm-{number}",
+                        "dc0",
+                        f"rack-{number // WORKERS_A_RACK}",
+                        folder.targets_urls("dc0"),
+                    ),
+                    ledger,
+                )
+                targets[target.settings.vm] = target
+                await surroundings.start(target.run)
+            await main_job(folder, ledger)
+            stopping.set()
+        surroundings.cancel_scope.cancel()
+    print("the system stopped gracefully")
+
+
+def main() -> int:
+    """Run the demo in a temporary folder."""
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING", format="   log: {message}")
+    os.chdir(ROOT)
+    status = 0
+    with tempfile.TemporaryDirectory() as name:
+        try:
+            anyio.run(run_demo, Path(name))
+        except* DemoError as failures:
+            print(f"FAILED: {failures.exceptions}")
+            status = 1
+    if status == 0:
+        print("demo: everything happened as it must")
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
