Bound the ended tasks; check odd files and empty sections

Cause: ended tasks were kept for ever, and a template with an empty section of services, pools or teams was not reported. Change: the last 10,000 ended tasks that no declaration names are kept, but none whose lease is in force. Withdrawing a task counts as a change, so that a restored replica forgets the same tasks. Conclusion: state grows with declarations, VMs, claims and limits only.

--- a/packages/core/src/marigolddoor_core/state/machine.py
+++ b/packages/core/src/marigolddoor_core/state/machine.py
@@ -56,7 +56,7 @@
 from marigolddoor_core.state.requests import Requests
 from marigolddoor_core.state.results import DeclarationAccepted, Refusal, Refused, Result
 from marigolddoor_core.state.snapshots import ClaimRecord, StateSnapshot
-from marigolddoor_core.state.tasks import Tasks
+from marigolddoor_core.state.tasks import ENDED_TASKS_KEPT, Tasks
 
 __all__ = ["StateMachine"]
 
@@ -78,6 +78,7 @@
         self,
         claims_limit_bytes: int = CLAIMS_LIMIT_BYTES,
         tombstone_limit: int = TOMBSTONE_LIMIT,
+        ended_tasks_kept: int = ENDED_TASKS_KEPT,
     ) -> None:
         self.index = LogIndex(0)
         self.time_s = 0.0
@@ -85,7 +86,7 @@
         self._requests = Requests()
         self._declarations = Declarations(self._journal)
         self._pools = Pools(self._journal, self._declarations)
-        self._tasks = Tasks(self._journal, self._declarations, self._pools)
+        self._tasks = Tasks(self._journal, self._declarations, self._pools, ended_tasks_kept)
         self._claims = Claims(self._declarations, claims_limit_bytes)
         self._questions = Questions(self._journal)
         self._appliers: dict[type[Any], Applier] = {
@@ -133,7 +134,7 @@
 
     @property
     def tasks(self) -> Mapping[TaskId, TaskRecord]:
-        """The tasks, those that ended included."""
+        """The tasks, the last ones that ended included."""
         return self._tasks.tasks
 
     @property
--- a/packages/core/src/marigolddoor_core/state/tasks.py
+++ b/packages/core/src/marigolddoor_core/state/tasks.py
@@ -24,6 +24,10 @@
 
 ENDED = frozenset({TaskState.FINISHED, TaskState.CANCELLED})
 
+# Ended tasks that no declaration names are kept so that a late resend of their submission does not
+# run them again. At about 500 bytes each they take 5 MB.
+ENDED_TASKS_KEPT = 10_000
+
 
 def declared_task(job: JobId, number: int) -> TaskId:
     """Return the id of the task `number` that the declaration of `job` creates."""
@@ -37,14 +41,23 @@
     task id that is used again never repeats a token.
     """
 
-    def __init__(self, journal: Journal, declarations: Declarations, pools: Pools) -> None:
+    def __init__(
+        self,
+        journal: Journal,
+        declarations: Declarations,
+        pools: Pools,
+        ended_kept: int = ENDED_TASKS_KEPT,
+    ) -> None:
         self.journal = journal
+        self.ended_kept = ended_kept
         self.declarations = declarations
         self.pools = pools
         self.tasks: dict[TaskId, TaskRecord] = {}
         self.removed_token = FencingToken(0)
         self._of_job: dict[JobId, set[TaskId]] = {}
         self._leased_on: dict[VmId, set[TaskId]] = {}
+        # Ended tasks that are not declared, in the order of their last change.
+        self._ended: dict[TaskId, None] = {}
 
     def submit(self, command: SubmitTask, now_s: float) -> Result:
         """Accept a task, or put one that was set aside back in line."""
@@ -123,6 +136,7 @@
                 failed_on = (*failed_on, task.vm)
             ended = replace(ended, failures=task.failures + 1, failed_on=failed_on)
         self._put(ended)
+        self._trim(now_s)
         return Done()
 
     def cancel(self, command: CancelTask, now_s: float) -> Result:
@@ -133,6 +147,7 @@
         if task.state is TaskState.FINISHED:
             return Refused(Refusal.FINISHED, f"{task.task} is finished")
         self._put(replace(task, state=TaskState.CANCELLED))
+        self._trim(now_s)
         return Done()
 
     def set_aside(self, command: SetAsideTask, now_s: float) -> Result:
@@ -158,7 +173,7 @@
             for number in range(declared, job.tasks):
                 self._declare(declared_task(job.id, number), job.id, now_s)
             for number in range(job.tasks, declared):
-                self._cancel_if_open(declared_task(job.id, number))
+                self._withdraw(declared_task(job.id, number))
         # Sorted, because the order of the changes is part of the state, and a restored replica has
         # built its sets in another order.
         for job_id in sorted(self._of_job.keys() - after.keys()):
@@ -166,7 +181,8 @@
                 if self.tasks[task_id].lease_until_s <= now_s:
                     self._remove(self.tasks[task_id])
                 else:
-                    self._cancel_if_open(task_id)
+                    self._withdraw(task_id)
+        self._trim(now_s)
 
     def has_lease_on(self, vm: VmId, now_s: float) -> bool:
         """Return whether a lease on `vm` is in force, cancelled tasks included."""
@@ -178,6 +194,7 @@
         self.removed_token = removed_token
         self._of_job = {}
         self._leased_on = {}
+        self._ended = {}
         for task in tasks:
             self._index(task)
 
@@ -188,16 +205,25 @@
         task = self.tasks.get(task_id)
         if task is None:
             self._put(self._new_task(task_id, job, now_s))
+        elif task.state is TaskState.FINISHED:
+            self._ended.pop(task_id, None)
         elif task.state is TaskState.CANCELLED:
             # The next token keeps a late end of the cancelled run from ending the new one.
             self._put(
                 replace(task, state=TaskState.WAITING, vm=None, token=FencingToken(task.token + 1))
             )
 
-    def _cancel_if_open(self, task_id: TaskId) -> None:
+    def _withdraw(self, task_id: TaskId) -> None:
+        """Cancel a task that is no longer declared, unless it has ended."""
         task = self.tasks.get(task_id)
-        if task is not None and task.state not in ENDED:
-            self._put(replace(task, state=TaskState.CANCELLED))
+        if task is None:
+            return
+        if task.state not in ENDED:
+            task = replace(task, state=TaskState.CANCELLED)
+        # This counts as a change even of a task that has ended, because its place among the ended
+        # tasks is found again from the order of changes when a snapshot is restored.
+        self._index(task)
+        self.journal.put(ObjectKind.TASK, task_id, task)
 
     def _open(self, task_id: TaskId) -> TaskRecord | Refused:
         task = self.tasks.get(task_id)
@@ -228,11 +254,31 @@
             self._leased_on.setdefault(task.vm, set()).add(task.task)
         self.tasks[task.task] = task
         self._of_job.setdefault(task.job, set()).add(task.task)
+        self._ended.pop(task.task, None)
+        if task.state in ENDED and not self._is_declared(task):
+            self._ended[task.task] = None
+
+    def _is_declared(self, task: TaskRecord) -> bool:
+        job = self.declarations.jobs.get(task.job)
+        _, separator, number = task.task.rpartition("/")
+        if job is None or not separator or not number.isdecimal():
+            return False
+        return task.task == declared_task(job.id, int(number)) and int(number) < job.tasks
+
+    def _trim(self, now_s: float) -> None:
+        while len(self._ended) > self.ended_kept:
+            oldest = self.tasks[next(iter(self._ended))]
+            # A cancelled run may go on until its lease is over; its record keeps the task from
+            # being leased again before.
+            if oldest.lease_until_s > now_s:
+                return
+            self._remove(oldest)
 
     def _remove(self, task: TaskRecord) -> None:
         if task.vm is not None:
             self._forget_vm(task.vm, task.task)
         del self.tasks[task.task]
+        self._ended.pop(task.task, None)
         of_job = self._of_job[task.job]
         of_job.remove(task.task)
         if not of_job:
--- a/tests/core/declaration/test_reader.py
+++ b/tests/core/declaration/test_reader.py
@@ -134,6 +134,7 @@
             ("template", "service", {}, None),
             ("template", "services", None, None),
             ("template", "services", [], None),
+            ("template", "services", {}, None),
             ("template", "services/orders", 3, None),
             ("template", "services/orders/pol", "web", None),
             ("template", "services/orders/pool", None, None),
--- a/tests/core/state/test_random.py
+++ b/tests/core/state/test_random.py
@@ -250,6 +250,33 @@
     machine._appliers[c.CancelTask] = lose
 
 
+def lose_failed_tasks(machine: StateMachine) -> None:
+    part = machine._tasks
+    finish = part.finish
+
+    def lose(command: Any, now_s: float) -> Any:
+        result = finish(command, now_s)
+        task = part.tasks.get(command.task)
+        if task is not None and task.state is TaskState.WAITING and task.failures:
+            part._remove(task)
+        return result
+
+    machine._appliers[c.FinishTask] = lose
+
+
+def withdraw_without_a_change(machine: StateMachine) -> None:
+    part = machine._tasks
+
+    def withdraw(task_id: Any) -> None:
+        task = part.tasks.get(task_id)
+        if task is not None and task.state is not TaskState.FINISHED:
+            part._put(replace(task, state=TaskState.CANCELLED))
+        elif task is not None:
+            part._index(task)
+
+    part._withdraw = withdraw
+
+
 def run_finished_tasks(machine: StateMachine) -> None:
     part = machine._tasks
     open_task = part._open
@@ -415,6 +442,8 @@
                 (repeat_removed_tokens, k.LeaseChecker),
                 (ignore_token, k.LeaseChecker),
                 (lose_tasks, k.TaskChecker),
+                (lose_failed_tasks, k.TaskChecker),
+                (withdraw_without_a_change, k.SnapshotChecker),
                 (run_finished_tasks, k.TaskChecker),
                 (drop_claims_early, k.ClaimChecker),
                 (drop_claims_when_full, k.ClaimChecker),
--- a/tests/core/state/test_tasks.py
+++ b/tests/core/state/test_tasks.py
@@ -151,3 +151,38 @@
         )
         self.assertEqual(r.LeaseGranted(FencingToken(2)), results[-2])
         self.assertEqual(r.Refusal.OLD_TOKEN, results[-1].refusal)
+
+
+class EndedTasksTest(testtools.TestCase):
+    """Only so many ended tasks are kept, but declared ones and leases in force are."""
+
+    def machine(self) -> StateMachine:
+        machine = StateMachine(ended_tasks_kept=2)
+        f.apply_all(machine, f.declare(), f.register())
+        return machine
+
+    def test_oldest_is_forgotten(self) -> None:
+        machine = self.machine()
+        names = [f"t{number}" for number in range(5)]
+        f.apply_all(machine, *(f.submit(name) for name in names))
+        f.apply_all(machine, *(c.CancelTask(f.submit(name).task) for name in names))
+        self.assertEqual({"report/0", "report/1", "t3", "t4"}, set(machine.tasks))
+
+    def test_declared_tasks_are_kept(self) -> None:
+        machine = self.machine()
+        f.apply_all(machine, f.declare(1, "r2", f.with_job(5)))
+        f.apply_all(machine, *(c.CancelTask(f.submit(f"report/{n}").task) for n in range(5)))
+        self.assertEqual(5, len(machine.tasks))
+        f.apply_all(machine, f.declare(2, "r3", f.with_job(1)))
+        self.assertEqual({"report/0", "report/3", "report/4"}, set(machine.tasks))
+
+    def test_leases_in_force_are_kept(self) -> None:
+        machine = self.machine()
+        names = [f"t{number}" for number in range(4)]
+        f.apply_all(machine, *(f.submit(name) for name in names))
+        f.apply_all(machine, f.grant("t0"))
+        cancel = [c.CancelTask(f.submit(name).task) for name in names]
+        f.apply_all(machine, *cancel)
+        self.assertIn("t0", machine.tasks)
+        f.apply_all(machine, replace(cancel[3], time_s=45.0))
+        self.assertEqual({"report/0", "report/1", "t2", "t3"}, set(machine.tasks))
