Write the tables of tests on fewer lines

Cause: the tests of state, declarations and membership are long. Change: rows that fit take one line; no check is changed. Conclusion: none needed.

--- a/tests/core/declaration/test_plans.py
+++ b/tests/core/declaration/test_plans.py
@@ -68,10 +68,7 @@
             (
                 "a pool that has VMs",
                 replace(
-                    BASE,
-                    services=(replace(ORDERS, pool=SPARE.id), HELP),
-                    pools=(SPARE,),
-                    jobs=(),
+                    BASE, services=(replace(ORDERS, pool=SPARE.id), HELP), pools=(SPARE,), jobs=()
                 ),
                 [
                     (Effect.MOVE, "orders", 0),
--- a/tests/core/membership/fixtures.py
+++ b/tests/core/membership/fixtures.py
@@ -15,12 +15,7 @@
 def announcement(vm: str = "vm-1", incarnation: str = "a", **parts: Any) -> Announcement:
     values = {"epoch": Epoch(1), "slots": 8, "busy_slots": 0, "address": "127.0.0.1:9000"} | parts
     return Announcement(
-        VmId(vm),
-        EAST,
-        RackId("rack-1"),
-        capacity=SIZE,
-        incarnation=incarnation,
-        **values,
+        VmId(vm), EAST, RackId("rack-1"), capacity=SIZE, incarnation=incarnation, **values
     )
 
 
--- a/tests/core/membership/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -55,12 +55,7 @@
                 "leaving",
                 DeltaOutcome.APPLIED,
             ),
-            (
-                "gone",
-                [told(1, target()), told(2, gone=("vm-1",))],
-                None,
-                DeltaOutcome.APPLIED,
-            ),
+            ("gone", [told(1, target()), told(2, gone=("vm-1",))], None, DeltaOutcome.APPLIED),
             (
                 "repeated sequence",
                 [told(1, target()), told(2, gone=("vm-1",)), told(1, target())],
@@ -69,11 +64,7 @@
             ),
             (
                 "late sequence",
-                [
-                    told(1, target()),
-                    told(3, target(state=STATE.SUSPECTED)),
-                    told(2, target()),
-                ],
+                [told(1, target()), told(3, target(state=STATE.SUSPECTED)), told(2, target())],
                 "suspected",
                 DeltaOutcome.OLD,
             ),
@@ -139,10 +130,7 @@
             ),
             (
                 "a late delta of another holder after a leave",
-                [
-                    told(1, target(state=STATE.LEAVING)),
-                    told(1, target(), process="p2"),
-                ],
+                [told(1, target(state=STATE.LEAVING)), told(1, target(), process="p2")],
                 "leaving",
                 DeltaOutcome.APPLIED,
             ),
@@ -229,11 +217,7 @@
             ("next epoch", [f.record(epoch=2)], ("web", "draining")),
             ("other pool", [f.record(pool="rest")], ("rest", "ready")),
             ("moving", [f.record(next_pool=PoolId("rest"))], ("web", "draining")),
-            (
-                "maintenance",
-                [f.record(maintenance=MaintenanceStep.VERIFYING)],
-                ("web", "draining"),
-            ),
+            ("maintenance", [f.record(maintenance=MaintenanceStep.VERIFYING)], ("web", "draining")),
             ("maintained", [f.record(maintenance=MaintenanceStep.DONE)], ("web", "ready")),
         ]
     ]
@@ -301,10 +285,7 @@
             "held by another",
             {"now_s": 60.0, "deltas": [told(1, target(), process="p2")], "expected": 1},
         ),
-        (
-            "the holder was not lost",
-            {"now_s": 60.0, "deltas": [told(2, target())], "expected": 1},
-        ),
+        ("the holder was not lost", {"now_s": 60.0, "deltas": [told(2, target())], "expected": 1}),
     ]
 
     def test_lost(self) -> None:
--- a/tests/core/membership/test_holder.py
+++ b/tests/core/membership/test_holder.py
@@ -52,11 +52,7 @@
         (name, {"events": events, "expected": expected})
         for name, events, expected in [
             ("repeated", lambda h: h.announce(f.announcement(), at(1.0)), {}),
-            (
-                "join",
-                lambda h: h.announce(f.announcement("vm-2"), at(1.0)),
-                {"vm-2": "ready"},
-            ),
+            ("join", lambda h: h.announce(f.announcement("vm-2"), at(1.0)), {"vm-2": "ready"}),
             ("leave", lambda h: h.leave(VM, at(0.1)), {"vm-1": "leaving"}),
             (
                 "leave by announcement",
@@ -100,11 +96,7 @@
                 {},
             ),
             ("not suspected, not dead", lambda h: h.confirm_dead(VM), {}),
-            (
-                "dead",
-                lambda h: (h.suspect(at(3.0)), h.confirm_dead(VM)),
-                {"vm-1": "dead"},
-            ),
+            ("dead", lambda h: (h.suspect(at(3.0)), h.confirm_dead(VM)), {"vm-1": "dead"}),
             (
                 "dead and retired",
                 lambda h: (h.suspect(at(3.0)), h.confirm_dead(VM), h.assign([])),
--- a/tests/core/membership/test_observers.py
+++ b/tests/core/membership/test_observers.py
@@ -22,12 +22,7 @@
             ("suspected by its holder only", [P1, P2], lambda o: o.take_dead(at(99.0)), ()),
             ("unreached by a second process", [P1, P2], lambda o: o.unreached(A, P2), (A,)),
             ("unreached by the same process", [P1, P2], lambda o: o.unreached(A, P1), ()),
-            (
-                "reached again",
-                [P1, P2],
-                lambda o: (o.unreached(A, P2), o.reached(A)),
-                (),
-            ),
+            ("reached again", [P1, P2], lambda o: (o.unreached(A, P2), o.reached(A)), ()),
             (
                 "back before the second word",
                 [P1, P2],
--- a/tests/core/membership/test_schedule.py
+++ b/tests/core/membership/test_schedule.py
@@ -2,10 +2,7 @@
 
 import testtools
 from marigolddoor_core.instants import Instant
-from marigolddoor_core.membership.schedule import (
-    MAX_ANNOUNCEMENTS_PER_S,
-    AnnouncementSchedule,
-)
+from marigolddoor_core.membership.schedule import MAX_ANNOUNCEMENTS_PER_S, AnnouncementSchedule
 
 from tests.core.membership.fixtures import at
 
--- a/tests/core/state/fixtures.py
+++ b/tests/core/state/fixtures.py
@@ -37,10 +37,7 @@
         Service(ServiceId("orders"), PoolId("web"), False, 6),
         Service(ServiceId("help"), PoolId("spare"), True, 2, rank=1),
     ),
-    (
-        Pool(PoolId("web"), 6, 4, 1),
-        Pool(PoolId("spare"), 6, 2, 2, spare=True),
-    ),
+    (Pool(PoolId("web"), 6, 4, 1), Pool(PoolId("spare"), 6, 2, 2, spare=True)),
     (Team(TeamId("shop"), 8, 16.0),),
     (Job(JobId("report"), PoolId("web"), TeamId("shop"), 2, Resources(2.0, 1_000)),),
 )
--- a/tests/core/state/test_claims.py
+++ b/tests/core/state/test_claims.py
@@ -6,11 +6,7 @@
 import testtools
 from marigolddoor_core.state import commands as c
 from marigolddoor_core.state import results as r
-from marigolddoor_core.state.claims import (
-    ANSWER_BODY_LIMIT_BYTES,
-    CLAIMS_LIMIT_BYTES,
-    KEY_LIMIT,
-)
+from marigolddoor_core.state.claims import ANSWER_BODY_LIMIT_BYTES, CLAIMS_LIMIT_BYTES, KEY_LIMIT
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_wire.codec import decode, encode
 
@@ -81,16 +77,8 @@
             ("key", f.claim("k" * (KEY_LIMIT + 1)), True),
             ("no key", f.claim(""), True),
             ("digest", f.claim(digest=b"d" * 65), True),
-            (
-                "digest of an answer",
-                f.answered(2, c.KeptAnswer(200, "", b"", b"d" * 65)),
-                True,
-            ),
-            (
-                "content type",
-                f.answered(2, c.KeptAnswer(200, "t" * 1_000_000, b"", b"d")),
-                False,
-            ),
+            ("digest of an answer", f.answered(2, c.KeptAnswer(200, "", b"", b"d" * 65)), True),
+            ("content type", f.answered(2, c.KeptAnswer(200, "t" * 1_000_000, b"", b"d")), False),
         ]
     ]
 
--- a/tests/core/state/test_machine.py
+++ b/tests/core/state/test_machine.py
@@ -56,19 +56,11 @@
                 r.Refusal.INVALID,
             ),
             ("a move begins", [f.register(), f.begin()], r.MoveBegun(Epoch(1))),
-            (
-                "a move begins twice",
-                [f.register(), f.begin(), f.begin()],
-                r.MoveBegun(Epoch(1)),
-            ),
+            ("a move begins twice", [f.register(), f.begin(), f.begin()], r.MoveBegun(Epoch(1))),
             ("a move of an unknown VM", [f.begin()], r.Refusal.UNKNOWN),
             ("a move to the same pool", [f.register(), f.begin(pool="web")], r.Refusal.INVALID),
             ("a move with another epoch", [f.register(), f.begin(epoch=2)], r.Refusal.OLD_EPOCH),
-            (
-                "a move without a drain",
-                [f.register(), f.finish()],
-                r.Refusal.NOT_DRAINING,
-            ),
+            ("a move without a drain", [f.register(), f.finish()], r.Refusal.NOT_DRAINING),
             (
                 "a late end of an old move",
                 [f.register(), f.begin(), f.finish(), f.begin(epoch=2, pool="web"), f.finish()],
@@ -94,11 +86,7 @@
                 [f.register(), f.begin(), f.maintain(STEP.DRAINING)],
                 r.Refusal.DRAINING,
             ),
-            (
-                "maintenance out of order",
-                [f.register(), f.maintain(STEP.DONE)],
-                r.Refusal.INVALID,
-            ),
+            ("maintenance out of order", [f.register(), f.maintain(STEP.DONE)], r.Refusal.INVALID),
             ("a retired VM is unknown", [f.register(), f.retire(), f.begin()], r.Refusal.UNKNOWN),
             (
                 "a late command to a VM whose id is used again",
@@ -124,11 +112,7 @@
                 [f.register(), f.begin(), f.finish(), f.grant(epoch=1)],
                 r.Refusal.OLD_EPOCH,
             ),
-            (
-                "a lease on a draining VM",
-                [f.register(), f.begin(), f.grant()],
-                r.Refusal.DRAINING,
-            ),
+            ("a lease on a draining VM", [f.register(), f.begin(), f.grant()], r.Refusal.DRAINING),
             (
                 "a lease on a VM in maintenance",
                 [f.register(), f.maintain(STEP.DRAINING), f.grant()],
@@ -322,11 +306,7 @@
             ("another pool", [f.drain(pool="spare")], False),
             ("under way", [f.drain(vm="vm-1"), f.maintain(STEP.DRAINING)], True),
             ("already under way", [f.maintain(STEP.DRAINING), f.drain(vm="vm-1")], False),
-            (
-                "done",
-                [f.drain(vm="vm-1"), *f.MAINTENANCE],
-                False,
-            ),
+            ("done", [f.drain(vm="vm-1"), *f.MAINTENANCE], False),
             (
                 "a resend after it is done",
                 [f.drain(vm="vm-1"), *f.MAINTENANCE, f.drain(vm="vm-1")],
--- a/tests/core/state/test_tasks.py
+++ b/tests/core/state/test_tasks.py
@@ -59,11 +59,7 @@
                 {"report/0": "finished", "report/1": "cancelled"},
             ),
             ("no job", [f.declare(1, "r2", NO_JOBS)], {}),
-            (
-                "a submitted task of a removed job",
-                [f.submit("t"), f.declare(1, "r2", NO_JOBS)],
-                {},
-            ),
+            ("a submitted task of a removed job", [f.submit("t"), f.declare(1, "r2", NO_JOBS)], {}),
             (
                 "a running task of a removed job stays on record while its lease is in force",
                 [f.register(), f.grant(), f.declare(1, "r2", NO_JOBS, time_s=44.0)],
