Demand that the checkers report a replica without its guards

Cause: a checker that sees nothing looks like a replica without faults. Change: twelve twin tests take out one guard each and demand a report; a fault cuts one voter off from the leader only, which the lease guard needs. Conclusion: each invariant has a checker that is known to work.

--- a/tests/core/consensus/simulation.py
+++ b/tests/core/consensus/simulation.py
@@ -374,6 +374,7 @@
                 self.partition,
                 self.partition,
                 self.isolate_leader,
+                self.cut_link,
                 self.heal,
                 self.heal,
                 self.crash,
@@ -412,6 +413,12 @@
             others = {other.address for other in self.nodes.values()} - {node.address}
             self._cut({node.address}, others, self.rng.random() < 0.3)
 
+    def cut_link(self) -> None:
+        """Cut one voter off from a leader only, so that others hear both."""
+        leader, node = self._any_leader(), self._any()
+        if leader is not None and node is not None and leader is not node:
+            self._cut({leader.address}, {node.address}, one_way=False)
+
     def _cut(self, one: set[str], other: set[str], one_way: bool) -> None:
         self.note(f"cut {sorted(one)} from {sorted(other)}{' one way' if one_way else ''}")
         self.blocked = {(a, b) for a in one for b in other}
--- /dev/null
+++ b/tests/core/consensus/test_faults.py
@@ -0,0 +1,195 @@
+"""Guards against lost, changed or falsely acknowledged entries under any mix of faults.
+
+The twin tests take out one guard of the replica each and demand that a checker reports it, so that
+a checker that sees nothing does not go unnoticed.
+"""
+
+from typing import Any
+
+import testtools
+from marigolddoor_core.consensus import Timing
+from marigolddoor_core.consensus.election import Election
+from marigolddoor_core.consensus.follower import Follower
+from marigolddoor_core.consensus.leader import Leader
+from marigolddoor_core.consensus.node import Node
+from marigolddoor_core.consensus.outputs import ReadOutcome
+from marigolddoor_core.consensus.replica import Replica
+
+from tests.core.consensus.checkers import Violation
+from tests.core.consensus.simulation import Options, Simulation
+from tests.core.consensus.virtual_disk import VirtualDisk
+
+SEEDS = 2_000
+BLOCK = 250
+# Enough seeds for each twin to be reported; most are within the first hundred.
+TWIN_SEEDS = 3_000
+
+FIVE_VOTERS = Options(voters=5, spares=0, client_interval_s=0.2)
+# A restarted replica refuses to vote for 0.5 s. Requests have to be under way for that long to
+# show that it must not forget its vote either.
+SLOW_NETWORK = Options(
+    voters=5, spares=0, latency_s=0.15, fault_interval_s=0.1, client_interval_s=0.2
+)
+
+
+class FaultsTest(testtools.TestCase):
+    """Every invariant holds in every step of every seed, and the group recovers."""
+
+    scenarios = [
+        (f"seeds {first} to {first + BLOCK - 1}", {"first": first})
+        for first in range(0, SEEDS, BLOCK)
+    ]
+
+    def test_invariants(self) -> None:
+        for seed in range(self.first, self.first + BLOCK):
+            try:
+                Simulation(seed).run()
+            except Violation as violation:
+                self.fail(f"seed {seed}: {violation}")
+
+
+class ReplayTest(testtools.TestCase):
+    """A seed gives the same trace each time, so that a failure can be looked at."""
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in (3, 71)]
+
+    def test_trace(self) -> None:
+        traces = []
+        for _ in range(2):
+            simulation = Simulation(self.seed, trace=True)
+            simulation.run()
+            traces.append(simulation.trace)
+        self.assertEqual(traces[0], traces[1])
+        self.assertTrue(traces[0])
+
+
+def send_at_once(node: Node, number: Any, outgoing: Any) -> None:
+    """Send without waiting for any write."""
+    node.output.messages.append(outgoing)
+
+
+def forget_vote(disk: VirtualDisk) -> Any:
+    """Recover without the vote."""
+    disk.vote = None
+    return RECOVERED(disk)
+
+
+def read_at_once(leader: Leader, read: Any, now: Any) -> None:
+    """Answer a read without proof that the leader still leads."""
+    leader.node.output.reads.append(ReadOutcome(read, leader.node.commit_index))
+
+
+def stay_in_office(replica: Replica, now: Any) -> None:
+    """Start the election of a successor without stepping down."""
+    target = replica.leading.transfer_target() if replica.leading is not None else None
+    if target is not None:
+        assert replica.leading is not None
+        replica.leading.send_timeout_now(target)
+
+
+RECOVERED = VirtualDisk.recovered
+
+
+class TwinTest(testtools.TestCase):
+    """With one guard taken out, its checker reports a violation."""
+
+    scenarios = [
+        (
+            "acknowledge before sync",
+            {"patches": [(Node, "_send_after", send_at_once)], "checkers": {"synced quorum"}},
+        ),
+        (
+            "count the own entry before sync",
+            {
+                "patches": [
+                    (Leader, "_synced_index", lambda leader, voter: leader_end(leader, voter))
+                ],
+                "checkers": {"synced quorum"},
+            },
+        ),
+        (
+            "vote twice",
+            {
+                "patches": [(Election, "is_free", lambda *_: True)],
+                "checkers": {"one vote", "one leader"},
+            },
+        ),
+        (
+            "forget the vote at a restart",
+            {
+                "patches": [(VirtualDisk, "recovered", forget_vote)],
+                "options": SLOW_NETWORK,
+                "checkers": {"one vote"},
+            },
+        ),
+        (
+            "vote while a lease may hold",
+            {
+                "patches": [(Election, "is_bound", lambda *_: False)],
+                "options": FIVE_VOTERS,
+                "checkers": {"one lease"},
+            },
+        ),
+        (
+            "lease longer than the election timeout",
+            {
+                "patches": [],
+                "options": Options(timing=Timing(lease_s=0.9, replace_after_s=1.5)),
+                "checkers": {"one lease", "stale read"},
+            },
+        ),
+        (
+            "commit an entry of an old term by counting",
+            {"patches": [(Leader, "is_committable", lambda *_: True)], "checkers": {"own term"}},
+        ),
+        (
+            "ignore the log in votes",
+            {
+                "patches": [(Election, "is_log_current", lambda *_: True)],
+                "checkers": {"committed entries"},
+            },
+        ),
+        (
+            "append without matching the entry before",
+            {
+                "patches": [(Follower, "matches", lambda *_: True)],
+                "checkers": {"log matching", "committed entries", "synced quorum"},
+            },
+        ),
+        (
+            "read without proof of leadership",
+            {"patches": [(Leader, "read", read_at_once)], "checkers": {"stale read"}},
+        ),
+        (
+            "stay in office after a transfer",
+            {"patches": [(Replica, "_finish_transfer", stay_in_office)], "checkers": {"one lease"}},
+        ),
+        (
+            "a wiped replica comes back as itself",
+            {
+                "patches": [],
+                "options": Options(wiped_keeps_identity=True, fault_interval_s=0.15),
+                "checkers": {"committed entries", "one vote", "synced quorum"},
+            },
+        ),
+    ]
+
+    options: Options | None = None
+
+    def test_reported(self) -> None:
+        for target, name, replacement in self.patches:
+            self.patch(target, name, replacement)
+        for seed in range(TWIN_SEEDS):
+            try:
+                Simulation(seed, self.options).run()
+            except Violation as violation:
+                if violation.checker in self.checkers:
+                    return
+        self.fail(f"no checker of {self.checkers} reported it in {TWIN_SEEDS} seeds")
+
+
+def leader_end(leader: Leader, voter: Any) -> Any:
+    """Return the last index for the leader itself, synced or not."""
+    if voter == leader.node.replica:
+        return leader.node.log.last_index
+    return leader.progress[voter].match_index if voter in leader.progress else 0
