--- a/tests/control/groups.py
+++ b/tests/control/groups.py
@@ -1,13 +1,16 @@
 """A group of control processes in one test process, over real sockets and real files."""
 
 import random
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import anyio
+from loguru import logger
 from marigolddoor_control.agreement import Agreement, AgreementSettings
+from marigolddoor_core.consensus import Member, Replica
 from marigolddoor_core.ids import ClaimId, IdempotencyKey, LogIndex, ProcessId, ServiceId
 from marigolddoor_core.state.commands import Claim, Command
 from marigolddoor_core.state.results import ClaimGranted, Result
@@ -16,6 +19,8 @@
 from marigolddoor_wire.messages import TargetDelta
 from marigolddoor_wire.peers import Address, PeerPool, PeerServer
 
+logger.disable("marigolddoor_control")
+
 KEY = SharedKey(b"k" * 32)
 
 
@@ -56,6 +61,17 @@
         self.scope = anyio.CancelScope()
         self.ended = anyio.Event()
 
+    @property
+    def replica(self) -> Replica:
+        """Return the replica, which is there after `ready`."""
+        assert self.agreement.replica is not None
+        return self.agreement.replica
+
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """Return the voters that this process knows of."""
+        return self.replica.configuration.voters
+
     async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
         with self.scope:
             async with PeerPool(KEY) as pool, anyio.create_task_group() as group:
@@ -69,6 +85,11 @@
                 group.cancel_scope.cancel()
         self.ended.set()
 
+    async def ready(self) -> None:
+        """Wait until the replica takes part in the group."""
+        while self.agreement.replica is None or self.agreement.leader is None:
+            await anyio.sleep(0.01)
+
     async def kill(self) -> None:
         """End the process without a word to anybody."""
         self.scope.cancel()
@@ -99,22 +120,32 @@
             self.processes.append(process)
         return process
 
-    async def leader(self) -> Process:
-        """Wait for a leader with all voters."""
+    @property
+    def running(self) -> list[Process]:
+        """Return the processes that have not ended."""
+        return [process for process in self.processes if not process.ended.is_set()]
+
+    async def leader(self, voters: int | None = None) -> Process:
+        """Wait for a leader whose group has all voters."""
+        wanted = len(self.addresses) if voters is None else voters
+        while True:
+            for process in self.running:
+                if process.agreement.is_leader and len(process.voters) == wanted:
+                    return process
+            await anyio.sleep(0.01)
+
+    async def follower(self) -> Process:
+        """Wait for a process that does not lead and knows the leader."""
+        leader = await self.leader()
         while True:
-            for process in self.processes:
-                agreement = process.agreement
-                if not process.ended.is_set() and agreement.is_leader:
-                    voters = agreement.replica.configuration.voters  # type: ignore[union-attr]
-                    if len(voters) == len(self.addresses):
-                        return process
-            await anyio.sleep(0.02)
+            for process in self.running:
+                if process is not leader and process.agreement.leader == leader.settings.address:
+                    return process
+            await anyio.sleep(0.01)
 
 
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that nobody listens on."""
-    import socket
-
     sockets = [socket.socket() for _ in range(count)]
     for bound in sockets:
         bound.bind(("127.0.0.1", 0))
