--- a/packages/control/src/marigolddoor_control/agreement.py
+++ b/packages/control/src/marigolddoor_control/agreement.py
@@ -79,7 +79,7 @@
     peers: tuple[Address, ...] = ()
     wanted_voters: int = 3
     timing: Timing = field(default_factory=Timing)
-    snapshot_after_bytes: int = 256 * 1024
+    snapshot_after_bytes: int = 64 * 1024
     keep_entries: int = 1_000
 
 
