--- a/packages/control/src/marigolddoor_control/agreement.py
+++ b/packages/control/src/marigolddoor_control/agreement.py
@@ -49,6 +49,7 @@
 from marigolddoor_control.joining import PEER_ERRORS, establish_identity
 from marigolddoor_control.peer_outbox import PeerOutbox
 from marigolddoor_control.proposals import Proposal, Proposals, ProposalState
+from marigolddoor_control.snapshot_parts import join, split
 
 __all__ = ["HANDLED_MESSAGES", "Agreement", "AgreementSettings"]
 
@@ -62,6 +63,8 @@
 FORWARDED_TIME_SHARE = 0.9
 # A replica that belongs to no group asks its peers this often.
 JOIN_INTERVAL_S = 0.5
+# A snapshot is synced after each part of this size, because the loop waits for a sync.
+SYNC_BYTES = 1024 * 1024
 # A replica that hears from no leader for this long may have been removed, and asks to join again.
 ABANDONED_AFTER_S = 5.0
 
@@ -72,6 +75,7 @@
 
     `peers` are the addresses of the other control processes. A snapshot is taken when the log
     since the last one has `snapshot_after_bytes`, or the size of that snapshot if it is larger.
+    Up to `keep_bytes` of older entries stay for peers that are a little behind.
     """
 
     name: str
@@ -80,7 +84,7 @@
     wanted_voters: int = 3
     timing: Timing = field(default_factory=Timing)
     snapshot_after_bytes: int = 64 * 1024
-    keep_entries: int = 1_000
+    keep_bytes: int = 256 * 1024
 
 
 @dataclass(slots=True)
@@ -129,6 +133,7 @@
         self.known_role: tuple[Any, ...] = ()
         self.received_state: bytes | None = None
         self.unsnapshotted_bytes = 0
+        self.is_taking_snapshot = False
         self.is_stopping = False
         self.stopped = anyio.Event()
 
@@ -399,7 +404,7 @@
 
     def _restore(self, index: LogIndex, state: bytes) -> None:
         stored: StoredState = decode(state)
-        self.machine.restore(decode(stored.state))
+        self.machine.restore(join(decode(part) for part in stored.parts))
         self.agreed.observe(stored.time_s)
         self.applied_index = index
         self.proposals.skipped(index)
@@ -446,27 +451,36 @@
         replica = self._replica()
         snapshot = replica.node.snapshot
         size = 0 if snapshot is None else snapshot.size_bytes
-        if self.unsnapshotted_bytes < max(self.settings.snapshot_after_bytes, size):
-            return
-        self.take_snapshot()
-
-    def take_snapshot(self) -> None:
-        """Store the state and compact the log."""
+        is_due = self.unsnapshotted_bytes >= max(self.settings.snapshot_after_bytes, size)
+        if is_due and not self.is_taking_snapshot and self.failure is None:
+            assert self.group is not None
+            self.is_taking_snapshot = True
+            self.group.start_soon(self.take_snapshot)
+
+    async def take_snapshot(self) -> None:
+        """Store the state as it is now and compact the log, without holding up the loop."""
         replica = self._replica()
-        index = self.applied_index
+        index, time_s = self.applied_index, self.agreed.last_s
+        term, configuration = replica.term_at(index), replica.configuration_at(index)
+        self.is_taking_snapshot = True
+        self.unsnapshotted_bytes = 0
         try:
-            meta = self.store.save_snapshot(
-                index,
-                replica.term_at(index),
-                replica.configuration_at(index),
-                encode(StoredState(self.agreed.last_s, encode(self.machine.snapshot()))),
-            )
+            parts = []
+            for part in split(self.machine.snapshot()):
+                parts.append(encode(part))
+                await anyio.lowlevel.checkpoint()
+            state = encode(StoredState(time_s, tuple(parts)))
+            writer = self.store.begin_snapshot(index, term, configuration, state)
+            for offset in range(0, len(state), SYNC_BYTES):
+                self.store.add_to_snapshot(writer, state[offset : offset + SYNC_BYTES])
+                await anyio.lowlevel.checkpoint()
+            if self.store.finish_snapshot(writer):
+                replica.snapshot_taken(writer.meta, self.settings.keep_bytes)
+                self._drain()
         except StorageError as error:
             self._fail(error)
-            return
-        self.unsnapshotted_bytes = 0
-        replica.snapshot_taken(meta, self.settings.keep_entries)
-        self._drain()
+        finally:
+            self.is_taking_snapshot = False
 
     def _announce_role(self) -> None:
         replica = self._replica()
--- a/packages/core/src/marigolddoor_core/consensus/log.py
+++ b/packages/core/src/marigolddoor_core/consensus/log.py
@@ -96,6 +96,17 @@
             taken.append(entry)
         return tuple(taken)
 
+    def index_before(self, last: LogIndex, max_bytes: int) -> LogIndex:
+        """Return the index after which the entries up to `last` have at most `max_bytes`."""
+        size = 0
+        index = last
+        while index > self.base_index:
+            size += len(self.entry(index).command) + ENTRY_OVERHEAD_BYTES
+            if size > max_bytes:
+                break
+            index = LogIndex(index - 1)
+        return index
+
     def between(self, after: LogIndex, last: LogIndex) -> Sequence[Entry]:
         """Return the entries after `after` up to `last`."""
         return self.entries[after - self.base_index : last - self.base_index]
--- a/packages/core/src/marigolddoor_core/consensus/machine.py
+++ b/packages/core/src/marigolddoor_core/consensus/machine.py
@@ -17,7 +17,11 @@
         ...
 
     def snapshot(self) -> Any:
-        """Return the state as a dataclass that the codec can encode."""
+        """Return the state as a frozen dataclass that the codec can encode.
+
+        It stays as it is when the state changes. The driver encodes it in parts, each with a share
+        of the items of its tuple fields, so the items of a large state belong in tuples.
+        """
         ...
 
     def restore(self, snapshot: Any) -> None:
--- a/packages/core/src/marigolddoor_core/consensus/node.py
+++ b/packages/core/src/marigolddoor_core/consensus/node.py
@@ -171,12 +171,12 @@
         self.unsynced.clear()
         self.installing = (number, snapshot)
 
-    def compact(self, snapshot: SnapshotMeta, keep_entries: int) -> None:
-        """Drop entries that `snapshot` covers, but the last `keep_entries` of them."""
+    def compact(self, snapshot: SnapshotMeta, keep_bytes: int) -> None:
+        """Drop entries that `snapshot` covers, but up to `keep_bytes` of the last ones."""
         if self.snapshot is not None and snapshot.index <= self.snapshot.index:
             return
         self.snapshot = snapshot
-        index = LogIndex(snapshot.index - keep_entries)
+        index = self.log.index_before(snapshot.index, keep_bytes)
         if index > self.log.base_index:
             self.log.compact(index)
             self.write(CompactLog(index, self.log.base_term))
--- a/packages/core/src/marigolddoor_core/consensus/replica.py
+++ b/packages/core/src/marigolddoor_core/consensus/replica.py
@@ -188,12 +188,13 @@
             self.leading.begin_transfer(now)
             self._finish_transfer(now)
 
-    def snapshot_taken(self, snapshot: SnapshotMeta, keep_entries: int) -> None:
+    def snapshot_taken(self, snapshot: SnapshotMeta, keep_bytes: int) -> None:
         """Compact the log up to a snapshot that the driver has synced.
 
-        The last `keep_entries` stay, so that a peer that is a little behind needs no snapshot.
+        Up to `keep_bytes` of entries stay, so that a peer that is a little behind needs no
+        snapshot.
         """
-        self.node.compact(snapshot, keep_entries)
+        self.node.compact(snapshot, keep_bytes)
 
     def configuration_at(self, index: LogIndex) -> Configuration:
         """Return the configuration after the entry at `index`, which was delivered."""
--- a/packages/core/src/marigolddoor_core/consensus/stored.py
+++ b/packages/core/src/marigolddoor_core/consensus/stored.py
@@ -37,7 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredState:
-    """The content of a snapshot: the encoded state, and the agreed time of its last command."""
+    """The content of a snapshot: the agreed time of its last command, and the encoded state.
+
+    The parts are snapshots of the state machine with a share of the items each.
+    """
 
     time_s: float
-    state: bytes
+    parts: tuple[bytes, ...]
--- a/packages/storage/src/marigolddoor_storage/snapshot_files.py
+++ b/packages/storage/src/marigolddoor_storage/snapshot_files.py
@@ -10,14 +10,14 @@
 from marigolddoor_storage.errors import CorruptFileError, StorageError
 from marigolddoor_storage.files import Files, OpenFile
 
-__all__ = ["SnapshotFiles"]
+__all__ = ["SnapshotFiles", "SnapshotWriter"]
 
 # The latest snapshot, one that is being taken, and one that is being received.
 SLOTS = 3
 _HEADER = struct.Struct(">II")
 
 
-class _Incoming:
+class SnapshotWriter:
     """A snapshot that is being written."""
 
     def __init__(self, file: OpenFile, meta: SnapshotMeta) -> None:
@@ -30,9 +30,14 @@
         self.end = self.data_offset
 
     def add(self, data: bytes) -> None:
+        """Add a part of the state; it is not durable yet."""
         self.file.write(data, self.end)
         self.end += len(data)
 
+    def sync(self) -> None:
+        """Make durable what was added so far."""
+        self.file.sync()
+
 
 class SnapshotFiles:
     """Keeps the latest snapshot while others are written.
@@ -47,7 +52,8 @@
         self.latest: SnapshotMeta | None = None
         self.latest_file = self.slots[0]
         self.data_offset = 0
-        self.received: _Incoming | None = None
+        self.own: SnapshotWriter | None = None
+        self.received: SnapshotWriter | None = None
 
     def open(self) -> bytes | None:
         """Return the state of the latest whole snapshot, if there is one."""
@@ -62,27 +68,37 @@
                 state = data
         return state
 
-    def save(self, meta: SnapshotMeta, state: bytes) -> None:
-        """Store a snapshot of the own state; on return it is durable.
+    def begin_own(self, meta: SnapshotMeta) -> SnapshotWriter:
+        """Begin a snapshot of the own state, in place of one that was not finished."""
+        self.own = None
+        self.own = SnapshotWriter(self._free_file(), meta)
+        return self.own
+
+    def finish_own(self, writer: SnapshotWriter) -> bool:
+        """Publish a snapshot of the own state; return whether it is the latest one now.
 
         Raises:
           StorageError: it is not stored. The snapshot before it is still there.
         """
-        incoming = _Incoming(self._free_file(), meta)
-        incoming.add(state)
-        incoming.file.sync()
-        self._publish(incoming)
+        self.own = None
+        writer.sync()
+        if self.latest is not None and self.latest.index >= writer.meta.index:
+            # A later one was received meanwhile.
+            return False
+        self._publish(writer)
+        return True
 
     def begin(self, meta: SnapshotMeta) -> None:
         """Begin to receive a snapshot, in place of one that was not finished."""
         self.received = None
-        self.received = _Incoming(self._free_file(), meta)
+        self.received = SnapshotWriter(self._free_file(), meta)
 
     def add(self, data: bytes) -> None:
-        """Add a chunk to the snapshot that is being received."""
+        """Add a chunk to the snapshot that is being received, and sync it."""
         if self.received is None:
             raise StorageError(f"{self.folder}: a chunk without the beginning of its snapshot")
         self.received.add(data)
+        self.received.sync()
 
     def finish(self) -> bytes:
         """Store the received snapshot; return its state.
@@ -90,14 +106,14 @@
         Raises:
           CorruptFileError: the state does not have the announced checksum.
         """
-        incoming, self.received = self.received, None
-        if incoming is None:
+        writer, self.received = self.received, None
+        if writer is None:
             raise StorageError(f"{self.folder}: the end of a snapshot that was not begun")
-        incoming.file.sync()
-        content = _read(incoming.file)
-        if content is None or content[0] != incoming.meta:
-            raise CorruptFileError(f"{incoming.file.path}: wrong checksum of a received snapshot")
-        self._publish(incoming)
+        writer.sync()
+        content = _read(writer.file)
+        if content is None or content[0] != writer.meta:
+            raise CorruptFileError(f"{writer.file.path}: wrong checksum of a received snapshot")
+        self._publish(writer)
         return content[1]
 
     def read_chunk(self, meta: SnapshotMeta, offset: int, length: int) -> bytes | None:
@@ -106,14 +122,15 @@
             return None
         return self.latest_file.read_part(self.data_offset + offset, length)
 
-    def _publish(self, incoming: _Incoming) -> None:
-        self.latest = incoming.meta
-        self.latest_file = incoming.file
-        self.data_offset = incoming.data_offset
+    def _publish(self, writer: SnapshotWriter) -> None:
+        self.latest = writer.meta
+        self.latest_file = writer.file
+        self.data_offset = writer.data_offset
 
     def _free_file(self) -> OpenFile:
-        used = [self.latest_file if self.latest is not None else None]
-        used.append(self.received.file if self.received is not None else None)
+        used = [writer.file for writer in (self.own, self.received) if writer is not None]
+        if self.latest is not None:
+            used.append(self.latest_file)
         return next(file for file in self.slots if file not in used)
 
     def close(self) -> None:
--- a/packages/storage/src/marigolddoor_storage/store.py
+++ b/packages/storage/src/marigolddoor_storage/store.py
@@ -1,7 +1,8 @@
 """Everything that one replica stores in its data folder."""
 
+import contextlib
 import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -23,7 +24,7 @@
 from marigolddoor_storage.folder import Folder
 from marigolddoor_storage.log_file import LogFile
 from marigolddoor_storage.record_file import RecordFile
-from marigolddoor_storage.snapshot_files import SnapshotFiles
+from marigolddoor_storage.snapshot_files import SnapshotFiles, SnapshotWriter
 
 __all__ = ["ReplicaStore", "Restart"]
 
@@ -115,10 +116,8 @@
         Raises:
           StorageError: a write failed; this and every later one counts as not done.
         """
-        if self.failure is not None:
-            raise self.failure
         state: bytes | None = None
-        try:
+        with self._remembered_failure():
             pending: list[Sequence[Entry]] = []
             for action in actions:
                 if isinstance(action, SaveEntries):
@@ -128,9 +127,6 @@
                 pending = []
                 state = self._perform(action) or state
             self._append(pending)
-        except StorageError as error:
-            self.failure = error
-            raise
         return state
 
     def _append(self, batches: list[Sequence[Entry]]) -> None:
@@ -165,23 +161,49 @@
         self.log.rewrite(base, entries)
         self.tail = entries
 
-    def save_snapshot(
+    def begin_snapshot(
         self, index: LogIndex, term: Term, configuration: Configuration, state: bytes
-    ) -> SnapshotMeta:
-        """Store a snapshot of the own state.
+    ) -> SnapshotWriter:
+        """Begin to store a snapshot of the own state.
+
+        The caller adds the state part by part, and syncs in between, so that no single call takes
+        long.
+
+        Raises:
+          StorageError: this and every later write counts as not done.
+        """
+        meta = SnapshotMeta(index, term, configuration, len(state), zlib.crc32(state))
+        with self._remembered_failure():
+            return self.snapshots.begin_own(meta)
+
+    def add_to_snapshot(self, writer: SnapshotWriter, data: bytes) -> None:
+        """Add a part of the state and sync it.
 
         Raises:
-          StorageError: it is not durable.
+          StorageError: this and every later write counts as not done.
         """
+        with self._remembered_failure():
+            writer.add(data)
+            writer.sync()
+
+    def finish_snapshot(self, writer: SnapshotWriter) -> bool:
+        """Publish a snapshot; return False if a later one was received meanwhile.
+
+        Raises:
+          StorageError: this and every later write counts as not done.
+        """
+        with self._remembered_failure():
+            return self.snapshots.finish_own(writer)
+
+    @contextlib.contextmanager
+    def _remembered_failure(self) -> Iterator[None]:
         if self.failure is not None:
             raise self.failure
-        meta = SnapshotMeta(index, term, configuration, len(state), zlib.crc32(state))
         try:
-            self.snapshots.save(meta, state)
+            yield
         except StorageError as error:
             self.failure = error
             raise
-        return meta
 
     def read_chunk(self, meta: SnapshotMeta, offset: int, length: int) -> bytes | None:
         """Return a part of the state of a snapshot; None if a newer one replaced it."""
--- a/packages/wire/idl/consensus.thrift
+++ b/packages/wire/idl/consensus.thrift
@@ -96,7 +96,7 @@
 
 struct StoredState {
   1: double time_s,
-  2: binary state,
+  2: list<binary> parts,
 }
 
 struct PeerMessage {
--- a/packages/wire/src/marigolddoor_wire/gen/consensus/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/consensus/ttypes.py
@@ -1424,19 +1424,19 @@
     """
     Attributes:
      - time_s
-     - state
+     - parts
 
     """
 
     __slots__ = (
         'time_s',
-        'state',
+        'parts',
     )
 
 
-    def __init__(self, time_s=None, state=None,):
+    def __init__(self, time_s=None, parts=None,):
         self.time_s = time_s
-        self.state = state
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1453,8 +1453,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.state = iprot.readBinary()
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readBinary()
+                        self.parts.append(_elem26)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1471,9 +1476,12 @@
             oprot.writeFieldBegin('time_s', TType.DOUBLE, 1)
             oprot.writeDouble(self.time_s)
             oprot.writeFieldEnd()
-        if self.state is not None:
-            oprot.writeFieldBegin('state', TType.STRING, 2)
-            oprot.writeBinary(self.state)
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter27 in self.parts:
+                oprot.writeBinary(iter27)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2035,7 +2043,7 @@
 StoredState.thrift_spec = (
     None,  # 0
     (1, TType.DOUBLE, 'time_s', None, None, ),  # 1
-    (2, TType.STRING, 'state', 'BINARY', None, ),  # 2
+    (2, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 2
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
--- a/tests/control/test_agreement.py
+++ b/tests/control/test_agreement.py
@@ -193,7 +193,7 @@
     await follower.kill()
     leader = await group.leader()
     await propose_all(leader, [f"k{number}" for number in range(500)])
-    leader.agreement.take_snapshot()
+    await leader.agreement.take_snapshot()
     await leader.agreement.propose(claim("last"))
     again = await group.start(group.processes.index(follower))
     await again.ready()
@@ -244,7 +244,7 @@
     async def run_case(self) -> None:
         root = temporary_folder(self)
         with anyio.fail_after(LIMIT_S):
-            async with running_group(root, self.processes, keep_entries=0) as group:
+            async with running_group(root, self.processes, keep_bytes=0) as group:
                 await self.case(group)
 
 
@@ -262,7 +262,7 @@
     async def restart(self) -> None:
         root = temporary_folder(self)
         keys = [f"k{number}" for number in range(200)]
-        settings = {"snapshot_after_bytes": self.snapshot_after_bytes, "keep_entries": 10}
+        settings = {"snapshot_after_bytes": self.snapshot_after_bytes, "keep_bytes": 500}
         with anyio.fail_after(LIMIT_S):
             async with running_group(root, 1, **settings) as group:
                 process = await group.leader()
--- a/tests/core/consensus/simulation.py
+++ b/tests/core/consensus/simulation.py
@@ -558,7 +558,7 @@
         )
         self.note(f"snapshot of {node.id} at {meta.index}")
         node.disk.save_snapshot(meta, state)
-        node.replica.snapshot_taken(meta, self.rng.choice((0, 0, 5)))
+        node.replica.snapshot_taken(meta, self.rng.choice((0, 0, 150)))
         self.settle(node)
 
     def remove_voter(self) -> None:
--- /dev/null
+++ b/tests/core/consensus/test_membership_plan.py
@@ -0,0 +1,71 @@
+"""Guards against voters that are lost and not replaced, and against needless changes."""
+
+from typing import Any
+
+import testtools
+from marigolddoor_core.consensus import Configuration, Member
+from marigolddoor_core.consensus.membership_plan import next_change
+from marigolddoor_core.ids import ReplicaId
+
+
+def member(name: str) -> Member:
+    """Return the incarnation `name` (letter and number) of the process of the letter."""
+    return Member(ReplicaId(name), f"{name[0]}:1")
+
+
+def group(voters: list[str], learners: list[str]) -> Configuration:
+    """Return a configuration of incarnations."""
+    return Configuration(tuple(map(member, voters)), tuple(map(member, learners)))
+
+
+ABC = ["a1", "b1", "c1"]
+
+
+class PlanTest(testtools.TestCase):
+    """The next change; the wanted number of voters is 3, learners have caught up by default."""
+
+    scenarios: list[tuple[str, dict[str, Any]]] = [
+        ("nothing", {"voters": ABC, "expected": None}),
+        ("join", {"voters": ["a1"], "joining": ["b1"], "expected": ("add learner", "b1")}),
+        ("known", {"voters": ABC, "joining": ["b1"], "expected": None}),
+        ("promote", {"voters": ["a1"], "learners": ["b1"], "expected": ("promote", "b1")}),
+        ("behind", {"voters": ["a1"], "learners": ["b1"], "behind": ["b1"], "expected": None}),
+        ("spare", {"voters": ABC, "learners": ["d1"], "expected": None}),
+        ("wiped", {"voters": ABC, "learners": ["c2"], "expected": ("remove", "c1")}),
+        (
+            "wiped, behind",
+            {"voters": ABC, "learners": ["c2"], "behind": ["c2"], "expected": None},
+        ),
+        (
+            "wiped, removed",
+            {"voters": ["a1", "b1"], "learners": ["c2"], "expected": ("promote", "c2")},
+        ),
+        (
+            "wiped twice",
+            {"voters": ABC, "learners": ["c2", "c3"], "expected": ("remove", "c2")},
+        ),
+        (
+            "lost",
+            {"voters": ABC, "learners": ["d1"], "lost": ["b1"], "expected": ("remove", "b1")},
+        ),
+        ("lost without a spare", {"voters": ABC, "lost": ["b1"], "expected": None}),
+        (
+            "lost, spare behind",
+            {"voters": ABC, "learners": ["d1"], "lost": ["b1"], "behind": ["d1"], "expected": None},
+        ),
+    ]
+    learners: list[str] = []
+    joining: list[str] = []
+    behind: list[str] = []
+    lost: list[str] = []
+
+    def test_next(self) -> None:
+        planned = next_change(
+            group(self.voters, self.learners),
+            tuple(map(member, self.joining)),
+            3,
+            lambda replica: replica not in self.behind,
+            lambda replica: replica in self.lost,
+        )
+        found = None if planned is None else (planned.kind.value, planned.member.replica)
+        self.assertEqual(self.expected, found)
--- /dev/null
+++ b/tests/core/consensus/test_progress.py
@@ -0,0 +1,95 @@
+"""Guards against messages that are sent twice for nothing, or never again."""
+
+from typing import Any
+
+import testtools
+from marigolddoor_core.consensus.progress import MAX_IN_FLIGHT, Progress, ProgressState
+from marigolddoor_core.ids import LogIndex
+
+
+def run(progress: Progress, steps: list[tuple[Any, ...]]) -> None:
+    """Call the methods that the steps name."""
+    for name, *arguments in steps:
+        getattr(progress, name)(*map(LogIndex, arguments))
+
+
+class ProgressTest(testtools.TestCase):
+    """Next and matching index after a course of answers; the peer starts at next index 10."""
+
+    scenarios = [
+        ("probe", {"steps": [("sent", 12)], "expected": (0, 10, ProgressState.PROBE, False)}),
+        (
+            "accepted",
+            {
+                "steps": [("sent", 12), ("accepted", 12)],
+                "expected": (12, 13, ProgressState.REPLICATE, True),
+            },
+        ),
+        (
+            "pipelined",
+            {
+                "steps": [("accepted", 9), ("sent", 12), ("sent", 15)],
+                "expected": (9, 16, ProgressState.REPLICATE, True),
+            },
+        ),
+        (
+            "full",
+            {
+                "steps": [("accepted", 9)] + [("sent", 10 + n) for n in range(MAX_IN_FLIGHT)],
+                "expected": (9, 10 + MAX_IN_FLIGHT, ProgressState.REPLICATE, False),
+            },
+        ),
+        (
+            "rejected",
+            {
+                "steps": [("sent", 12), ("rejected", 9, 4)],
+                "expected": (0, 5, ProgressState.PROBE, True),
+            },
+        ),
+        (
+            "rejected with a hint that is no smaller",
+            {
+                "steps": [("sent", 12), ("rejected", 9, 30)],
+                "expected": (0, 9, ProgressState.PROBE, True),
+            },
+        ),
+        (
+            "late rejection",
+            {
+                "steps": [("accepted", 12), ("rejected", 9, 4)],
+                "expected": (12, 13, ProgressState.REPLICATE, True),
+            },
+        ),
+        (
+            "late acceptance",
+            {
+                "steps": [("accepted", 12), ("accepted", 10)],
+                "expected": (12, 13, ProgressState.REPLICATE, True),
+            },
+        ),
+        (
+            "lost messages",
+            {
+                "steps": [("accepted", 9), ("sent", 12), ("sent", 15), ("rejected", 15, 9)],
+                "expected": (9, 10, ProgressState.PROBE, True),
+            },
+        ),
+        (
+            "snapshot",
+            {
+                "steps": [("sent", 12), ("end_transfer", 40)],
+                "expected": (40, 41, ProgressState.PROBE, True),
+            },
+        ),
+    ]
+
+    def test_course(self) -> None:
+        progress = Progress(LogIndex(10))
+        run(progress, self.steps)
+        found = (
+            progress.match_index,
+            progress.next_index,
+            progress.state,
+            progress.can_send_entries(),
+        )
+        self.assertEqual(self.expected, found)
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -68,10 +68,19 @@
 Facts = tuple[int, str | None, int, bytes | None, tuple[tuple[int, int, bytes], ...]]
 
 
+def save_snapshot(store: ReplicaStore, index: int, state: bytes) -> SnapshotMeta:
+    """Store a snapshot in two parts."""
+    writer = store.begin_snapshot(LogIndex(index), Term(1), GROUP, state)
+    store.add_to_snapshot(writer, state[:2])
+    store.add_to_snapshot(writer, state[2:])
+    assert store.finish_snapshot(writer)
+    return writer.meta
+
+
 def do(store: ReplicaStore, step: tuple[WriteAction, ...] | str) -> None:
     """Carry out one step."""
     if isinstance(step, str):
-        store.save_snapshot(LogIndex(4), Term(1), GROUP, b"the state after entry 4")
+        save_snapshot(store, 4, b"the state after entry 4")
     else:
         store.perform(step)
 
@@ -306,7 +315,7 @@
     def test_read(self) -> None:
         store, _ = open_store(temporary_folder(self))
         self.addCleanup(store.close)
-        old = store.save_snapshot(LogIndex(4), Term(1), GROUP, b"old")
-        meta = store.save_snapshot(LogIndex(9), Term(1), GROUP, STATE)
+        old = save_snapshot(store, 4, b"old")
+        meta = save_snapshot(store, 9, STATE)
         self.assertEqual(self.expected, store.read_chunk(meta, self.offset, self.length))
         self.assertIsNone(store.read_chunk(old, 0, 3))
