Check the decisions under faults, alone, in pairs and in triples

Cause: faults come together, and checks that never fail prove nothing. The mean of demand counted queued work twice, so a pool of 4 VMs took a fifth after bursts; it now counts the offered load. Moves take idle VMs first.

--- a/packages/core/src/marigolddoor_core/capacity/capacity.py
+++ b/packages/core/src/marigolddoor_core/capacity/capacity.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from marigolddoor_core.actions import Action, ProposeCommand
-from marigolddoor_core.capacity.demand import MEAN_TIME_S, DemandEstimate, Peak, needed_slots
+from marigolddoor_core.capacity.demand import MEAN_TIME_S, DemandEstimate, Peak
 from marigolddoor_core.capacity.loans import Loan, ServiceNeed, lend
 from marigolddoor_core.capacity.moves import MovePolicy, PatientMoves, PoolState
 from marigolddoor_core.capacity.sizing import (
@@ -23,7 +23,7 @@
 from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S
 from marigolddoor_core.state.commands import BeginMove, FinishMove
 from marigolddoor_core.state.objects import TaskState, VmRecord
-from marigolddoor_core.targets import TargetState
+from marigolddoor_core.targets import TargetState, TaskPhase
 
 __all__ = ["Capacity", "Plan"]
 
@@ -83,8 +83,8 @@
         overflow = 0.0
         for service, demand in fleet.demand.items():
             estimate = self.estimates.setdefault(service, DemandEstimate())
-            estimate.add(needed_slots(demand), fleet.now_s)
-            overflow += max(0.0, estimate.latest - estimate.mean())
+            estimate.add(demand, fleet.now_s)
+            overflow += max(0.0, estimate.offered - estimate.mean())
         if fleet.demand:
             self.overflow.add(overflow, fleet.now_s)
 
@@ -223,7 +223,10 @@
 def _choose(
     fleet: Fleet, donor: PoolLoss, receiver: PoolLoss, ledger: BudgetLedger
 ) -> VmRecord | None:
-    """Return the idlest VM of the donor, from the rack of which the receiver has least."""
+    """Return a VM of the donor with the fewest tasks, in the rack of which the receiver has least.
+
+    A task that is moved is checkpointed and placed again, so an idle VM goes first.
+    """
     racks: dict[RackId, int] = {}
     for record in receiver.members.values():
         racks[record.rack] = racks.get(record.rack, 0) + 1
@@ -238,9 +241,15 @@
     return min(
         candidates,
         key=lambda record: (
+            _running(fleet, record.vm),
             racks.get(record.rack, 0),
             fleet.targets[record.vm].announcement.busy_slots,
             record.vm,
         ),
         default=None,
     )
+
+
+def _running(fleet: Fleet, vm: VmId) -> int:
+    tasks = fleet.targets[vm].announcement.tasks
+    return sum(task.phase is TaskPhase.RUNNING for task in tasks)
--- a/packages/core/src/marigolddoor_core/capacity/demand.py
+++ b/packages/core/src/marigolddoor_core/capacity/demand.py
@@ -6,7 +6,7 @@
 
 from marigolddoor_core.fleet import Demand
 
-__all__ = ["MEAN_TIME_S", "PEAK_WINDOW_S", "DemandEstimate", "Peak", "needed_slots"]
+__all__ = ["MEAN_TIME_S", "PEAK_WINDOW_S", "DemandEstimate", "Peak"]
 
 # Longer than a full turn of rotating demand, so that the mean does not follow one burst.
 MEAN_TIME_S = 180.0
@@ -15,18 +15,6 @@
 BUCKET_S = 10.0
 
 
-def needed_slots(demand: Demand) -> float:
-    """Return the slots that the demand would hold if nothing queued or was refused.
-
-    Refused requests would have held a slot as long as admitted ones did, by Little's law.
-    """
-    held = demand.slots
-    refused = 0.0
-    if demand.admitted > 0:
-        refused = demand.refused * held / demand.admitted
-    return held + demand.queued + refused
-
-
 class Peak:
     """The largest value of the last 15 minutes, kept in buckets of 10 s."""
 
@@ -52,30 +40,37 @@
 class DemandEstimate:
     """The demand for one service in slots.
 
-    The mean is weighted by age with a time constant of 3 minutes. It is divided by the sum of the
-    weights, so that the first samples do not count for more than later ones.
+    `latest` is what would serve all arrivals and start everything that is queued now. The mean is
+    of the offered load alone, arrivals times the time that a request holds a slot: a queue is load
+    that was counted when it arrived. It is weighted by age with a time constant of 3 minutes and
+    divided by the sum of the weights, so that the first samples do not count for more.
     """
 
     latest: float = 0.0
+    offered: float = 0.0
+    hold_s: float = 0.0
     total: float = 0.0
     weight: float = 0.0
     first_s: float | None = None
     last_s: float = 0.0
     peak: Peak = field(default_factory=Peak)
 
-    def add(self, slots: float, now_s: float) -> None:
-        """Take in the slots that are needed now."""
+    def add(self, demand: Demand, now_s: float) -> None:
+        """Take in the demand of the last interval."""
         if self.first_s is None:
             self.first_s, self.last_s = now_s, now_s - 1.0
         step_s = now_s - self.last_s
-        if step_s <= 0.0:
+        if step_s <= 0.0 or demand.interval_s <= 0.0:
             return
+        if demand.admitted > 0:
+            self.hold_s = demand.slots * demand.interval_s / demand.admitted
+        self.offered = offered = demand.arrived * self.hold_s / demand.interval_s
         keep = math.exp(-step_s / MEAN_TIME_S)
-        self.total = self.total * keep + slots * step_s
+        self.total = self.total * keep + offered * step_s
         self.weight = self.weight * keep + step_s
         self.last_s = now_s
-        self.latest = slots
-        self.peak.add(slots, now_s)
+        self.latest = max(offered, demand.slots) + demand.queued
+        self.peak.add(offered, now_s)
 
     def mean(self) -> float:
         """Return the mean demand."""
--- a/standins/src/marigolddoor_standins/virtual/fleet.py
+++ b/standins/src/marigolddoor_standins/virtual/fleet.py
@@ -6,7 +6,7 @@
 
 from marigolddoor_core.actions import Action, Decision, OrderTask, ProposeCommand, RebootVm
 from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
-from marigolddoor_core.ids import DataCentreId, JobId, ServiceId, VmId
+from marigolddoor_core.ids import DataCentreId, JobId, ServiceId, TaskId, VmId
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.state.commands import Command, MaintenanceStep
 from marigolddoor_core.state.objects import VmRecord
@@ -67,12 +67,16 @@
         self.held: dict[VmId, Announcement] = {}
         self.reboots: set[str] = set()
         self.applied: Counter[type[Command]] = Counter()
+        self.completed: set[TaskId] = set()
+        self.progress: dict[TaskId, float] = {}
+        self.events: list[tuple[float, Callable[[], None]]] = []
 
     def add(self, record: VmRecord) -> VirtualWorker:
         """Add a registered VM and its worker."""
         worker = VirtualWorker(
             record.vm, record.data_centre, record.rack, record.capacity, record.slots, record.epoch
         )
+        worker.progress = self.progress
         self.state.vms[record.vm] = record
         self.workers[record.vm] = worker
         self.heard_s[record.data_centre] = self.now_s
@@ -91,12 +95,20 @@
             if each_step is not None:
                 each_step()
 
+    def at(self, time_s: float, event: Callable[[], None]) -> None:
+        """Call `event` at the first step from `time_s` on."""
+        self.events.append((time_s, event))
+
     def step(self) -> None:
         """Advance workers, deliver reports, decide and carry out the actions."""
         self.now_s += self.step_s
+        due = [event for time_s, event in self.events if time_s <= self.now_s]
+        self.events = [later for later in self.events if later[0] > self.now_s]
+        for event in due:
+            event()
         for worker in self.workers.values():
             if worker.is_up(self.now_s):
-                worker.advance(self.now_s, self.step_s)
+                self.completed.update(worker.advance(self.now_s, self.step_s))
         for data_centre in self.heard_s:
             if data_centre not in self.cut_off:
                 self.heard_s[data_centre] = self.now_s
--- /dev/null
+++ b/tests/core/decisions/worlds.py
@@ -0,0 +1,315 @@
+"""A small organisation under faults, with checks after each step."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from marigolddoor_core.actions import Decision
+from marigolddoor_core.capacity import Capacity
+from marigolddoor_core.declaration import Team
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ids import DataCentreId, ServiceId, TaskId, VmId
+from marigolddoor_core.maintenance import BudgetLedger, Maintenance
+from marigolddoor_core.placement import Placement
+from marigolddoor_core.questions.detection import Detection
+from marigolddoor_core.state.commands import (
+    BeginMove,
+    CancelTask,
+    Command,
+    FinishMove,
+    MaintenanceStep,
+    RecordMaintenance,
+)
+from marigolddoor_core.state.objects import TaskState, VmRecord
+from marigolddoor_core.targets import Resources, TargetState
+from marigolddoor_standins.virtual import JobBehaviour, VirtualFleet, VirtualState
+from marigolddoor_standins.virtual.demand import FluidQueue, RotatingDemand
+from marigolddoor_standins.virtual.samples import (
+    SIZE,
+    TEAM,
+    add_workers,
+    job,
+    organisation,
+    pool,
+    submit,
+)
+
+STEP_S = 2.0
+SETTLE_S = 500.0
+LARGE = Resources(5.0, 8_000)
+NORMAL = JobBehaviour(20.0, SIZE)
+
+Leader = Callable[[], Sequence[Decision]]
+
+
+def real_leader() -> Sequence[Decision]:
+    """Return the decisions as the control process runs them."""
+    ledger = BudgetLedger()
+    return [Placement(), Maintenance(ledger), Capacity(ledger), Detection(ledger)]
+
+
+@dataclass
+class World:
+    """A fleet under faults. `problems` holds what the checks found."""
+
+    leader: Leader = real_leader
+    problems: list[str] = field(default_factory=list)
+    submitted: set[TaskId] = field(default_factory=set)
+    rotates: bool = False
+
+    def __post_init__(self) -> None:
+        declared = organisation(
+            [
+                pool("web", 6, 2, 1),
+                pool("floor", 4, 2, 2),
+                pool("spare", 6, 3, 2, spare=True),
+            ],
+            [
+                job("batch"),
+                job("urgent", urgent=True),
+                job("office", "spare", size=LARGE),
+                job("wrong", size=Resources(0.5, 1_000), run_s=2.0),
+                job("endless", run_s=2.0),
+            ],
+            [Team(TEAM, 1_000, 1_000.0)],
+        )
+        self.fleet = VirtualFleet(VirtualState(declared), self.leader, STEP_S, STEP_S)
+        for name, count in (("web", 6), ("floor", 4), ("spare", 6)):
+            add_workers(self.fleet, name, count)
+        self.fleet.on_command = self.check_command
+        names = ("web", "floor", "spare")
+        self.queues = {ServiceId(name): FluidQueue() for name in names}
+        # The mean of the first queue is above its pool, so that VMs move in the end.
+        means = dict(zip(self.queues, (50.0, 10.0, 10.0), strict=True))
+        self.demand = RotatingDemand(means, 7, (4.0, 12.0))
+        self.submit("batch", 12, JobBehaviour(100.0, SIZE))
+        # Three fit on a worker, so that every worker of the spare pool has some.
+        self.submit("office", 16, JobBehaviour(300.0, LARGE))
+
+    def submit(self, name: str, count: int, behaviour: JobBehaviour = NORMAL) -> list[TaskId]:
+        """Submit tasks of a job."""
+        first = sum(task.startswith(f"{name}/") for task in self.submitted)
+        tasks = submit(self.fleet, name, count, behaviour, first)
+        self.submitted.update(tasks)
+        return tasks
+
+    def request_wave(self, pool_name: str) -> None:
+        """Ask for the maintenance of a pool."""
+        for decision in self.fleet.decisions:
+            if isinstance(decision, Maintenance):
+                vms = [vm for vm, r in self.fleet.state.vms.items() if r.pool == pool_name]
+                decision.request(vms, self.fleet.now_s)
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass, with the checks after each step."""
+        for _ in range(round(duration_s / STEP_S)):
+            if self.rotates:
+                self._serve()
+            self.fleet.step()
+            self._check_step()
+
+    def _serve(self) -> None:
+        for service, offered in self.demand.at(self.fleet.now_s).items():
+            slots = sum(8.0 for vm in self.fleet.state.vms.values() if vm.pool == service)
+            queue = self.queues[service]
+            self.fleet.demand[service] = queue.step(self.fleet.now_s, offered, slots)
+
+    def _check_step(self) -> None:
+        running = Counter(
+            run.task for worker in self.fleet.workers.values() for run in worker.running()
+        )
+        for task, count in running.items():
+            if count > 1:
+                self.problems.append(f"{self.fleet.now_s}: {task} runs {count} times at once")
+        for task in self.submitted - self.fleet.state.tasks.keys():
+            self.problems.append(f"{self.fleet.now_s}: {task} is lost")
+
+    def check_command(self, command: Command, fleet: Fleet) -> None:
+        """Check a command before it is applied."""
+        if isinstance(command, BeginMove):
+            self._check_budget(command.vm, fleet)
+        elif isinstance(command, RecordMaintenance):
+            if command.step is MaintenanceStep.DRAINING:
+                self._check_budget(command.vm, fleet)
+        elif isinstance(command, FinishMove):
+            worker = self.fleet.workers[command.vm]
+            if worker.running():
+                self.problems.append(f"{fleet.now_s}: {command.vm} moves while it runs tasks")
+
+    def _check_budget(self, vm: VmId, fleet: Fleet) -> None:
+        """Count the loss afresh, from the state as it is when the command is applied."""
+        state = self.fleet.state
+        record = state.vms[vm]
+        declared = next(p for p in state.declaration.pools if p.id == record.pool)
+        out = {
+            other
+            for other, r in state.vms.items()
+            if r.pool == record.pool and self._is_out(r, fleet)
+        }
+        members = sum(r.pool == record.pool for r in state.vms.values())
+        needed = declared.floor if declared.spare else declared.size
+        lost = len(out | {vm}) + max(0, needed - members)
+        if vm not in out and lost > declared.max_unavailable:
+            self.problems.append(
+                f"{fleet.now_s}: {vm} is taken and {lost} of {record.pool} are out of service"
+            )
+
+    @staticmethod
+    def _is_out(record: VmRecord, fleet: Fleet) -> bool:
+        target = fleet.targets.get(record.vm)
+        return (
+            record.next_pool is not None
+            or record.maintenance not in (None, MaintenanceStep.DONE)
+            or record.data_centre in fleet.silent_data_centres
+            or target is None
+            or target.state is not TargetState.READY
+        )
+
+    def check_end(self) -> None:
+        """Check that every task of a sound job finished, and that each finish was real."""
+        for task, record in self.fleet.state.tasks.items():
+            is_sound = record.job in ("batch", "urgent", "office")
+            if is_sound and record.state not in (TaskState.FINISHED, TaskState.CANCELLED):
+                self.problems.append(f"{task} is {record.state.value} at the end")
+            if record.state is TaskState.FINISHED and task not in self.fleet.completed:
+                self.problems.append(f"{task} counts as finished and never completed")
+
+
+Fault = Callable[[World, random.Random], None]
+
+
+def flood_least(world: World, draw: random.Random) -> None:
+    """Submit far more of the least urgent work than the pool holds."""
+    world.submit("batch", 150, JobBehaviour(6.0, SIZE))
+
+
+def flood_urgent(world: World, draw: random.Random) -> None:
+    """Submit far more urgent work than the pool holds."""
+    world.submit("urgent", 100, JobBehaviour(6.0, SIZE))
+
+
+def rotating_demand(world: World, draw: random.Random) -> None:
+    """Let the demand rotate from now on."""
+    world.rotates = True
+
+
+def rack_lost(world: World, draw: random.Random) -> None:
+    """Lose a rack while a wave runs."""
+    world.request_wave("web")
+    world.run(draw.randrange(4, 20))
+    for worker in world.fleet.workers.values():
+        if worker.rack == "web-rack-0":
+            worker.go_down(world.fleet.now_s, 90.0)
+
+
+def cut_off(world: World, draw: random.Random) -> None:
+    """Cut a data centre off for 10 minutes."""
+    data_centre = DataCentreId("dc-0")
+    world.fleet.cut_off.add(data_centre)
+    ends_s = world.fleet.now_s + 600.0
+    world.fleet.at(ends_s, lambda: world.fleet.cut_off.discard(data_centre))
+
+
+def leader_lost(world: World, draw: random.Random) -> None:
+    """Cut the leader off during a wave; another one takes over after an election."""
+    world.request_wave("floor")
+    world.run(draw.randrange(2, 12))
+    world.fleet.is_leaderless = True
+
+    def elect() -> None:
+        world.fleet.is_leaderless = False
+        world.fleet.change_leader()
+
+    world.fleet.at(world.fleet.now_s + 4.0, elect)
+
+
+def bad_worker(world: World, draw: random.Random) -> None:
+    """Let one worker fail everything for 5 minutes."""
+    worker = world.fleet.workers[VmId(f"web-{draw.randrange(6)}")]
+    worker.fails_all = True
+    world.submit("urgent", 6)
+
+    def heal() -> None:
+        worker.fails_all = False
+
+    world.fleet.at(world.fleet.now_s + 300.0, heal)
+
+
+def endless_job(world: World, draw: random.Random) -> None:
+    """Submit tasks that never end."""
+    world.submit("endless", 2, JobBehaviour(1e9, SIZE))
+
+
+def cancellations(world: World, draw: random.Random) -> None:
+    """Cancel a third of all tasks at once."""
+    for task in sorted(world.submitted):
+        if draw.random() < 0.33:
+            world.fleet.state.apply(CancelTask(task), world.fleet.now_s)
+
+
+def wrong_sizes(world: World, draw: random.Random) -> None:
+    """Submit tasks that use and take ten times what they declare."""
+    world.submit("wrong", 20, JobBehaviour(20.0, Resources(5.0, 10_000)))
+
+
+def late_reports(world: World, draw: random.Random) -> None:
+    """Delay every report by 30 s for 3 minutes."""
+    world.fleet.report_delay_s = 30.0
+
+    def recover() -> None:
+        world.fleet.report_delay_s = 0.0
+
+    world.fleet.at(world.fleet.now_s + 180.0, recover)
+
+
+def second_loss(world: World, draw: random.Random) -> None:
+    """Lose a VM, and another one just after the first is back."""
+    world.request_wave("floor")
+    workers = world.fleet.workers
+    first, second = workers[VmId("floor-0")], workers[VmId("floor-3")]
+    first.go_down(world.fleet.now_s, 40.0)
+    world.fleet.at(world.fleet.now_s + 44.0, lambda: second.go_down(world.fleet.now_s, 40.0))
+
+
+def restart(world: World, draw: random.Random) -> None:
+    """Start a new leader after hundreds of changes."""
+    for task in world.submit("batch", 300):
+        world.fleet.state.apply(CancelTask(task), world.fleet.now_s)
+    world.fleet.change_leader()
+
+
+FAULTS: dict[str, Fault] = {
+    "flood of the least urgent": flood_least,
+    "flood of the most urgent": flood_urgent,
+    "rotating demand": rotating_demand,
+    "rack lost during a wave": rack_lost,
+    "data centre cut off": cut_off,
+    "leader lost": leader_lost,
+    "worker fails everything": bad_worker,
+    "endless job": endless_job,
+    "cancellations": cancellations,
+    "sizes wrong by ten": wrong_sizes,
+    "late reports": late_reports,
+    "second loss after a repair": second_loss,
+    "restart after changes": restart,
+}
+
+
+def run_faults(names: Sequence[str], seed: int, leader: Leader = real_leader) -> list[str]:
+    """Run the faults one after the other at drawn times; return what the checks found."""
+    draw = random.Random(f"{seed}:{names}")
+    world = World(leader)
+    world.run(20)
+    world.request_wave("floor")
+    for name in names:
+        world.run(draw.randrange(0, 30))
+        FAULTS[name](world, draw)
+    if "data centre cut off" in names:
+        world.run(600)
+    world.run(SETTLE_S)
+    world.check_end()
+    return world.problems
+
+
+__all__ = ["FAULTS", "World", "real_leader", "run_faults"]
