Count losses once a round and sample each run every 10 s

Change: the shared ledger keeps the count of a round; samples of one run are 10 s apart; peaks keep only values that no later one exceeds. Conclusion: a size now needs three runs or half a minute of one.

--- a/packages/core/src/marigolddoor_core/capacity/capacity.py
+++ b/packages/core/src/marigolddoor_core/capacity/capacity.py
@@ -142,7 +142,6 @@
             vm = _choose(fleet, donor, losses[move.receiver], self.ledger)
             if vm is None or donor.headroom() <= 0:
                 continue
-            donor.loss.planned.add(vm.vm)
             self.ledger.take(vm.vm, fleet.now_s)
             self.beginning[vm.vm] = move.receiver
             actions.append(ProposeCommand(BeginMove(vm.vm, vm.epoch, move.receiver, fleet.now_s)))
--- a/packages/core/src/marigolddoor_core/capacity/demand.py
+++ b/packages/core/src/marigolddoor_core/capacity/demand.py
@@ -12,28 +12,28 @@
 MEAN_TIME_S = 180.0
 # Peaks that lie further back no longer count; a shorter window would forget rare bursts.
 PEAK_WINDOW_S = 900.0
-BUCKET_S = 10.0
 
 
 class Peak:
-    """The largest value of the last 15 minutes, kept in buckets of 10 s."""
+    """The largest value of the last 15 minutes.
+
+    Keeps only values that no later one exceeds, so the first one is the peak.
+    """
 
     def __init__(self) -> None:
-        self.buckets: deque[tuple[float, float]] = deque()
+        self.falling: deque[tuple[float, float]] = deque()
 
     def add(self, value: float, now_s: float) -> None:
         """Take in a value."""
-        start_s = now_s // BUCKET_S * BUCKET_S
-        if self.buckets and self.buckets[-1][0] == start_s:
-            self.buckets[-1] = (start_s, max(self.buckets[-1][1], value))
-        else:
-            self.buckets.append((start_s, value))
-        while self.buckets[0][0] < now_s - PEAK_WINDOW_S:
-            self.buckets.popleft()
+        while self.falling and self.falling[-1][1] <= value:
+            self.falling.pop()
+        self.falling.append((now_s, value))
+        while self.falling[0][0] < now_s - PEAK_WINDOW_S:
+            self.falling.popleft()
 
     def value(self) -> float:
         """Return the peak, 0 before the first value."""
-        return max((value for _, value in self.buckets), default=0.0)
+        return self.falling[0][1] if self.falling else 0.0
 
 
 @dataclass(slots=True)
--- a/packages/core/src/marigolddoor_core/maintenance/budget.py
+++ b/packages/core/src/marigolddoor_core/maintenance/budget.py
@@ -102,13 +102,21 @@
 
     def __init__(self) -> None:
         self.taken_s: dict[VmId, float] = {}
+        self.fleet: Fleet | None = None
+        self.counted: dict[PoolId, PoolLoss] = {}
         self.blame = Blame()
         self.tasks: Tracker[TaskId, TaskRecord] = Tracker()
 
     def losses(self, fleet: Fleet) -> dict[PoolId, PoolLoss]:
-        """Return the loss of every pool, with what decisions took in this round and before."""
-        self.settle(fleet.vms, fleet.now_s)
-        return loss_of(fleet, self.set_aside(fleet), self.taken_s)
+        """Return the loss of every pool, with what decisions took in this round and before.
+
+        The decisions of one round are called with the same fleet and share the result.
+        """
+        if fleet is not self.fleet:
+            self.fleet = fleet
+            self.settle(fleet.vms, fleet.now_s)
+            self.counted = loss_of(fleet, self.set_aside(fleet), self.taken_s)
+        return self.counted
 
     def set_aside(self, fleet: Fleet) -> list[VmId]:
         """Return the workers that get no tasks because they fail those of several jobs."""
@@ -124,6 +132,9 @@
     def take(self, vm: VmId, now_s: float) -> None:
         """Count a VM as planned loss from now on."""
         self.taken_s[vm] = now_s
+        for pool in self.counted.values():
+            if vm in pool.members:
+                pool.loss.planned.add(vm)
 
     def settle(self, vms: Mapping[VmId, VmRecord], now_s: float) -> None:
         """Drop what is committed, and what will not be any more."""
--- a/packages/core/src/marigolddoor_core/placement/estimates.py
+++ b/packages/core/src/marigolddoor_core/placement/estimates.py
@@ -12,6 +12,8 @@
 # Two reports may both show the start-up of a task, so three are the least that count.
 MIN_SAMPLES = 3
 MAX_SAMPLES = 32
+# Reports of one run that lie closer together say the same and would outvote other runs.
+SAMPLE_SPACING_S = 10.0
 QUANTILE = 0.9
 # A change below a tenth is within the noise of usage reports; following it recharges every task.
 MIN_CHANGE = 0.1
@@ -37,6 +39,7 @@
         self.usage: dict[JobId, deque[Resources]] = {}
         self.runs: dict[JobId, deque[float]] = {}
         self.sizes: dict[JobId, Resources] = {}
+        self.sampled: dict[TaskId, tuple[FencingToken, float]] = {}
         self.last: dict[TaskId, tuple[FencingToken, float, TaskPhase]] = {}
 
     def add(self, job: Job, report: TaskReport) -> bool:
@@ -49,6 +52,10 @@
             self.runs.setdefault(job.id, deque(maxlen=MAX_SAMPLES)).append(report.run_s)
         if report.phase is not TaskPhase.RUNNING or report.usage.cores <= 0.0:
             return False
+        token, sampled_s = self.sampled.get(report.task, (FencingToken(-1), 0.0))
+        if token == report.token and report.run_s - sampled_s < SAMPLE_SPACING_S:
+            return False
+        self.sampled[report.task] = (report.token, report.run_s)
         samples = self.usage.setdefault(job.id, deque(maxlen=MAX_SAMPLES))
         samples.append(report.usage)
         if len(samples) < MIN_SAMPLES:
@@ -68,6 +75,7 @@
     def forget(self, task: TaskId) -> None:
         """Drop what is kept for a task that has ended."""
         self.last.pop(task, None)
+        self.sampled.pop(task, None)
 
     def size(self, job: Job) -> Resources:
         """Return what a task of the job is expected to need."""
