Start urgent tasks within a second in a full pool

A blocked job was remembered by its number of waiting tasks, so one that replaced another was overlooked; and tasks that were granted but not started were asked to leave, which they cannot follow. Change: blocked jobs remember arrivals, urgent jobs are looked at in each round; only started tasks are victims; room that does not get free in 5 s is made on another worker.

--- a/packages/core/src/marigolddoor_core/placement/board.py
+++ b/packages/core/src/marigolddoor_core/placement/board.py
@@ -14,7 +14,7 @@
 from marigolddoor_core.state.objects import TaskRecord, TaskState, VmRecord
 from marigolddoor_core.targets import Resources, TargetState, TaskPhase
 
-__all__ = ["Board", "Charge", "PoolRoom", "Worker", "is_in_service", "is_leaving"]
+__all__ = ["NOTHING", "Board", "Charge", "PoolRoom", "Worker", "is_in_service", "is_leaving"]
 
 NOTHING = Resources(0.0, 0)
 
@@ -101,6 +101,9 @@
         self.vms: Tracker[VmId, VmRecord] = Tracker()
         self.targets: Tracker[VmId, ObservedTarget] = Tracker(_is_same_target)
         self.waiting: dict[JobId, dict[TaskId, TaskRecord]] = {}
+        # Counts the tasks that began to wait. The number that waits does not tell that one took
+        # the place of another.
+        self.arrivals: dict[JobId, int] = {}
         self.location: dict[TaskId, VmId] = {}
         self.by_job: dict[JobId, dict[TaskId, None]] = {}
         self.racks: dict[JobId, dict[RackId, int]] = {}
@@ -303,6 +306,7 @@
             return
         if new.state is TaskState.WAITING:
             self.waiting.setdefault(new.job, {})[change.key] = new
+            self.arrivals[new.job] = self.arrivals.get(new.job, 0) + 1
         else:
             self.by_job.get(new.job, {}).pop(change.key, None)
             self.estimates.forget(change.key)
--- a/packages/core/src/marigolddoor_core/placement/placement.py
+++ b/packages/core/src/marigolddoor_core/placement/placement.py
@@ -38,10 +38,14 @@
 # An order is given up if the worker did not take it within this time. Its lease counts from
 # receipt, so it is shorter by as much, and ends no later than the leader assumes.
 ORDER_DELIVERY_S = 3.0
+# By then a start order has reached its worker. The report of it may take 20 s more.
+START_DELIVERY_S = 0.4
 # An urgent task must start within 6.2 s, so a task that does not checkpoint is stopped before.
 PREEMPT_PATIENCE_S = 3.0
 # Sums of sizes drift by rounding; far less than any task needs.
 QUOTA_ROUNDING_CORES = 1e-6
+# A worker that does not follow a stop within 2 s is not waited for.
+HOLD_PATIENCE_S = PREEMPT_PATIENCE_S + 2.0
 NEVER_S = float("inf")
 ENDED = (TaskPhase.FINISHED, TaskPhase.FAILED, TaskPhase.STOPPED, TaskPhase.CHECKPOINTED)
 
@@ -53,6 +57,14 @@
     proposed_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Hold:
+    """Room that is kept free on a worker for an urgent task."""
+
+    vm: VmId
+    since_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class _Stopping:
     vm: VmId
@@ -64,14 +76,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _Blocked:
-    """Why a job waits; it is looked at again when one of these values changes."""
+    """Why a job waits; it is looked at again when one of these values changes.
+
+    Urgent jobs are looked at in every round, because room for them can be made at any time.
+    """
 
     free: int
-    preemptible: int
     membership: int
     size: Resources
     cores_in_use: float
-    waiting: int
+    arrivals: int
 
 
 class Placement:
@@ -98,9 +112,10 @@
         self.is_elected = False
         self.grants: dict[TaskId, _Grant] = {}
         self.finishing: dict[TaskId, tuple[FencingToken, float]] = {}
-        self.starting: dict[TaskId, None] = {}
+        self.starting: dict[TaskId, float] = {}
         self.stopping: dict[TaskId, _Stopping] = {}
-        self.holds: dict[TaskId, VmId] = {}
+        self.holds: dict[TaskId, _Hold] = {}
+        self.stuck: dict[TaskId, None] = {}
         self.blocked: dict[JobId, _Blocked] = {}
         self.endless: dict[TaskId, float] = {}
         self.set_aside: dict[TaskId, None] = {}
@@ -180,7 +195,7 @@
             self.grants.pop(task, None)
             if old is None or old.token != new.token:
                 self._forget_run(task)
-                self.starting[task] = None
+                self.starting[task] = NEVER_S
             return
         self._forget_run(task)
         if new.state is not TaskState.WAITING:
@@ -199,9 +214,13 @@
         self.starting.pop(task, None)
         self.finishing.pop(task, None)
         self.endless.pop(task, None)
-        vm = self.holds.pop(task, None)
-        if vm is not None:
-            self.board.unhold(task, vm)
+        self.stuck.pop(task, None)
+        self._unhold(task)
+
+    def _unhold(self, task: TaskId) -> None:
+        hold = self.holds.pop(task, None)
+        if hold is not None:
+            self.board.unhold(task, hold.vm)
 
     def _read_reports(self, target: ObservedTarget, now_s: float) -> list[Action]:
         actions: list[Action] = []
@@ -326,6 +345,7 @@
             if job is None or worker is None or lease_s <= 0.0 or task in self.orders.endings:
                 continue
             if self.orders.is_due(task, TaskOrderKind.START, now_s):
+                self.starting[task] = min(self.starting[task], now_s)
                 order = start_order(
                     task, job.id, record.token, lease_s, self.board.size(job), job.command
                 )
@@ -335,11 +355,12 @@
     def _place(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
         self._drop_failed_grants(now_s)
+        self._drop_stuck_holds(now_s)
         for job in self._waiting_jobs():
             if self._is_blocked(job):
                 continue
             actions += self._place_job(job, now_s)
-            if job.id in self.board.waiting and not self._has_holds(job):
+            if job.id in self.board.waiting and not job.urgent:
                 self.blocked[job.id] = self._blocked_by(job)
         return actions
 
@@ -354,16 +375,12 @@
         room = self.board.pools.get(job.pool)
         return _Blocked(
             -1 if room is None else room.free.generation,
-            -1 if room is None or not job.urgent else room.preemptible.generation,
             -1 if room is None else room.membership,
             self.board.size(job),
             self.board.team_cores.get(job.team, 0.0),
-            len(self.board.waiting.get(job.id, ())),
+            self.board.arrivals.get(job.id, 0),
         )
 
-    def _has_holds(self, job: Job) -> bool:
-        return job.urgent and any(task in self.holds for task in self.board.waiting[job.id])
-
     def _is_blocked(self, job: Job) -> bool:
         return self.blocked.get(job.id) == self._blocked_by(job)
 
@@ -383,9 +400,7 @@
             if vm is None:
                 is_full = is_full or not record.failed_on
                 continue
-            held = self.holds.pop(task, None)
-            if held is not None:
-                self.board.unhold(task, held)
+            self._unhold(task)
             self.board.charge(task, job, vm)
             self.grants[task] = _Grant(vm, job.id, now_s)
             epoch = self.board.workers[vm].record.epoch
@@ -405,16 +420,13 @@
         if room is None:
             return None
         size = self.board.size(job)
-        held_on = self.holds.get(record.task)
-        if held_on is not None:
-            worker = self.board.workers.get(held_on)
-            if worker is None or not self.board.is_usable(held_on):
-                del self.holds[record.task]
-                self.board.unhold(record.task, held_on)
-            elif size.fits(worker.room() + worker.holds[record.task]):
-                return held_on
-            else:
-                return None
+        hold = self.holds.get(record.task)
+        if hold is not None and not self.board.is_usable(hold.vm):
+            self._unhold(record.task)
+        elif hold is not None:
+            worker = self.board.workers[hold.vm]
+            has_room = size.fits(worker.room() + worker.holds[record.task])
+            return hold.vm if has_room else None
         avoid = self._avoided(job, record)
         found = room.free.find(size, lambda vm: vm not in avoid)
         racks = self.board.racks.get(job.id, {})
@@ -438,15 +450,38 @@
             return True
         size = self.board.size(job)
         avoid = self._avoided(job, record)
-        plan = self.preemption.plan(self.board, self.orders, job.pool, size, avoid)
+        plan = self.preemption.plan(
+            self.board,
+            self.orders,
+            job.pool,
+            size,
+            avoid,
+            lambda task: self._can_leave(task, now_s),
+        )
         if plan is None:
             return False
-        self.holds[record.task] = plan.vm
+        self.holds[record.task] = _Hold(plan.vm, now_s)
         self.board.hold(record.task, size, plan.vm)
         for task in plan.victims:
             self._end(task, plan.vm, now_s, PREEMPT_PATIENCE_S)
         return True
 
+    def _can_leave(self, task: TaskId, now_s: float) -> bool:
+        """Return whether a task has started and follows orders, as far as is known."""
+        if task in self.grants or task in self.stopping or task in self.stuck:
+            return False
+        return now_s - self.starting.get(task, -NEVER_S) >= START_DELIVERY_S
+
+    def _drop_stuck_holds(self, now_s: float) -> None:
+        """Give up rooms that do not get free, so that they are made on another worker."""
+        for task, hold in tuple(self.holds.items()):
+            if now_s - hold.since_s < HOLD_PATIENCE_S:
+                continue
+            self._unhold(task)
+            for victim in self.board.running_on(hold.vm):
+                if victim in self.orders.endings:
+                    self.stuck[victim] = None
+
     def _drop_failed_grants(self, now_s: float) -> None:
         for task, grant in tuple(self.grants.items()):
             if now_s - grant.proposed_s >= PROPOSAL_PATIENCE_S or not self.board.is_usable(
--- a/packages/core/src/marigolddoor_core/placement/preemption.py
+++ b/packages/core/src/marigolddoor_core/placement/preemption.py
@@ -1,10 +1,11 @@
 """Makes room for urgent tasks by asking others to checkpoint."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from marigolddoor_core.ids import PoolId, TaskId, VmId
-from marigolddoor_core.placement.board import Board, Worker
+from marigolddoor_core.placement.board import NOTHING, Board, Worker
 from marigolddoor_core.placement.orders import OrderBook
 from marigolddoor_core.targets import Resources
 
@@ -29,8 +30,13 @@
         pool: PoolId,
         size: Resources,
         avoid: frozenset[VmId],
+        can_leave: Callable[[TaskId], bool],
     ) -> RoomPlan | None:
-        """Return a plan for `size`, or None if no worker of the pool can make the room."""
+        """Return a plan for `size`, or None if no worker of the pool can make the room.
+
+        Only tasks that `can_leave` may be asked to: a task that has not started yet does not
+        follow the order.
+        """
         ...
 
 
@@ -44,6 +50,7 @@
         pool: PoolId,
         size: Resources,
         avoid: frozenset[VmId],
+        can_leave: Callable[[TaskId], bool],
     ) -> RoomPlan | None:
         """Return no plan."""
         return None
@@ -59,6 +66,7 @@
         pool: PoolId,
         size: Resources,
         avoid: frozenset[VmId],
+        can_leave: Callable[[TaskId], bool],
     ) -> RoomPlan | None:
         """Return the cheapest plan among some workers that can make the room."""
         room = board.pools.get(pool)
@@ -67,22 +75,33 @@
         best: tuple[float, RoomPlan] | None = None
         for vm in room.preemptible.find(size, lambda vm: vm not in avoid):
             worker = board.workers[vm]
-            victims = _victims(worker, orders, size)
+            victims = _victims(worker, orders, size, can_leave)
+            if victims is None:
+                continue
             cost = sum(worker.charges[task].size.cores for task in victims)
             if best is None or cost < best[0]:
                 best = (cost, RoomPlan(vm, victims))
         return None if best is None else best[1]
 
 
-def _victims(worker: Worker, orders: OrderBook, size: Resources) -> tuple[TaskId, ...]:
-    """Return the less urgent tasks that must leave; those that leave already come first."""
+def _victims(
+    worker: Worker, orders: OrderBook, size: Resources, can_leave: Callable[[TaskId], bool]
+) -> tuple[TaskId, ...] | None:
+    """Return the less urgent tasks that must leave, or None if those that can are too small.
+
+    Tasks that leave already come first.
+    """
     missing = size - worker.room()
     victims: list[TaskId] = []
-    candidates = [(t, c) for t, c in worker.charges.items() if not c.job.urgent]
+    candidates = [
+        (task, charge)
+        for task, charge in worker.charges.items()
+        if not charge.job.urgent and can_leave(task)
+    ]
     candidates.sort(key=lambda item: (item[0] not in orders.endings, -item[1].size.cores))
     for task, charge in candidates:
-        if missing.fits(Resources(0.0, 0)):
+        if missing.fits(NOTHING):
             break
         victims.append(task)
         missing -= charge.size
-    return tuple(victims)
+    return tuple(victims) if missing.fits(NOTHING) else None
--- a/standins/src/marigolddoor_standins/virtual/workers.py
+++ b/standins/src/marigolddoor_standins/virtual/workers.py
@@ -72,6 +72,7 @@
     silent: bool = False
     fails_all: bool = False
     returns: bool = True
+    ignores_ends: bool = False
     boots: int = 0
     up_at_s: float = 0.0
     busy_slots: int = 0
@@ -110,6 +111,8 @@
             return
         if run is None or run.token != order.token or run.phase is not TaskPhase.RUNNING:
             return
+        if self.ignores_ends:
+            return
         if order.kind is TaskOrderKind.STOP:
             run.end(TaskPhase.STOPPED, now_s)
         elif order.kind is TaskOrderKind.CHECKPOINT:
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -286,3 +286,46 @@
         fleet.run(5)
         self.assertEqual(sorted(set(proposed)), sorted(proposed))
         self.assertEqual(min(self.tasks, 24), len(proposed))
+
+
+class TestReplacedTask(testtools.TestCase):
+    """Guards against a task that is overlooked because another one left as it came.
+
+    A blocked job was remembered by its number of waiting tasks, which then does not change.
+    """
+
+    scenarios = [("normal", {"urgent": False}), ("urgent", {"urgent": True})]
+
+    def test_the_next_task_is_placed_at_once(self) -> None:
+        fleet = fleet_of(job("j", urgent=self.urgent))
+        for number in range(5):
+            submit(fleet, "j", 1, STEADY, first=number)
+            fleet.run(1)
+        fleet.run(1)
+        self.assertEqual({TaskState.LEASED: 5}, states(fleet, "j"))
+
+
+class TestUrgentStart(testtools.TestCase):
+    """Guards against urgent tasks that wait for tasks which cannot be told to leave.
+
+    A task that was granted but not started yet does not follow a checkpoint order. A worker that
+    ignores orders does not make room either.
+    """
+
+    scenarios = [
+        *((f"{steps} steps after the flood", {"steps": steps, "deaf": 0, "within_s": 1.0})
+          for steps in range(1, 8)),
+        ("one worker ignores orders", {"steps": 100, "deaf": 1, "within_s": 6.2}),
+    ]  # fmt: skip
+
+    def test_start(self) -> None:
+        declared = organisation([pool("web")], [job("batch"), job("urgent", urgent=True)])
+        fleet = VirtualFleet(VirtualState(declared), lambda: [Placement()], 0.05)
+        for vm in add_workers(fleet, "web", 6)[: self.deaf]:
+            fleet.workers[vm].ignores_ends = True
+        submit(fleet, "batch", 60, STEADY)
+        fleet.run(self.steps * 0.05)
+        tasks = submit(fleet, "urgent", 3, STEADY)
+        fleet.run(self.within_s)
+        running = [run.task for worker in fleet.workers.values() for run in worker.running()]
+        self.assertTrue(set(tasks).issubset(running), running)
