--- a/packages/operator/src/marigolddoor_operator/main.py
+++ b/packages/operator/src/marigolddoor_operator/main.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 import anyio
-from marigolddoor_core.operations import CurrentRules
+from marigolddoor_core import declaration
 
 from marigolddoor_operator.arguments import build_parser
 from marigolddoor_operator.commands import Surroundings, run_command
@@ -18,7 +18,7 @@
     """Run one command and return its exit code."""
     options = build_parser().parse_args(arguments)
     try:
-        return anyio.run(run_command, options, Surroundings(CurrentRules(), os.environ))
+        return anyio.run(run_command, options, Surroundings(declaration, os.environ))
     except KeyboardInterrupt:
         # The usual end of `timeline --follow`; a change that was interrupted has no known outcome.
         changes = ("apply", "drain", "answer")
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 from marigolddoor_control.operators import OperatorsApplication, OperatorService, parse_tokens
-from marigolddoor_core.declaration import read_declaration
+from marigolddoor_core import declaration
 from marigolddoor_core.fleet import ObservedTarget
 from marigolddoor_core.ids import (
     DataCentreId,
@@ -28,7 +28,7 @@
     TaskId,
     VmId,
 )
-from marigolddoor_core.operations import CurrentRules, InForce, TimelinePosition
+from marigolddoor_core.operations import InForce, TimelinePosition
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 from marigolddoor_core.state.commands import (
     ApplyDeclaration,
@@ -43,11 +43,10 @@
     OpenQuestion,
     RecordMaintenance,
     RegisterVm,
-    RequestDrain,
     SetAsideTask,
 )
 from marigolddoor_core.state.machine import StateMachine
-from marigolddoor_core.state.results import Done, Refusal, Refused, Result
+from marigolddoor_core.state.results import Refused, Result
 from marigolddoor_core.targets import Announcement, Resources, TargetState, TaskPhase
 from marigolddoor_core.timeline import (
     EventKind,
@@ -146,7 +145,7 @@
 
 def history() -> tuple[Command, ...]:
     """Return the commands that lead to the state in which every session begins."""
-    declaration = read_declaration(
+    declared = declaration.read_declaration(
         tomllib.loads(ORGANISATION), tomllib.loads(TEMPLATE), "organisation.toml", "template.toml"
     )
     pools = {"vm-1": "orders", "vm-2": "orders", "vm-3": "orders", "vm-4": "support",
@@ -154,7 +153,7 @@
     place = (DataCentreId("east"), RackId("rack-1"), "127.0.0.1:9000", SIZE, 8)
     step = MaintenanceStep
     return (
-        ApplyDeclaration(Revision(0), RequestId("first"), OperatorId("zoe"), declaration),
+        ApplyDeclaration(Revision(0), RequestId("first"), OperatorId("zoe"), declared),
         *(RegisterVm(VmId(vm), *place, PoolId(pool)) for vm, pool in pools.items()),
         GrantLease(TaskId("settle/0"), VmId("vm-1"), EPOCH, 2000.0),
         *failed_run("vm-1", 1),
@@ -208,20 +207,12 @@
         if self.no_quorum:
             raise NoQuorumError("no leader with a quorum is known")
         self.proposed.append(command)
-        result = self.commit_drain(command) if isinstance(command, RequestDrain) else None
-        result = result or self.commit(command)
+        result = self.commit(command)
         if self.lose_results > 0:
             self.lose_results -= 1
             raise ProposalOutcomeUnknownError("no result within 5 s")
         return result
 
-    def commit_drain(self, command: RequestDrain) -> Result:
-        """Stand in for the state machine, which doesn't know this command yet."""
-        pools = {pool.id for pool in self.state.declaration.pools}
-        if command.pool in pools or command.vm in self.state.vms:
-            return Done()
-        return Refused(Refusal.UNKNOWN, f"there is no {command.pool or command.vm!r}")
-
 
 def fake_announcement(vm: VmId) -> Announcement:
     """Return an announcement of an idle target."""
@@ -292,5 +283,5 @@
         f"{name} {hashlib.sha256(token.encode()).hexdigest()}\n"
         for name, token in (("ann", ANN_TOKEN), ("ben", BEN_TOKEN))
     )
-    service = OperatorService(system, system, CurrentRules(), timeline or FakeTimeline())
+    service = OperatorService(system, system, declaration, timeline or FakeTimeline())
     return OperatorsApplication(service, parse_tokens("".join(lines)), FakeMetrics())
