Stop the operators' listener without errors, and give each start its own id

Cause: a trial of one process with both roles and the command line against it showed two faults. The control process ended with InvalidStateError, because hypercorn was cancelled while it closed connections. And the entry and control roles recorded events under the same ids, so a merge of their timelines dropped some; a restarted process would have repeated ids, too. Change: the listener shields hypercorn, turns a cancellation into its graceful shutdown and bounds it; connections that clients closed are kept 5 s instead of 30 s. new_process_id gives each role at each start an id of its own, as ids.py says, and a report from the address of an earlier process replaces it. Conclusion: the sample shutdown while reports are late is still noisy: an entry process logs a warning five times a second when its control process is gone.

--- a/packages/control/src/marigolddoor_control/operators/listener.py
+++ b/packages/control/src/marigolddoor_control/operators/listener.py
@@ -16,8 +16,8 @@
 
 __all__ = ["ListenerTls", "serve_operators"]
 
-# Operators send few and small requests; longer idle connections only hold sockets.
-KEEP_ALIVE_S = 30
+# Hypercorn keeps the tasks of a connection that the client closed for this long, too.
+KEEP_ALIVE_S = 5
 SHUTDOWN_S = 3.0
 BACKLOG = 64
 
@@ -40,6 +40,9 @@
 ) -> None:
     """Serve until `shutdown` returns; report the address with the port in use.
 
+    A cancellation shuts down as `shutdown` does and takes up to `SHUTDOWN_S`: hypercorn raises
+    unrelated errors when it is cancelled while it closes connections.
+
     Raises:
       OSError: the address can't be used.
     """
@@ -59,4 +62,16 @@
         config.keyfile = str(tls.key)
     shown = f"[{host}]" if ":" in host else host
     task_status.started(Address(f"{shown}:{bound}"))
-    await serve(application, config, shutdown_trigger=shutdown)
+    stopping = anyio.Event()
+
+    async def stop() -> None:
+        try:
+            await shutdown()
+        finally:
+            stopping.set()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(stop)
+        with anyio.CancelScope(shield=True):
+            await serve(application, config, shutdown_trigger=stopping.wait)
+        group.cancel_scope.cancel()
--- a/packages/core/src/marigolddoor_core/reports.py
+++ b/packages/core/src/marigolddoor_core/reports.py
@@ -83,7 +83,17 @@
         return missed
 
     def record_entry(self, report: EntryReport) -> None:
-        """Take the demand report of an entry process."""
+        """Take the demand report of an entry process.
+
+        A process has a new id after a restart; it replaces the one that had its address.
+        """
+        replaced = [
+            old.process
+            for old in self.entries.values()
+            if report.address and old.address == report.address and old.process != report.process
+        ]
+        for process in replaced:
+            del self.entries[process]
         self.entries[report.process] = report
         self.known_data_centres[report.data_centre] = report.received
 
--- a/packages/daemon/src/marigolddoor_daemon/roles.py
+++ b/packages/daemon/src/marigolddoor_daemon/roles.py
@@ -10,6 +10,7 @@
 from marigolddoor_entry.runtime import EntryRuntime, EntryRuntimeSettings
 from marigolddoor_entry.settings import EntrySettings
 
+from marigolddoor_daemon.process_ids import new_process_id
 from marigolddoor_daemon.settings import Role, Settings, TlsSettings
 
 __all__ = ["RUNNERS", "RoleRunner", "run_roles"]
@@ -31,7 +32,12 @@
     assert entry is not None
     runtime = EntryRuntime(
         EntryRuntimeSettings(
-            EntrySettings(settings.name, settings.data_centre, entry.callers, entry.targets),
+            EntrySettings(
+                new_process_id(settings, Role.ENTRY),
+                settings.data_centre,
+                entry.callers,
+                entry.targets,
+            ),
             entry.peer,
             entry.peers,
             entry.control,
@@ -51,7 +57,7 @@
     tls = settings.tls
     process = ControlProcess(
         ControlProcessSettings(
-            settings.name,
+            new_process_id(settings, Role.CONTROL),
             control.replica,
             control.peer,
             tuple(member.address for member in control.members if member.address != control.peer),
--- a/packages/operator/src/marigolddoor_operator/texts.py
+++ b/packages/operator/src/marigolddoor_operator/texts.py
@@ -166,7 +166,7 @@
 
 def event_text(event: Event) -> str:
     """Return an event as one line."""
-    parts = [time_text(event), f"{event.id:<14}", f"{event.kind.value:<20}"]
+    parts = [time_text(event), f"{event.id:<22}", f"{event.kind.value:<20}"]
     cause = f"<- {event.cause}" if event.cause is not None else ""
     parts += [part for part in (subject_text(event.subject), event.text, cause) if part]
     return _joined(["  ".join(parts)])
--- /dev/null
+++ b/tests/control/operators/test_listener.py
@@ -0,0 +1,69 @@
+"""Guards against a listener that fails, hangs or cuts answers when its process stops."""
+
+import time
+from typing import Any
+
+import anyio
+import httpx
+import testtools
+from marigolddoor_control.operators import serve_operators
+from marigolddoor_control.operators.listener import SHUTDOWN_S
+from marigolddoor_wire.peers import Address
+
+from tests.operator_fakes import ANN_TOKEN, FakeSystem, fake_application
+
+HEADERS = {"Authorization": f"Bearer {ANN_TOKEN}"}
+
+
+class StopTest(testtools.TestCase):
+    """With open, closed and no connections, the listener ends without an error and in time."""
+
+    scenarios = [
+        (f"{way}, {connections}", {"way": way, "connections": connections})
+        for way in ("shutdown", "cancelled", "shutdown, then cancelled")
+        for connections in ("none", "idle", "closed")
+    ]
+
+    def test_stop(self) -> None:
+        anyio.run(self.stop)
+
+    async def stop(self) -> None:
+        stopping = anyio.Event()
+        async with httpx.AsyncClient(headers=HEADERS) as client:
+            async with anyio.create_task_group() as group:
+                arguments: Any = (fake_application(FakeSystem()), Address("127.0.0.1:0"))
+                address = await group.start(serve_operators, *arguments, stopping.wait)
+                if self.connections != "none":
+                    response = await client.get(f"http://{address}/v1/status")
+                    self.assertEqual(200, response.status_code)
+                if self.connections == "closed":
+                    await client.aclose()
+                if "shutdown" in self.way:
+                    stopping.set()
+                if self.way == "shutdown, then cancelled":
+                    await anyio.lowlevel.checkpoint()
+                started_s = time.monotonic()
+                if "cancelled" in self.way:
+                    group.cancel_scope.cancel()
+            self.assertLess(time.monotonic() - started_s, SHUTDOWN_S)
+
+
+class AddressTest(testtools.TestCase):
+    """An address that is taken is an error at the start, not a listener that nobody reaches."""
+
+    def test_taken(self) -> None:
+        anyio.run(self.take)
+
+    async def take(self) -> None:
+        stopping = anyio.Event()
+        application = fake_application(FakeSystem())
+        async with anyio.create_task_group() as group:
+            address = await group.start(
+                serve_operators, application, Address("127.0.0.1:0"), stopping.wait
+            )
+            try:
+                await serve_operators(application, address, stopping.wait)
+                self.fail("the address was used twice")
+            except OSError:
+                pass
+            stopping.set()
--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -83,3 +83,21 @@
         self.assertEqual(self.silent, sorted(reports.silent_data_centres(now)))
         total = reports.demand(now).get(service)
         self.assertEqual(self.demand, total.arrived if total else None)
+
+
+class RestartTest(testtools.TestCase):
+    """A restarted entry process replaces itself; one at another address stays."""
+
+    scenarios = [
+        ("same address", {"address": "127.0.0.1:1", "known": [TWO]}),
+        ("other address", {"address": "127.0.0.1:2", "known": [ONE, TWO]}),
+        ("no address", {"address": "", "known": [ONE, TWO]}),
+    ]
+
+    def test_entries(self) -> None:
+        reports = FleetReports()
+        for process, address in ((ONE, "127.0.0.1:1"), (TWO, self.address)):
+            reports.record_entry(
+                EntryReport(process, DataCentreId("dc-0"), Instant(1.0), Revision(2), {}, address)
+            )
+        self.assertEqual(self.known, list(reports.entries))
