--- a/packages/control/src/marigolddoor_control/operators/listener.py
+++ b/packages/control/src/marigolddoor_control/operators/listener.py
@@ -14,9 +14,11 @@
 
 __all__ = ["ListenerTls", "serve_operators"]
 
-# Operators send few and small requests; longer idle connections only hold sockets.
-KEEP_ALIVE_S = 30
+# Hypercorn keeps the tasks of a connection that the client closed for this long, too.
+KEEP_ALIVE_S = 5
 SHUTDOWN_S = 3.0
+# Every operation ends within 10 s; a client that sends nothing for longer only holds a socket.
+READ_TIMEOUT_S = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,7 @@
     """
     listener = listen(address)
     config = http_config(SHUTDOWN_S, KEEP_ALIVE_S)
+    config.read_timeout = READ_TIMEOUT_S
     if tls is not None:
         config.certfile = str(tls.certificate)
         config.keyfile = str(tls.key)
--- a/packages/daemon/src/marigolddoor_daemon/roles.py
+++ b/packages/daemon/src/marigolddoor_daemon/roles.py
@@ -11,7 +11,9 @@
 from marigolddoor_entry.settings import EntrySettings
 
 from marigolddoor_daemon.errors import RoleMissingError
+from marigolddoor_daemon.process_ids import new_process_id
 from marigolddoor_daemon.settings import Role, Settings, TlsSettings
+from marigolddoor_daemon.timeline_file import timeline_written
 
 __all__ = ["RUNNERS", "RoleRunner", "run_roles"]
 
@@ -39,7 +41,12 @@
     assert entry is not None
     runtime = EntryRuntime(
         EntryRuntimeSettings(
-            EntrySettings(settings.name, settings.data_centre, entry.callers, entry.targets),
+            EntrySettings(
+                new_process_id(settings, Role.ENTRY),
+                settings.data_centre,
+                entry.callers,
+                entry.targets,
+            ),
             entry.peer,
             entry.peers,
             entry.control,
@@ -49,7 +56,8 @@
         _server_tls(settings.tls),
         _client_tls(settings.tls),
     )
-    await runtime.run(stopping)
+    with timeline_written(settings, Role.ENTRY, runtime.recorder):
+        await runtime.run(stopping)
 
 
 async def run_control(settings: Settings, stopping: anyio.Event) -> None:
@@ -59,7 +67,7 @@
     tls = settings.tls
     process = ControlProcess(
         ControlProcessSettings(
-            settings.name,
+            new_process_id(settings, Role.CONTROL),
             control.replica,
             control.peer,
             tuple(member.address for member in control.members if member.address != control.peer),
@@ -74,7 +82,8 @@
         _server_tls(tls),
         _client_tls(tls),
     )
-    await process.run(stopping)
+    with timeline_written(settings, Role.CONTROL, process.recorder):
+        await process.run(stopping)
 
 
 RUNNERS: Mapping[Role, RoleRunner] = {Role.ENTRY: run_entry, Role.CONTROL: run_control}
