--- a/bench/measure_maintenance.py
+++ b/bench/measure_maintenance.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import replace
 
+from marigolddoor_core.actions import ProposeCommand
 from marigolddoor_core.fleet import Fleet, ObservedTarget
 from marigolddoor_core.ids import Epoch, Revision, VmId
 from marigolddoor_core.maintenance import BudgetLedger, BudgetWave, Maintenance, OneAtATime
@@ -108,11 +109,12 @@
             self.state.vms,
             targets=self.targets,
         )
-        taken = [
-            action.command.vm  # type: ignore[union-attr]
+        commands = [
+            action.command
             for action in self.maintenance.decide(fleet)
-            if isinstance(getattr(action, "command", None), RecordMaintenance)
+            if isinstance(action, ProposeCommand)
         ]
+        taken = [command.vm for command in commands if isinstance(command, RecordMaintenance)]
         for vm in taken:
             record = self.state.vms[vm]
             self.longest_s = max(self.longest_s, self.now_s - record.maintained_s)
--- a/packages/daemon/src/marigolddoor_daemon/errors.py
+++ b/packages/daemon/src/marigolddoor_daemon/errors.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from marigolddoor_core.errors import InvalidInputError, MarigolddoorError
+from marigolddoor_core.errors import InvalidInputError
 
-__all__ = ["PrivateFileError", "RoleMissingError", "SettingsError", "SettingsProblem"]
+__all__ = ["PrivateFileError", "SettingsError", "SettingsProblem"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +33,3 @@
 
 class PrivateFileError(InvalidInputError):
     """A file with a key or tokens can't be read or is open to other users."""
-
-
-class RoleMissingError(MarigolddoorError):
-    """This build of the daemon doesn't contain a role that the settings ask for."""
--- a/packages/daemon/src/marigolddoor_daemon/roles.py
+++ b/packages/daemon/src/marigolddoor_daemon/roles.py
@@ -10,7 +10,6 @@
 from marigolddoor_entry.runtime import EntryRuntime, EntryRuntimeSettings
 from marigolddoor_entry.settings import EntrySettings
 
-from marigolddoor_daemon.errors import RoleMissingError
 from marigolddoor_daemon.process_ids import new_process_id
 from marigolddoor_daemon.settings import Role, Settings, TlsSettings
 from marigolddoor_daemon.timeline_file import timeline_written
@@ -22,14 +21,7 @@
 
 
 async def run_roles(settings: Settings, stopping: anyio.Event) -> None:
-    """Run every role of `settings` on this loop until `stopping` is set.
-
-    Raises:
-      RoleMissingError: this build doesn't contain one of the roles; none was started.
-    """
-    missing = [role.value for role in settings.roles if role not in RUNNERS]
-    if missing:
-        raise RoleMissingError(f"this build has no role {', '.join(missing)}")
+    """Run every role of `settings` on this loop until `stopping` is set."""
     async with anyio.create_task_group() as group:
         for role in settings.roles:
             group.start_soon(RUNNERS[role], settings, stopping)
--- a/packages/wire/src/marigolddoor_wire/http_listener.py
+++ b/packages/wire/src/marigolddoor_wire/http_listener.py
@@ -14,7 +14,7 @@
 
 BACKLOG = 1024
 # Time that a cancelled listener leaves to requests in flight.
-ABRUPT_STOP_S = 0.0
+ABRUPT_STOP_S = 0.5
 
 
 def listen(address: Address) -> socket.socket:
