--- a/packages/core/src/marigolddoor_core/questions/detectors.py
+++ b/packages/core/src/marigolddoor_core/questions/detectors.py
@@ -41,6 +41,8 @@
 DAY_S = 86_400.0
 # A crashed VM is back within a few minutes; a rack or a data centre is not rebooted from here.
 REBOOT_AFTER_S = 600.0
+# VMs of a new fleet announce themselves within a minute; until then it looks too small.
+GATHERING_S = 120.0
 # From this many silent VMs of one rack on, the rack is what fell silent.
 RACK_VMS = 3
 
@@ -180,7 +182,10 @@
         if job.team in teams and job.size.cores > teams[job.team].cores
     }
     return [
-        Finding(_quota_concern(team, fact, fleet.now_s), 0.0)
+        Finding(
+            _quota_concern(team, fact, fleet.now_s),
+            0.0 if team in too_small else GATHERING_S,
+        )
         for team, fact in sorted({**too_large, **too_small}.items())
     ]
 
--- a/standins/src/marigolddoor_standins/target.py
+++ b/standins/src/marigolddoor_standins/target.py
@@ -82,6 +82,7 @@
         self.incarnation = secrets.token_hex(4)
         self.address = ""
         self.busy = 0
+        self.served = 0
         self.up = True
         self.leaving = False
         self.wake = anyio.Event()
@@ -227,6 +228,7 @@
 
     async def _work(self, key: str, body: bytes, send: Send, echo: tuple[bytes, bytes]) -> None:
         self.ledger.requests[key] += 1
+        self.served += 1
         if self.faults.fail_requests:
             await respond(send, 500, b"failed", (echo,))
             return
