--- a/packages/control/src/marigolddoor_control/leadership.py
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -20,6 +20,7 @@
     ReportTargetsReply,
     ServiceDemand,
 )
+from marigolddoor_wire.peers import Address
 
 from marigolddoor_control.agreement import Agreement
 
@@ -93,6 +94,11 @@
             want_full,
         )
 
+    def entry_addresses(self) -> tuple[Address, ...]:
+        """Return the peer addresses of the entry processes that report here."""
+        reports = self.reports.entries.values()
+        return tuple(Address(report.address) for report in reports if report.address)
+
     def take_demand(self, message: ReportDemand) -> None:
         """Take the demand report of an entry process."""
         self.reports.record_entry(
--- a/packages/control/src/marigolddoor_control/operators/peer_timelines.py
+++ b/packages/control/src/marigolddoor_control/operators/peer_timelines.py
@@ -1,6 +1,6 @@
 """The timeline of all processes, fetched from each of them."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Protocol
 
 import anyio
@@ -39,7 +39,7 @@
         self,
         recorder: Recorder,
         caller: PeerCaller,
-        peers: Callable[[], Sequence[Address]],
+        peers: Callable[[], Awaitable[Sequence[Address]]],
         clock_ms: Callable[[], int],
     ) -> None:
         self.recorder = recorder
@@ -64,7 +64,7 @@
                 missing.append(MissingProcess(address, f"{type(error).__name__}: {error}"))
 
         async with anyio.create_task_group() as group:
-            for address in self.peers():
+            for address in await self.peers():
                 group.start_soon(ask, address)
         return merge(parts, missing)
 
--- a/packages/control/src/marigolddoor_control/process.py
+++ b/packages/control/src/marigolddoor_control/process.py
@@ -14,6 +14,7 @@
 from loguru import logger
 from marigolddoor_core import declaration
 from marigolddoor_core.consensus import Timing
+from marigolddoor_core.errors import MarigolddoorError
 from marigolddoor_core.ids import ProcessId
 from marigolddoor_core.metrics import Counters
 from marigolddoor_core.state.machine import StateMachine
@@ -21,7 +22,7 @@
 from marigolddoor_storage import ReplicaStore
 from marigolddoor_wire.errors import RemoteError
 from marigolddoor_wire.handshake import SharedKey
-from marigolddoor_wire.messages import ErrorKind
+from marigolddoor_wire.messages import AskProcesses, ErrorKind, ProcessesReply
 from marigolddoor_wire.peers import Address, PeerPool, PeerServer
 
 from marigolddoor_control.agreement import Agreement, AgreementSettings
@@ -45,6 +46,7 @@
 __all__ = ["ControlAddresses", "ControlProcess", "ControlProcessSettings"]
 
 MAX_HTTP_CONNECTIONS = 64
+ASK_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,16 +180,34 @@
     def _application(self, agreement: Agreement, pool: PeerPool) -> OperatorsApplication:
         assert self.leadership is not None
         view = ControlView(self.state, agreement, self.leadership.reports, self.clock)
-        timelines = PeerTimelines(self.recorder, pool, self._other_processes, _wall_ms)
+        timelines = PeerTimelines(
+            self.recorder, pool, lambda: self._other_processes(pool), _wall_ms
+        )
         service = OperatorService(view, agreement, declaration, timelines)
         return OperatorsApplication(service, self.settings.tokens, Counters())
 
-    def _other_processes(self) -> Sequence[Address]:
-        """Return the peer addresses of the processes whose timelines are fetched."""
+    async def _other_processes(self, pool: PeerPool) -> Sequence[Address]:
+        """Return the peer addresses of all other processes of the system that are known.
+
+        Each entry process reports to one control process, so all of them are asked.
+        """
         assert self.leadership is not None
-        reports = self.leadership.reports.entries.values()
-        entries = [Address(report.address) for report in reports if report.address]
-        return [*self.settings.peers, *entries]
+        known = dict.fromkeys(self.settings.peers)
+        known.update(dict.fromkeys(self.leadership.entry_addresses()))
+
+        async def ask(control: Address) -> None:
+            try:
+                reply = await pool.call(control, AskProcesses(), ASK_TIMEOUT_S)
+            except MarigolddoorError:
+                # The timeline names this control process as missing.
+                return
+            if isinstance(reply, ProcessesReply):
+                known.update(dict.fromkeys(map(Address, reply.addresses)))
+
+        async with anyio.create_task_group() as group:
+            for control in self.settings.peers:
+                group.start_soon(ask, control)
+        return tuple(known)
 
     async def _call_rounds(self, agreement: Agreement, manager: Manager) -> None:
         """Call a round of decisions after each applied batch."""
--- a/packages/control/src/marigolddoor_control/requests.py
+++ b/packages/control/src/marigolddoor_control/requests.py
@@ -9,8 +9,10 @@
 from marigolddoor_core.timeline import Recorder
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
 from marigolddoor_wire.messages import (
+    AskProcesses,
     ErrorKind,
     FetchTimeline,
+    ProcessesReply,
     ReadClaim,
     ReadClaimReply,
     ReportDemand,
@@ -72,6 +74,8 @@
             return await self._report(message)
         if isinstance(message, ReadClaim):
             return await self._read_claim(message)
+        if isinstance(message, AskProcesses):
+            return ProcessesReply(self.leadership.entry_addresses())
         if isinstance(message, FetchTimeline):
             return answer_fetch(self.recorder, message, time.time_ns() // 1_000_000)
         raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
--- a/packages/core/src/marigolddoor_core/reports.py
+++ b/packages/core/src/marigolddoor_core/reports.py
@@ -18,6 +18,7 @@
 SILENT_DATA_CENTRE_S = 5.0
 # Demand of a process that is silent for longer than this no longer counts.
 STALE_DEMAND_S = 5.0
+FORGET_PROCESS_S = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +96,11 @@
         for process in replaced:
             del self.entries[process]
         self.entries[report.process] = report
+        # A process that restarts has a new id, so old ones would pile up.
+        for process, old in list(self.entries.items()):
+            if elapsed(old.received, report.received) > FORGET_PROCESS_S:
+                del self.entries[process]
+                self.sequences.pop(process, None)
         self.known_data_centres[report.data_centre] = report.received
 
     def targets(self, now: Instant) -> dict[VmId, ObservedTarget]:
--- a/packages/wire/idl/messages.thrift
+++ b/packages/wire/idl/messages.thrift
@@ -22,6 +22,8 @@
 struct ReportTargetsReply { 1: list<LeaseRenewal> renewals, 2: bool want_full }
 struct ServiceDemand { 1: string service_id, 2: i64 arrived, 3: i64 admitted, 4: i64 refused, 5: i64 answered, 6: i64 late, 7: i64 in_flight, 8: i64 queued, 9: double slot_seconds }
 struct ReportDemand { 1: string process, 2: string data_centre, 3: double interval_s, 4: list<ServiceDemand> services, 5: i64 in_force, 6: string address }
+struct AskProcesses {}
+struct ProcessesReply { 1: list<string> addresses }
 struct ReportDemandReply { 1: double time_s }
 struct ReadClaim { 1: string service_id, 2: string key }
 struct ReadClaimReply { 1: optional state.Tagged claim }
--- a/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
@@ -1692,6 +1692,132 @@
         return not (self == other)
 
 
+class AskProcesses(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskProcesses')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ProcessesReply(object):
+    """
+    Attributes:
+     - addresses
+
+    """
+
+    __slots__ = (
+        'addresses',
+    )
+
+
+    def __init__(self, addresses=None,):
+        self.addresses = addresses
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.addresses = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ProcessesReply')
+        if self.addresses is not None:
+            oprot.writeFieldBegin('addresses', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.addresses))
+            for iter48 in self.addresses:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ReportDemandReply(object):
     """
     Attributes:
@@ -1963,21 +2089,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = TargetReport()
-                        _elem47.read(iprot)
-                        self.targets.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = TargetReport()
+                        _elem54.read(iprot)
+                        self.targets.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2006,15 +2132,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter54 in self.targets:
-                iter54.write(oprot)
+            for iter61 in self.targets:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter55 in self.gone:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.gone:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2335,11 +2461,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = ServiceDemand()
-                        _elem61.read(iprot)
-                        self.demand.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServiceDemand()
+                        _elem68.read(iprot)
+                        self.demand.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2360,8 +2486,8 @@
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter62 in self.demand:
-                iter62.write(oprot)
+            for iter69 in self.demand:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2699,6 +2825,14 @@
     (5, TType.I64, 'in_force', None, None, ),  # 5
     (6, TType.STRING, 'address', 'UTF8', None, ),  # 6
 )
+all_structs.append(AskProcesses)
+AskProcesses.thrift_spec = (
+)
+all_structs.append(ProcessesReply)
+ProcessesReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
 all_structs.append(ReportDemandReply)
 ReportDemandReply.thrift_spec = (
     None,  # 0
--- a/packages/wire/src/marigolddoor_wire/messages.py
+++ b/packages/wire/src/marigolddoor_wire/messages.py
@@ -24,12 +24,14 @@
 
 __all__ = [
     "Acknowledgement",
+    "AskProcesses",
     "AskTargets",
     "ErrorKind",
     "ErrorReply",
     "FetchTimeline",
     "FetchTimelineReply",
     "LeaseRenewal",
+    "ProcessesReply",
     "Propose",
     "ProposeReply",
     "ReadClaim",
@@ -183,6 +185,18 @@
     address: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class AskProcesses:
+    """Ask a control process for the entry processes that report to it."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessesReply:
+    """The peer addresses of the entry processes that report to the process that was asked."""
+
+    addresses: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ReportDemandReply:
     """The leader's agreed time, for the deadlines of claims."""
--- a/tests/control/operators/test_peer_timelines.py
+++ b/tests/control/operators/test_peer_timelines.py
@@ -1,5 +1,6 @@
 """Guards against a timeline that leaves out a process silently, or shows an event twice."""
 
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
@@ -23,6 +24,15 @@
     return made
 
 
+def known(*addresses: Address) -> Callable[[], Awaitable[Sequence[Address]]]:
+    """Return the source of the addresses that are known."""
+
+    async def read() -> Sequence[Address]:
+        return addresses
+
+    return read
+
+
 class Peers:
     """Processes by their address; one without a recorder raises its error."""
 
@@ -71,7 +81,7 @@
 
     def test_fetch(self) -> None:
         peers = Peers({FIRST: recorder("e1", 1), SECOND: self.second})
-        timelines = PeerTimelines(recorder("c", 1), peers, lambda: (FIRST, SECOND), lambda: 50)
+        timelines = PeerTimelines(recorder("c", 1), peers, known(FIRST, SECOND), lambda: 50)
         for _ in range(2):
             timeline = fetch(timelines, self.after)
             self.assertEqual(self.expected, " ".join(sorted(one.id for one in timeline.events)))
@@ -80,7 +90,7 @@
 
     def test_one_call_once_the_process_is_known(self) -> None:
         peers = Peers({FIRST: recorder("e1", 3)})
-        timelines = PeerTimelines(recorder("c", 1), peers, lambda: (FIRST,), lambda: 50)
+        timelines = PeerTimelines(recorder("c", 1), peers, known(FIRST), lambda: 50)
         fetch(timelines, {})
         fetch(timelines, {"e1": 2})
         self.assertEqual(2, peers.calls)
