Vary message sizes under faults and refuse commands without a lease

Cause: all entries of a simulated log fitted into one message; a leader that was cut off appended commands whose outcome it could then only call unknown.

--- a/packages/control/src/marigolddoor_control/agreement.py
+++ b/packages/control/src/marigolddoor_control/agreement.py
@@ -421,6 +421,9 @@
             for proposal in self.proposals.take_waiting():
                 proposal.end(ProposalState.REPLACED)
             return
+        if not replica.has_lease(self._now()):
+            # What is appended without a quorum ends as unknown; what waits is refused as not run.
+            return
         waiting = self.proposals.take_waiting()
         if not waiting:
             return
--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -7,6 +7,7 @@
 from marigolddoor_core.consensus.entries import Entry
 from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
 from marigolddoor_core.consensus.lease import Lease
+from marigolddoor_core.consensus.limits import Limits
 from marigolddoor_core.consensus.messages import (
     AppendEntries,
     AppendReply,
@@ -18,14 +19,12 @@
 from marigolddoor_core.consensus.outputs import ChunkToSend, ReadId, ReadOutcome
 from marigolddoor_core.consensus.progress import Progress, ProgressState
 from marigolddoor_core.consensus.reads import PendingRead
-from marigolddoor_core.consensus.snapshot_transfer import CHUNK_BYTES, SnapshotTransfer
+from marigolddoor_core.consensus.snapshot_transfer import SnapshotTransfer
 from marigolddoor_core.ids import LogIndex, ReplicaId, Term
 from marigolddoor_core.instants import Instant
 
 __all__ = ["CATCH_UP_ENTRIES", "Leader"]
 
-# Well below the limit of a frame (4 MiB), and short enough not to hold up a heartbeat.
-MAX_MESSAGE_BYTES = 512 * 1024
 # A learner this close to the end of the log keeps up, so that counting it delays no commit.
 CATCH_UP_ENTRIES = 100
 
@@ -33,9 +32,9 @@
 class Leader:
     """Leads one term, from the won election until it steps down."""
 
-    def __init__(self, node: Node, now: Instant, chunk_bytes: int = CHUNK_BYTES) -> None:
+    def __init__(self, node: Node, now: Instant, limits: Limits) -> None:
         self.node = node
-        self.chunk_bytes = chunk_bytes
+        self.limits = limits
         self.lease = Lease(node.replica, node.timing.lease_s)
         self.elected_at = now
         self.heartbeat_at = now
@@ -315,7 +314,7 @@
             progress.probe_sent = False
         while progress.can_send_entries() and progress.next_index <= node.log.last_index:
             first = progress.next_index
-            entries = node.log.slice(first, MAX_MESSAGE_BYTES)
+            entries = node.log.slice(first, self.limits.message_bytes)
             self._send_entries(peer, LogIndex(first - 1), entries)
             progress.sent(entries[-1].index)
             heartbeat = False
@@ -361,5 +360,5 @@
         message = InstallSnapshot(
             self.node.term, transfer.snapshot, transfer.offset, b"", self.lease.round
         )
-        length = transfer.next_length(self.chunk_bytes)
+        length = transfer.next_length(self.limits.chunk_bytes)
         self.node.send_chunk(ChunkToSend(peer, message, length))
--- a/packages/core/src/marigolddoor_core/consensus/replica.py
+++ b/packages/core/src/marigolddoor_core/consensus/replica.py
@@ -15,6 +15,7 @@
 from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
 from marigolddoor_core.consensus.follower import Follower
 from marigolddoor_core.consensus.leader import Leader
+from marigolddoor_core.consensus.limits import Limits
 from marigolddoor_core.consensus.membership_plan import ChangeKind, PlannedChange, next_change
 from marigolddoor_core.consensus.messages import (
     AppendEntries,
@@ -29,7 +30,6 @@
 from marigolddoor_core.consensus.node import Node
 from marigolddoor_core.consensus.outputs import Output, ReadId, ReadOutcome, Recovered, WriteNumber
 from marigolddoor_core.consensus.roles import Role
-from marigolddoor_core.consensus.snapshot_transfer import CHUNK_BYTES
 from marigolddoor_core.consensus.timing import Timing
 from marigolddoor_core.ids import LogIndex, ReplicaId, Term
 from marigolddoor_core.instants import Instant
@@ -47,10 +47,10 @@
         rng: random.Random,
         now: Instant,
         timing: Timing | None = None,
-        chunk_bytes: int = CHUNK_BYTES,
+        limits: Limits | None = None,
     ) -> None:
         self.node = Node(replica, recovered, timing or Timing(), rng, now)
-        self.chunk_bytes = chunk_bytes
+        self.limits = limits or Limits()
         self.follower = Follower(self.node)
         self.election = Election(self.node)
         self.leading: Leader | None = None
@@ -287,7 +287,7 @@
     def _lead(self, now: Instant) -> None:
         self.node.role = Role.LEADER
         self.node.leader = self.node.replica
-        self.leading = Leader(self.node, now, self.chunk_bytes)
+        self.leading = Leader(self.node, now, self.limits)
 
     def _follow_term(self, term: Term, now: Instant) -> None:
         if self.leading is not None:
--- a/packages/core/src/marigolddoor_core/consensus/snapshot_transfer.py
+++ b/packages/core/src/marigolddoor_core/consensus/snapshot_transfer.py
@@ -3,10 +3,7 @@
 from marigolddoor_core.consensus.entries import SnapshotMeta
 from marigolddoor_core.instants import Instant
 
-__all__ = ["CHUNK_BYTES", "SnapshotReceipt", "SnapshotTransfer"]
-
-# Well below the limit of a frame (4 MiB), and short enough not to hold up a heartbeat.
-CHUNK_BYTES = 256 * 1024
+__all__ = ["SnapshotReceipt", "SnapshotTransfer"]
 
 
 class SnapshotTransfer:
