--- a/packages/core/src/marigolddoor_core/declaration/structure.py
+++ b/packages/core/src/marigolddoor_core/declaration/structure.py
@@ -13,8 +13,9 @@
 __all__ = ["PartProblem", "structure_problems"]
 
 RETRY_WINDOW_LIMIT_S = 86_400.0
-# A declaration creates the tasks of its jobs at once, in one command.
-TASKS_LIMIT = 100_000
+# A declaration creates and cancels the tasks of its jobs in one command, which holds up the loop of
+# every replica. To create and cancel this many takes 0.25 s, and elections begin after 0.5 s.
+TASKS_LIMIT = 20_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/state/claims.py
+++ b/packages/core/src/marigolddoor_core/state/claims.py
@@ -160,16 +160,13 @@
         return kept
 
     def _add(self, claim: ClaimRecord) -> None:
-        # Many claims have the same service, claimant and content type, and each decoded command or
-        # snapshot brings its own copies of them.
-        answer = claim.answer
-        if answer is not None:
-            answer = replace(answer, content_type=sys.intern(answer.content_type))
+        # Many claims have the same service and claimant, and each decoded command or snapshot
+        # brings its own copies of them.
         claim = replace(
             claim,
             service=ServiceId(sys.intern(claim.service)),
             claimant=ProcessId(sys.intern(claim.claimant)),
-            answer=answer,
+            answer=_with_shared_type(claim.answer),
         )
         self.claims[claim.claim] = claim
         self._by_key.setdefault(claim.service, {})[claim.key] = claim.claim
@@ -208,10 +205,17 @@
 def _without_large_parts(answer: KeptAnswer | None) -> KeptAnswer | None:
     if answer is None:
         return None
-    shared = (
-        sys.intern(answer.content_type) if len(answer.content_type) <= CONTENT_TYPE_LIMIT else ""
-    )
-    answer = replace(answer, content_type=shared)
+    if len(answer.content_type) > CONTENT_TYPE_LIMIT:
+        answer = replace(answer, content_type="")
     if answer.body is not None and len(answer.body) > ANSWER_BODY_LIMIT_BYTES:
         answer = replace(answer, body=None)
-    return answer
+    return _with_shared_type(answer)
+
+
+def _with_shared_type(answer: KeptAnswer | None) -> KeptAnswer | None:
+    """Return the answer with the one copy of its content type that all answers share."""
+    if answer is None:
+        return None
+    return KeptAnswer(
+        answer.status, sys.intern(answer.content_type), answer.body, answer.body_digest
+    )
--- a/packages/core/src/marigolddoor_core/state/journal.py
+++ b/packages/core/src/marigolddoor_core/state/journal.py
@@ -14,28 +14,23 @@
 TOMBSTONE_LIMIT = 4_096
 
 # Entry processes use these kinds, and the VMs of their own data centre.
-WATCHED_KINDS = frozenset(
-    {
-        ObjectKind.REVISION,
-        ObjectKind.SERVICE,
-        ObjectKind.POOL,
-        ObjectKind.TEAM,
-        ObjectKind.WEIGHTS,
-    }
+WATCHED_KINDS = (
+    ObjectKind.REVISION,
+    ObjectKind.SERVICE,
+    ObjectKind.POOL,
+    ObjectKind.TEAM,
+    ObjectKind.WEIGHTS,
 )
 
-WATCHED_STREAM = "watched"
-OTHER_STREAM = "other"
-
 NOTHING_COMPACTED = LogIndex(0)
 
 
 class Journal:
     """Orders objects and removals by the log index of their last change.
 
-    There is a stream for the VMs of each data centre, one for the other kinds that entry processes
-    watch, and one for the rest. A watcher reads its streams only, so that the changes of tasks, or
-    of other data centres, cost it nothing and do not make it lag.
+    There is a stream for each kind, and for the VMs of each data centre. A watcher reads its
+    streams only, so that the changes of tasks, or of other data centres, cost it nothing and do not
+    make it lag.
 
     The state machine sets `index` before it applies a command.
     """
@@ -115,12 +110,12 @@
         """Return the streams of a watcher in an order that is the same on every replica."""
         names: Iterable[str] = sorted(self._streams)
         if data_centre is not None:
-            names = (WATCHED_STREAM, _stream_name(ObjectKind.VM, data_centre))
+            names = (*WATCHED_STREAMS, _stream_name(ObjectKind.VM, data_centre))
         return tuple(self._streams[name] for name in names if name in self._streams)
 
 
 class Stream:
-    """Objects and removals in the order of their last change, with a limit for the removals.
+    """Objects of one kind, and their removals, in the order of their last change.
 
     `compacted_index` is the highest index of a removal that is no longer kept.
     """
@@ -128,12 +123,12 @@
     def __init__(self, tombstone_limit: int, compacted_index: LogIndex = NOTHING_COMPACTED) -> None:
         self.tombstone_limit = tombstone_limit
         self.compacted_index = compacted_index
-        self.entries: OrderedDict[tuple[ObjectKind, str], SnapshotEntry] = OrderedDict()
-        self.tombstones: OrderedDict[tuple[ObjectKind, str], LogIndex] = OrderedDict()
+        self.entries: OrderedDict[str, SnapshotEntry] = OrderedDict()
+        self.tombstones: OrderedDict[str, LogIndex] = OrderedDict()
 
     def append(self, entry: SnapshotEntry) -> None:
         """Record the latest change of an object."""
-        key = (entry.change.kind, entry.change.key)
+        key = entry.change.key
         self.entries[key] = entry
         self.entries.move_to_end(key)
         self.tombstones.pop(key, None)
@@ -152,9 +147,10 @@
 
 
 def _stream_name(kind: ObjectKind, data_centre: DataCentreId | None) -> str:
-    if kind is ObjectKind.VM:
-        return f"vms of {data_centre}"
-    return WATCHED_STREAM if kind in WATCHED_KINDS else OTHER_STREAM
+    return kind.value if data_centre is None else f"{kind.value} {data_centre}"
+
+
+WATCHED_STREAMS = tuple(_stream_name(kind, None) for kind in WATCHED_KINDS)
 
 
 def _in_order(changes: Iterable[Change]) -> tuple[Change, ...]:
--- a/packages/core/src/marigolddoor_core/state/questions.py
+++ b/packages/core/src/marigolddoor_core/state/questions.py
@@ -4,6 +4,7 @@
 not ask the same again while its answer is carried out.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -34,7 +35,7 @@
         self.questions: dict[QuestionId, QuestionRecord] = {}
         self._standing: dict[str, QuestionId] = {}
         # In the order in which they were closed.
-        self._closed: dict[QuestionId, None] = {}
+        self._closed: OrderedDict[QuestionId, None] = OrderedDict()
 
     def open(self, command: OpenQuestion, now_s: float, index: LogIndex) -> Result:
         """Open a question, or name the one that stands on the same subject."""
@@ -92,7 +93,7 @@
         """Replace everything by `questions`, which are in the order of their last change."""
         self.questions = {}
         self._standing = {}
-        self._closed = {}
+        self._closed.clear()
         for question in questions:
             self._index(question)
 
--- a/packages/core/src/marigolddoor_core/state/tasks.py
+++ b/packages/core/src/marigolddoor_core/state/tasks.py
@@ -1,5 +1,6 @@
 """Tasks and their leases."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
@@ -57,7 +58,7 @@
         self._of_job: dict[JobId, set[TaskId]] = {}
         self._leased_on: dict[VmId, set[TaskId]] = {}
         # Ended tasks that are not declared, in the order of their last change.
-        self._ended: dict[TaskId, None] = {}
+        self._ended: OrderedDict[TaskId, None] = OrderedDict()
 
     def submit(self, command: SubmitTask, now_s: float) -> Result:
         """Accept a task, or put one that was set aside back in line."""
@@ -194,7 +195,7 @@
         self.removed_token = removed_token
         self._of_job = {}
         self._leased_on = {}
-        self._ended = {}
+        self._ended.clear()
         for task in tasks:
             self._index(task)
 
--- a/packages/wire/src/marigolddoor_wire/codec.py
+++ b/packages/wire/src/marigolddoor_wire/codec.py
@@ -47,7 +47,12 @@
 
 Convert = Callable[[Any], Any]
 
-_factory = TCompactProtocolAcceleratedFactory()
+# A snapshot travels as one string, and may hold 24 MB of claims beside the objects of a region. The
+# library's own limit of 16 MB would make a stored snapshot unreadable. Frames have a limit of their
+# own.
+MESSAGE_LIMIT_BYTES = 256 * 1024 * 1024
+
+_factory = TCompactProtocolAcceleratedFactory(string_length_limit=MESSAGE_LIMIT_BYTES)
 
 
 class DecodeError(InvalidInputError):
--- a/tests/core/state/test_snapshots.py
+++ b/tests/core/state/test_snapshots.py
@@ -3,9 +3,12 @@
 import random
 
 import testtools
+from marigolddoor_core.consensus.stored import StoredState
 from marigolddoor_core.ids import LogIndex
 from marigolddoor_core.state import commands as c
+from marigolddoor_core.state.claims import ANSWER_BODY_LIMIT_BYTES
 from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.results import ClaimsFull
 from marigolddoor_core.targets import TaskPhase
 from marigolddoor_wire.codec import decode, encode
 
@@ -71,3 +74,26 @@
             party.learn(result)
             self.assertEqual(result, other.apply(LogIndex(number), decode(encode(command))))
         self.assertEqual(encode(machine.snapshot()), encode(other.snapshot()))
+
+
+class LargeSnapshotTest(testtools.TestCase):
+    """A snapshot with as many claims as are allowed can be read again.
+
+    It did not come back from its file while the codec had the 16 MB limit of its library.
+    """
+
+    def test_full_claims(self) -> None:
+        machine = StateMachine()
+        f.apply_all(machine, f.declare())
+        while True:
+            granted = f.apply_all(machine, f.claim(f"key {machine.index}"))[0]
+            if isinstance(granted, ClaimsFull):
+                break
+            answer = f.kept(bytes(ANSWER_BODY_LIMIT_BYTES))
+            f.apply_all(machine, f.answered(granted.claim, answer))
+            if machine.claims[granted.claim].answer.body is None:
+                break
+        snapshot = machine.snapshot()
+        stored = encode(StoredState(1.0, encode(snapshot)))
+        self.assertGreater(len(stored), 23_000_000)
+        self.assertEqual(snapshot, decode(decode(stored).state))
