--- a/packages/core/src/marigolddoor_core/maintenance/budget.py
+++ b/packages/core/src/marigolddoor_core/maintenance/budget.py
@@ -3,11 +3,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from marigolddoor_core.changes import Tracker
 from marigolddoor_core.declaration.organisation import Pool
 from marigolddoor_core.fleet import Fleet, ObservedTarget
-from marigolddoor_core.ids import DataCentreId, PoolId, RackId, VmId
+from marigolddoor_core.ids import DataCentreId, PoolId, RackId, TaskId, VmId
+from marigolddoor_core.placement.blame import Blame
+from marigolddoor_core.placement.concerns import workers_answered
 from marigolddoor_core.state.commands import MaintenanceStep
-from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.state.objects import TaskRecord, VmRecord
 from marigolddoor_core.targets import TargetState
 
 __all__ = ["BudgetLedger", "Loss", "PoolLoss", "loss_of"]
@@ -99,10 +102,39 @@
 
     def __init__(self) -> None:
         self.taken_s: dict[VmId, float] = {}
+        self.fleet: Fleet | None = None
+        self.counted: dict[PoolId, PoolLoss] = {}
+        self.blame = Blame()
+        self.tasks: Tracker[TaskId, TaskRecord] = Tracker()
+
+    def losses(self, fleet: Fleet) -> dict[PoolId, PoolLoss]:
+        """Return the loss of every pool, with what decisions took in this round and before.
+
+        The decisions of one round are called with the same fleet and share the result.
+        """
+        if fleet is not self.fleet:
+            self.fleet = fleet
+            self.settle(fleet.vms, fleet.now_s)
+            self.counted = loss_of(fleet, self.set_aside(fleet), self.taken_s)
+        return self.counted
+
+    def set_aside(self, fleet: Fleet) -> list[VmId]:
+        """Return the workers that get no tasks because they fail those of several jobs."""
+        for change in self.tasks.changes(fleet.tasks, None):
+            self.blame.take(change.old, change.new)
+        trusted = workers_answered(fleet.questions.values(), "trust")
+        return [
+            vm
+            for vm in self.blame.by_vm
+            if vm in fleet.vms and vm not in trusted and self.blame.is_worker_bad(fleet.vms[vm])
+        ]
 
     def take(self, vm: VmId, now_s: float) -> None:
         """Count a VM as planned loss from now on."""
         self.taken_s[vm] = now_s
+        for pool in self.counted.values():
+            if vm in pool.members:
+                pool.loss.planned.add(vm)
 
     def settle(self, vms: Mapping[VmId, VmRecord], now_s: float) -> None:
         """Drop what is committed, and what will not be any more."""
--- a/packages/operator/src/marigolddoor_operator/commands.py
+++ b/packages/operator/src/marigolddoor_operator/commands.py
@@ -90,7 +90,7 @@
     except MarigolddoorError as error:
         command.show_error(error)
         return exit_code(error)
-    return ExitCode.DONE
+    return command.code
 
 
 class Command:
@@ -100,6 +100,7 @@
         self.options = options
         self.around = around
         self.shown_gaps = ""
+        self.code = ExitCode.DONE
 
     def show(self, report: Any, text: str) -> None:
         """Print a report as JSON or as text."""
@@ -163,6 +164,8 @@
         source = read_declaration_files(self.options.organisation, self.options.template)
         report = _report(PlanReport, await client.ask("/v1/plan", PlanRequest(source)))
         self.show(report, texts.plan_text(report))
+        if report.plan.blocked:
+            self.code = ExitCode.REFUSED
 
     async def apply(self, client: OperatorClient) -> None:
         """Make a declaration the next revision."""
@@ -179,12 +182,14 @@
         """Show the state of the system."""
         report = _report(StatusReport, await client.read("/v1/status", {}))
         self.show(report, texts.status_text(report))
+        self.show_leader_note(report.from_leader)
 
     async def pools(self, client: OperatorClient) -> None:
         """Show pools."""
         query = self.query("pool")
         report = _report(PoolsReport, await client.read("/v1/pools", query))
         self.show(report, texts.pools_text(report, with_vms=bool(query)))
+        self.show_leader_note(report.from_leader)
 
     async def jobs(self, client: OperatorClient) -> None:
         """Show jobs."""
@@ -238,6 +243,11 @@
             if not self.options.follow or not await self.around.pause(FOLLOW_INTERVAL_S):
                 return
 
+    def show_leader_note(self, from_leader: bool) -> None:
+        """Say on the error stream that a report is incomplete; JSON has it as a field."""
+        if not from_leader and not self.options.json:
+            self.around.problems.write(texts.NOT_LEADER)
+
     def show_timeline_files(self) -> None:
         """Show the timeline of files."""
         options = self.options
--- a/packages/storage/src/marigolddoor_storage/store.py
+++ b/packages/storage/src/marigolddoor_storage/store.py
@@ -1,7 +1,8 @@
 """Everything that one replica stores in its data folder."""
 
+import contextlib
 import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -23,7 +24,7 @@
 from marigolddoor_storage.folder import Folder
 from marigolddoor_storage.log_file import LogFile
 from marigolddoor_storage.record_file import RecordFile
-from marigolddoor_storage.snapshot_files import SnapshotFiles
+from marigolddoor_storage.snapshot_files import SnapshotFiles, SnapshotWriter
 
 __all__ = ["ReplicaStore", "Restart"]
 
@@ -48,7 +49,7 @@
         self.files = files or OsFiles()
         self.identity_file = RecordFile(path / "identity", self.files)
         self.vote_file = RecordFile(path / "vote", self.files)
-        self.log = LogFile(path / "log", self.files)
+        self.log = LogFile(path, self.files)
         self.snapshots = SnapshotFiles(path, self.files)
         self.failure: StorageError | None = None
         # Entries of the log file, in the order in which they were appended, since its base.
@@ -61,7 +62,7 @@
           CorruptFileError: the folder is not new, and it is not known whose it is.
         """
         identity: Identity | None = self.identity_file.read()
-        if identity is None and (self.log.path.exists() or self.vote_file.path.exists()):
+        if identity is None and (self.log.exists() or self.vote_file.exists()):
             raise CorruptFileError(f"{self.folder.path}: the identity file is missing")
         return identity
 
@@ -80,16 +81,16 @@
         if identity is None:
             raise StorageError(f"{self.folder.path} belongs to no replica yet")
         state = self.snapshots.open()
-        self.log.open()
         vote: VoteRecord | None = self.vote_file.read()
+        self.log.open(is_new=vote is None)
         snapshot = self.snapshots.latest
         base, entries = self.log.base, self.log.entries
+        if base.index > (0 if snapshot is None else snapshot.index):
+            raise CorruptFileError(f"{self.folder.path}: the snapshot before the log is damaged")
         if snapshot is not None and not _contains(base, entries, snapshot):
             # A crash came between storing a received snapshot and replacing the log.
             base, entries = LogBase(snapshot.index, snapshot.term), []
             self.log.rewrite(base, entries)
-        elif snapshot is None and base.index > 0:
-            raise StorageError(f"{self.folder.path}: the snapshot before the log is missing")
         last_term = entries[-1].term if entries else base.term
         if last_term > (0 if vote is None else vote.term):
             # Without its vote the replica could vote twice in a term.
@@ -115,10 +116,8 @@
         Raises:
           StorageError: a write failed; this and every later one counts as not done.
         """
-        if self.failure is not None:
-            raise self.failure
         state: bytes | None = None
-        try:
+        with self._remembered_failure():
             pending: list[Sequence[Entry]] = []
             for action in actions:
                 if isinstance(action, SaveEntries):
@@ -128,9 +127,6 @@
                 pending = []
                 state = self._perform(action) or state
             self._append(pending)
-        except StorageError as error:
-            self.failure = error
-            raise
         return state
 
     def _append(self, batches: list[Sequence[Entry]]) -> None:
@@ -157,7 +153,7 @@
         self.snapshots.add(action.data)
         if not action.last:
             return None
-        state = self.snapshots.finish(action.snapshot)
+        state = self.snapshots.finish()
         self._replace_log(LogBase(action.snapshot.index, action.snapshot.term), [])
         return state
 
@@ -165,23 +161,49 @@
         self.log.rewrite(base, entries)
         self.tail = entries
 
-    def save_snapshot(
+    def begin_snapshot(
         self, index: LogIndex, term: Term, configuration: Configuration, state: bytes
-    ) -> SnapshotMeta:
-        """Store a snapshot of the own state.
+    ) -> SnapshotWriter:
+        """Begin to store a snapshot of the own state.
+
+        The caller adds the state part by part, and syncs in between, so that no single call takes
+        long.
+
+        Raises:
+          StorageError: this and every later write counts as not done.
+        """
+        meta = SnapshotMeta(index, term, configuration, len(state), zlib.crc32(state))
+        with self._remembered_failure():
+            return self.snapshots.begin_own(meta)
+
+    def add_to_snapshot(self, writer: SnapshotWriter, data: bytes) -> None:
+        """Add a part of the state and sync it.
 
         Raises:
-          StorageError: it is not durable.
+          StorageError: this and every later write counts as not done.
         """
+        with self._remembered_failure():
+            writer.add(data)
+            writer.sync()
+
+    def finish_snapshot(self, writer: SnapshotWriter) -> bool:
+        """Publish a snapshot; return False if a later one was received meanwhile.
+
+        Raises:
+          StorageError: this and every later write counts as not done.
+        """
+        with self._remembered_failure():
+            return self.snapshots.finish_own(writer)
+
+    @contextlib.contextmanager
+    def _remembered_failure(self) -> Iterator[None]:
         if self.failure is not None:
             raise self.failure
-        meta = SnapshotMeta(index, term, configuration, len(state), zlib.crc32(state))
         try:
-            self.snapshots.save(meta, state)
+            yield
         except StorageError as error:
             self.failure = error
             raise
-        return meta
 
     def read_chunk(self, meta: SnapshotMeta, offset: int, length: int) -> bytes | None:
         """Return a part of the state of a snapshot; None if a newer one replaced it."""
@@ -189,6 +211,8 @@
 
     def close(self) -> None:
         """Close the files and release the folder."""
+        self.identity_file.close()
+        self.vote_file.close()
         self.log.close()
         self.snapshots.close()
         self.folder.close()
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -54,7 +54,6 @@
         ),
         ("address taken", {"runners": {Role.ENTRY: fail}, "status": 1, "log": "already in use"}),
         ("typed error", {"runners": {Role.ENTRY: fail_typed}, "status": 1, "log": "no disk"}),
-        ("no role", {"runners": {}, "status": 1, "log": "RoleMissingError"}),
     ]
 
     def test_main(self) -> None:
@@ -67,6 +66,15 @@
         self.assertIn(self.log, stream.getvalue())
 
 
+class RunnersTest(testtools.TestCase):
+    """Each role that settings may name can be run; one without a runner would fail at its start."""
+
+    scenarios = [(role.value, {"role": role}) for role in Role]
+
+    def test_runner(self) -> None:
+        self.assertIn(self.role, roles.RUNNERS)
+
+
 class MissingSettingsTest(testtools.TestCase):
     """A settings file that isn't there is named."""
 
