--- a/packages/control/src/marigolddoor_control/operators/application.py
+++ b/packages/control/src/marigolddoor_control/operators/application.py
@@ -1,6 +1,7 @@
 """The operators' HTTP as an ASGI application."""
 
 import json
+import math
 from collections.abc import Awaitable, Callable, Mapping, MutableMapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -55,6 +56,8 @@
 
 # A declaration of 182 pools, 340 teams and their jobs is below 200 KB.
 MAX_BODY_BYTES = 1024 * 1024
+# Of a whole number of 64 bits, with its sign.
+MAX_DIGITS = 20
 MAX_TIMELINE_EVENTS = 10_000
 DEFAULT_TIMELINE_EVENTS = 2_000
 
@@ -106,11 +109,7 @@
           BadRequestError: the body isn't JSON.
           PlainValueError: the body doesn't have the fields of `expected`.
         """
-        try:
-            value = json.loads(self.body)
-        except (ValueError, RecursionError) as error:
-            raise BadRequestError(f"the body is not JSON: {error}") from error
-        return from_plain(expected, value)
+        return from_plain(expected, _parse_json(self.body))
 
     def only(self, *names: str) -> None:
         """Check that the query has no other names.
@@ -240,6 +239,38 @@
         return self.metrics.page()
 
 
+def _parse_json(body: bytes) -> Any:
+    """Return the JSON value; what could not be encoded for the consensus group is refused here."""
+    try:
+        value = json.loads(
+            body, parse_int=_parse_int, parse_float=_parse_float, parse_constant=_refuse_constant
+        )
+        # A lone surrogate is allowed in JSON, but it has no encoding in UTF-8.
+        json.dumps(value, ensure_ascii=False).encode()
+    except UnicodeEncodeError as error:
+        raise BadRequestError("the body has text that is not Unicode") from error
+    except (ValueError, RecursionError) as error:
+        raise BadRequestError(f"the body is not JSON: {error}") from error
+    return value
+
+
+def _parse_int(text: str) -> int:
+    if len(text) > MAX_DIGITS or not -(2**63) <= int(text) < 2**63:
+        raise ValueError("a whole number has more than 64 bits")
+    return int(text)
+
+
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError("a number is too large")
+    return value
+
+
+def _refuse_constant(text: str) -> None:
+    raise ValueError(f"{text} is not a number")
+
+
 def _filter(query: Mapping[str, str]) -> TimelineFilter:
     revision = _number(query, "revision", 0, 2**62)
     return TimelineFilter(
--- a/packages/operator/src/marigolddoor_operator/declarations.py
+++ b/packages/operator/src/marigolddoor_operator/declarations.py
@@ -1,5 +1,6 @@
 """The files of a declaration."""
 
+import json
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -32,8 +33,17 @@
 
 def _read(file: Path) -> dict[str, Any]:
     try:
-        return tomllib.loads(file.read_bytes().decode())
+        values = tomllib.loads(file.read_bytes().decode())
     except OSError as error:
         raise InputFileError(f"{file}: can't be read ({error.strerror})") from error
     except ValueError as error:
         raise InputFileError(f"{file}: not TOML in UTF-8 ({error})") from error
+    try:
+        # The files travel as JSON, which knows fewer values than TOML.
+        json.dumps(values, allow_nan=False)
+    except (TypeError, ValueError) as error:
+        raise InputFileError(
+            f"{file}: has a date, a time or an infinite number; allowed: text, finite numbers, "
+            "true, false, lists and tables"
+        ) from error
+    return values
