--- a/packages/control/src/marigolddoor_control/operators/listener.py
+++ b/packages/control/src/marigolddoor_control/operators/listener.py
@@ -1,6 +1,5 @@
 """The listener of the operators' HTTP."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -8,9 +7,8 @@
 
 import anyio
 from anyio.abc import TaskStatus
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
-from marigolddoor_wire.peers import Address, parse_address
+from marigolddoor_wire.http_listener import bound_address, http_config, listen, serve_http
+from marigolddoor_wire.peers import Address
 
 from marigolddoor_control.operators.application import OperatorsApplication
 
@@ -21,7 +19,6 @@
 SHUTDOWN_S = 3.0
 # Every operation ends within 10 s; a client that sends nothing for longer only holds a socket.
 READ_TIMEOUT_S = 15
-BACKLOG = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,39 +39,14 @@
 ) -> None:
     """Serve until `shutdown` returns; report the address with the port in use.
 
-    A cancellation shuts down as `shutdown` does and takes up to `SHUTDOWN_S`: hypercorn raises
-    unrelated errors when it is cancelled while it closes connections.
-
     Raises:
       OSError: the address can't be used.
     """
-    host, port = parse_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
-    bound = listening.getsockname()[1]
-    config = Config()
-    config.bind = [f"fd://{listening.detach()}"]
-    config.accesslog = None
-    config.errorlog = None
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = SHUTDOWN_S
+    listener = listen(address)
+    config = http_config(SHUTDOWN_S, KEEP_ALIVE_S)
     config.read_timeout = READ_TIMEOUT_S
-    config.include_server_header = False
     if tls is not None:
         config.certfile = str(tls.certificate)
         config.keyfile = str(tls.key)
-    shown = f"[{host}]" if ":" in host else host
-    task_status.started(Address(f"{shown}:{bound}"))
-    stopping = anyio.Event()
-
-    async def stop() -> None:
-        try:
-            await shutdown()
-        finally:
-            stopping.set()
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(stop)
-        with anyio.CancelScope(shield=True):
-            await serve(application, config, shutdown_trigger=stopping.wait)
-        group.cancel_scope.cancel()
+    task_status.started(bound_address(listener))
+    await serve_http(application, listener, config, shutdown)
