--- a/packages/control/src/marigolddoor_control/leadership.py
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable, Sequence
 
 from marigolddoor_core.actions import Decision
+from marigolddoor_core.capacity import Capacity
 from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.maintenance import BudgetLedger, Maintenance
 from marigolddoor_core.placement import Placement
+from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.registration import Registrar
 from marigolddoor_core.reports import EntryReport, FleetReports
 from marigolddoor_core.state.expiry import ClaimExpiry
@@ -18,6 +20,7 @@
     ReportTargetsReply,
     ServiceDemand,
 )
+from marigolddoor_wire.peers import Address
 
 from marigolddoor_control.agreement import Agreement
 
@@ -40,7 +43,15 @@
         """Return new decisions for a leadership that begins."""
         self.reports.clear()
         self.placement = Placement()
-        return (Registrar(), self.placement, Maintenance(BudgetLedger()), ClaimExpiry())
+        ledger = BudgetLedger()
+        return (
+            Registrar(),
+            self.placement,
+            Maintenance(ledger),
+            Capacity(ledger),
+            Detection(ledger),
+            ClaimExpiry(),
+        )
 
     def look(self) -> Fleet | None:
         """Return the fleet as it is now, or None while this process does not lead."""
@@ -83,6 +94,11 @@
             want_full,
         )
 
+    def entry_addresses(self) -> tuple[Address, ...]:
+        """Return the peer addresses of the entry processes that report here."""
+        reports = self.reports.entries.values()
+        return tuple(Address(report.address) for report in reports if report.address)
+
     def take_demand(self, message: ReportDemand) -> None:
         """Take the demand report of an entry process."""
         self.reports.record_entry(
--- a/standins/src/marigolddoor_standins/virtual/workers.py
+++ b/standins/src/marigolddoor_standins/virtual/workers.py
@@ -72,6 +72,7 @@
     silent: bool = False
     fails_all: bool = False
     returns: bool = True
+    ignores_ends: bool = False
     boots: int = 0
     up_at_s: float = 0.0
     busy_slots: int = 0
@@ -110,6 +111,8 @@
             return
         if run is None or run.token != order.token or run.phase is not TaskPhase.RUNNING:
             return
+        if self.ignores_ends:
+            return
         if order.kind is TaskOrderKind.STOP:
             run.end(TaskPhase.STOPPED, now_s)
         elif order.kind is TaskOrderKind.CHECKPOINT:
@@ -117,8 +120,9 @@
         elif order.kind is TaskOrderKind.THROTTLE:
             run.throttled = True
 
-    def advance(self, now_s: float, step_s: float) -> None:
-        """Let the runs go on for one step."""
+    def advance(self, now_s: float, step_s: float) -> list[TaskId]:
+        """Let the runs go on for one step; return the tasks that finished."""
+        finished: list[TaskId] = []
         for task, run in tuple(self.runs.items()):
             if run.phase is not TaskPhase.RUNNING:
                 if now_s - run.ended_s > REPORT_ENDED_S:
@@ -129,9 +133,11 @@
                 run.end(TaskPhase.STOPPED, now_s, "the lease ran out")
             elif run.left_s <= 0.0:
                 run.end(TaskPhase.FINISHED, now_s)
+                finished.append(task)
             elif now_s >= run.checkpoint_at_s:
                 self.progress[task] = run.left_s
                 run.end(TaskPhase.CHECKPOINTED, now_s)
+        return finished
 
     def renew(self, task: TaskId, token: FencingToken, until_s: float) -> None:
         """Extend the lease of a run."""
