Tell targets the caller's remaining time, and type a refused claim

Cause: a claimed run told the target the 30 s of grace for keeping its answer as time that remains; a claim that the group refuses (service just removed) ended as unknown though nothing ran. Change: the deadline of the caller is sent; claim-refused (409, not run) is a type of refusal. The two new checks were not run against the code before.

--- a/packages/core/src/marigolddoor_core/requests/refusals.py
+++ b/packages/core/src/marigolddoor_core/requests/refusals.py
@@ -13,6 +13,7 @@
     "BodyTooLargeError",
     "CannotFinishInTimeError",
     "ClaimMemoryFullError",
+    "ClaimRefusedError",
     "ClientDisconnectedError",
     "DeadlineExpiredError",
     "KeyReusedError",
@@ -142,6 +143,13 @@
     code = "claims-full"
 
 
+class ClaimRefusedError(RequestRefusedError):
+    """The consensus group does not accept the claim, for example for a service just removed."""
+
+    status = 409
+    code = "claim-refused"
+
+
 class RunFailedError(RequestError):
     """The request ran, and there is no answer of it that can be delivered."""
 
--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -393,7 +393,9 @@
                 self.claimant.book.dispatch(key)
             end, failed = AttemptEnd.LOST, False
             try:
-                attempt = await self.dispatcher.send(dispatch, exchange.forwarded, give_up - now)
+                attempt = await self.dispatcher.send(
+                    dispatch, exchange.forwarded, request.deadline - now, give_up - now
+                )
                 end, failed = attempt.end, attempt.failed
             finally:
                 after = self._now()
--- a/packages/entry/src/marigolddoor_entry/claimant.py
+++ b/packages/entry/src/marigolddoor_entry/claimant.py
@@ -8,9 +8,9 @@
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError, Proposer
 from marigolddoor_core.requests.answers import TargetAnswer
 from marigolddoor_core.requests.claims import ClaimBook, ClaimKey, ClaimNextStep, kept_answer
-from marigolddoor_core.requests.refusals import NoQuorumForClaimError
+from marigolddoor_core.requests.refusals import ClaimRefusedError, NoQuorumForClaimError
 from marigolddoor_core.state.commands import Claim, FinishClaim, KeptAnswer, ReleaseClaim
-from marigolddoor_core.state.results import BodyMismatch, ClaimFinished, Result
+from marigolddoor_core.state.results import BodyMismatch, ClaimFinished, Refused, Result
 
 __all__ = ["FAILED_CONTENT_TYPE", "Claimant"]
 
@@ -48,6 +48,7 @@
         """Propose a claim and return what it allows.
 
         Raises:
+          ClaimRefusedError: the group knows no such service, or the key is not allowed.
           NoQuorumForClaimError: no result came; the request isn't dispatched under this proposal.
         """
         if not self.book.begin(key, digest, forget_at):
@@ -67,6 +68,9 @@
         except BaseException:
             self.book.withdraw(key)
             raise
+        if isinstance(result, Refused):
+            self.book.withdraw(key)
+            raise ClaimRefusedError(f"the group refused the claim: {result.refusal.value}")
         return self.book.settle(key, result), result
 
     def release(self, key: ClaimKey) -> None:
--- a/packages/entry/src/marigolddoor_entry/dispatcher.py
+++ b/packages/entry/src/marigolddoor_entry/dispatcher.py
@@ -121,8 +121,13 @@
         self.tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self.links: dict[str, _Link] = {}
 
-    async def send(self, dispatch: Dispatch, request: Forwarded, remaining_s: float) -> Attempt:
-        """Return the end of one attempt, after `remaining_s` seconds at the latest."""
+    async def send(
+        self, dispatch: Dispatch, request: Forwarded, remaining_s: float, timeout_s: float
+    ) -> Attempt:
+        """Return the end of one attempt, after `timeout_s` seconds at the latest.
+
+        The target is told `remaining_s`, the time until the caller's deadline.
+        """
         link = self.links.get(dispatch.address)
         if link is None:
             link = self.links[dispatch.address] = _Link(dispatch.address)
@@ -130,7 +135,7 @@
         connection = link.idle.pop() if link.idle else _Connection(self.tls)
         link.in_use += 1
         try:
-            with anyio.move_on_after(remaining_s):
+            with anyio.move_on_after(timeout_s):
                 return await _exchange(connection.transport, message, request)
         except _NOT_SENT as error:
             failed = not isinstance(error, httpx.LocalProtocolError)
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -183,6 +183,7 @@
         self.index = 0
         self.quorum = True
         self.full = False
+        self.refuses = False
         # The next proposals are committed, but their results are lost.
         self.lose_results = 0
         self.delay_s = 0.0
@@ -213,7 +214,7 @@
     def _apply(self, command: Command) -> Result:
         self.index += 1
         if isinstance(command, Claim):
-            return self._claim(command)
+            return Refused(Refusal.UNKNOWN) if self.refuses else self._claim(command)
         for key, (_, claim, _) in list(self.claims.items()):
             if isinstance(command, FinishClaim) and claim == command.claim:
                 self.claims[key] = (self.claims[key][0], claim, command)
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -113,6 +113,15 @@
                 "due": (503, "claims-full"),
             },
         ),
+        (
+            "claim refused",
+            {
+                "service": INTAKE,
+                "headers": {"idempotency_key": "k"},
+                "refuses": True,
+                "due": (409, "claim-refused"),
+            },
+        ),
         (
             "epoch refused everywhere",
             {"behaviour": Behaviour.REFUSE, "due": (503, "no-target")},
@@ -132,6 +141,7 @@
     body = b""
     quorum = True
     full = False
+    refuses = False
     announced = True
     behaviour = Behaviour.ANSWER
     headers: dict[str, str] = {}
@@ -141,7 +151,7 @@
 
     async def refusal(self) -> None:
         group = FakeGroup()
-        group.quorum, group.full = self.quorum, self.full
+        group.quorum, group.full, group.refuses = self.quorum, self.full, self.refuses
         targets = [renewals(self.behaviour), intake(self.behaviour)] if self.announced else []
         async with running_entry(targets, group) as entry:
             response = await entry.post(self.body, self.service, **self.headers)
@@ -284,6 +294,8 @@
             outcome = await entry.client.get("/marigolddoor/outcomes/intake/k")
         status, name = self.due
         self.assertEqual((status, name), seen(first)[:2])
+        # The target is told the caller's time, not the longer one for which its answer is kept.
+        self.assertTrue(int(target.heads[0]["marigolddoor-remaining-ms"]) <= 200)
         self.assertEqual(1, target.runs)
         if name == "unknown":
             self.assertEqual("/marigolddoor/outcomes/intake/k", first.headers["location"])
