Split placement into runs, placer and faults

Change: Runs, Placer and Faults share the board; a new leader waits 5 s for the first reports before it repeats start orders; a cancelled run that was just started is watched until its start order cannot be on its way; a plan to preempt looks past workers that cannot make room.

--- /dev/null
+++ b/packages/core/src/marigolddoor_core/placement/faults.py
@@ -0,0 +1,146 @@
+"""Tasks and workers at fault: set aside, asked about, and what the answers cause."""
+
+from marigolddoor_core.actions import Action, ProposeCommand
+from marigolddoor_core.changes import Changed
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ids import JobId, TaskId
+from marigolddoor_core.placement import concerns
+from marigolddoor_core.placement.blame import FAILED_WORKERS
+from marigolddoor_core.placement.board import Board
+from marigolddoor_core.placement.runs import NEVER_S, Runs
+from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S, Concern, QuestionBook
+from marigolddoor_core.state.commands import CancelTask, SetAsideTask, SubmitTask
+from marigolddoor_core.state.objects import TaskRecord, TaskState
+from marigolddoor_core.targets import Resources
+
+__all__ = ["Faults"]
+
+
+class Faults:
+    """Sets tasks aside that fail on several workers, and asks about what cannot run in order.
+
+    `at_fault` holds the tasks that are to be set aside, with the time of the last proposal.
+    """
+
+    def __init__(self, board: Board, runs: Runs) -> None:
+        self.board = board
+        self.runs = runs
+        self.questions = QuestionBook(
+            (
+                concerns.NEVER_FITS,
+                concerns.ENDLESS,
+                concerns.SET_ASIDE_TASK,
+                concerns.SET_ASIDE_WORKER,
+            )
+        )
+        self.set_aside: dict[TaskId, None] = {}
+        self.at_fault: dict[TaskId, float] = {}
+        self.proposed_s: dict[TaskId, float] = {}
+
+    def read(self, fleet: Fleet) -> None:
+        """Take in the questions; workers that the operators trust are used again."""
+        self.questions.read(fleet)
+        standing = self.questions.standing.values()
+        answered = set(concerns.workers_answered(standing, "trust"))
+        if answered != self.board.trusted:
+            self.board.trust(answered)
+
+    def take(self, change: Changed[TaskId, TaskRecord]) -> None:
+        """Take in the change of a task."""
+        task, new = change.key, change.new
+        self.at_fault.pop(task, None)
+        self.set_aside.pop(task, None)
+        self.proposed_s.pop(task, None)
+        if new is None:
+            return
+        if new.state is TaskState.SET_ASIDE:
+            self.set_aside[task] = None
+        elif new.state is TaskState.WAITING and self._is_task_at_fault(new):
+            self.at_fault[task] = -NEVER_S
+
+    def set_tasks_aside(self, now_s: float) -> list[Action]:
+        """Return the proposals that set tasks at fault aside."""
+        actions: list[Action] = []
+        for task, proposed_s in self.at_fault.items():
+            if now_s - proposed_s < PROPOSAL_PATIENCE_S:
+                continue
+            self.at_fault[task] = now_s
+            record = self.board.tasks.seen[task]
+            reason = f"it failed on {len(record.failed_on)} workers: {record.reason}"
+            actions.append(ProposeCommand(SetAsideTask(task, reason, now_s)))
+        return actions
+
+    def _is_task_at_fault(self, record: TaskRecord) -> bool:
+        good = [vm for vm in record.failed_on if not self.board.is_set_aside(vm)]
+        if len(good) >= FAILED_WORKERS:
+            return True
+        job = self.board.jobs.get(record.job)
+        room = None if job is None else self.board.pools.get(job.pool)
+        return (
+            room is not None
+            and record.failures >= 2 * FAILED_WORKERS
+            and set(record.failed_on).issuperset(room.members)
+        )
+
+    def ask(self, now_s: float) -> list[Action]:
+        """Return the questions to open and close, and what answers cause."""
+        asked = [*self._never_fitting(now_s), *self._faulty(now_s)]
+        actions = self.questions.reconcile(now_s, asked)
+        for concern in asked:
+            answer = self.questions.answer(concern.subject)
+            if answer is not None:
+                actions += self._carry_out(concern.subject, answer, now_s)
+        return actions
+
+    def _never_fitting(self, now_s: float) -> list[Concern]:
+        found: list[Concern] = []
+        for job_id in self.board.waiting:
+            job = self.board.jobs.get(job_id)
+            room = None if job is None else self.board.pools.get(job.pool)
+            if job is None or room is None or not room.members:
+                continue
+            size = self.board.size(job)
+            if any(size.fits(capacity) for capacity in room.members.values()):
+                continue
+            members = room.members.values()
+            largest = Resources(
+                max(capacity.cores for capacity in members),
+                max(capacity.memory_mb for capacity in members),
+                max(capacity.accelerators for capacity in members),
+            )
+            found.append(concerns.job_never_fits(job, size, largest, now_s))
+        return found
+
+    def _faulty(self, now_s: float) -> list[Concern]:
+        found: list[Concern] = []
+        for task, run_s in self.runs.endless.items():
+            record = self.board.tasks.seen[task]
+            job = self.board.jobs.get(record.job)
+            if job is not None:
+                found.append(concerns.endless_task(record, job, run_s, now_s))
+        for task in self.set_aside:
+            found.append(concerns.task_set_aside(self.board.tasks.seen[task], now_s))
+        for vm, failures in self.board.blame.by_vm.items():
+            worker = self.board.workers.get(vm)
+            if worker is not None and self.board.blame.is_worker_bad(worker.record):
+                found.append(concerns.worker_set_aside(vm, len(set(failures.values())), now_s))
+        return found
+
+    def _carry_out(self, subject: str, answer: str, now_s: float) -> list[Action]:
+        kind, _, name = subject.partition(":")
+        tasks: list[TaskId] = []
+        actions: list[Action] = []
+        if f"{kind}:" == concerns.NEVER_FITS and answer == "cancel":
+            tasks = list(self.board.waiting.get(JobId(name), ()))
+        elif f"{kind}:" in (concerns.ENDLESS, concerns.SET_ASIDE_TASK):
+            tasks = [TaskId(name)] if answer in ("cancel", "retry") else []
+        for task in tasks:
+            if now_s - self.proposed_s.get(task, -NEVER_S) < PROPOSAL_PATIENCE_S:
+                continue
+            self.proposed_s[task] = now_s
+            if answer == "retry":
+                job = self.board.tasks.seen[task].job
+                actions.append(ProposeCommand(SubmitTask(task, job, now_s)))
+            else:
+                actions.append(ProposeCommand(CancelTask(task, now_s)))
+        return actions
--- a/packages/core/src/marigolddoor_core/placement/orders.py
+++ b/packages/core/src/marigolddoor_core/placement/orders.py
@@ -39,6 +39,10 @@
         self.sent_s[key] = now_s
         return True
 
+    def postpone(self, task: TaskId, kind: TaskOrderKind, until_s: float) -> None:
+        """Send no order of this kind before `until_s`."""
+        self.sent_s[(task, kind)] = until_s - ORDER_REPEAT_S
+
     def end(self, task: TaskId, ending: Ending) -> None:
         """Ask a run to end; an earlier request keeps its time, the earlier stop counts."""
         known = self.endings.get(task)
--- a/packages/core/src/marigolddoor_core/placement/preemption.py
+++ b/packages/core/src/marigolddoor_core/placement/preemption.py
@@ -72,16 +72,23 @@
         room = board.pools.get(pool)
         if room is None:
             return None
-        best: tuple[float, RoomPlan] | None = None
-        for vm in room.preemptible.find(size, lambda vm: vm not in avoid):
-            worker = board.workers[vm]
-            victims = _victims(worker, orders, size, can_leave)
-            if victims is None:
-                continue
-            cost = sum(worker.charges[task].size.cores for task in victims)
-            if best is None or cost < best[0]:
-                best = (cost, RoomPlan(vm, victims))
-        return None if best is None else best[1]
+        plans: dict[VmId, tuple[TaskId, ...]] = {}
+
+        def can_make_room(vm: VmId) -> bool:
+            if vm in avoid:
+                return False
+            victims = _victims(board.workers[vm], orders, size, can_leave)
+            if victims is not None:
+                plans[vm] = victims
+            return victims is not None
+
+        found = room.preemptible.find(size, can_make_room)
+        best = min(found, key=lambda vm: _cost(board.workers[vm], plans[vm]), default=None)
+        return None if best is None else RoomPlan(best, plans[best])
+
+
+def _cost(worker: Worker, victims: tuple[TaskId, ...]) -> float:
+    return sum(worker.charges[task].size.cores for task in victims)
 
 
 def _victims(
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/placement/runs.py
@@ -0,0 +1,276 @@
+"""The runs of tasks on workers: leases, start orders, reports, ends and cancellations."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from marigolddoor_core.actions import Action, OrderTask, ProposeCommand
+from marigolddoor_core.changes import Changed
+from marigolddoor_core.fleet import ObservedTarget
+from marigolddoor_core.ids import FencingToken, JobId, TaskId, VmId
+from marigolddoor_core.placement.board import Board, Worker
+from marigolddoor_core.placement.leases import LEASE_S, LeaseBook, LeaseRenewal, regrant_after_s
+from marigolddoor_core.placement.orders import Ending, OrderBook, start_order
+from marigolddoor_core.placement.pressure import Pressure, Relief, Stage
+from marigolddoor_core.questions.book import PROPOSAL_PATIENCE_S
+from marigolddoor_core.state.commands import FinishTask
+from marigolddoor_core.state.objects import TaskRecord, TaskState
+from marigolddoor_core.targets import (
+    Announcement,
+    TaskOrder,
+    TaskOrderKind,
+    TaskPhase,
+    TaskReport,
+)
+
+__all__ = ["NEVER_S", "Runs"]
+
+# An order is given up if the worker did not take it within this time. Its lease counts from
+# receipt, so it is shorter by as much, and ends no later than the leader assumes.
+ORDER_DELIVERY_S = 3.0
+# By then a start order has reached its worker. The report of it may take 20 s more.
+START_DELIVERY_S = 0.4
+# A new leader has the reports of all holders by then, and starts only what they do not show.
+FIRST_REPORTS_S = 5.0
+NEVER_S = float("inf")
+ENDED = (TaskPhase.FINISHED, TaskPhase.FAILED, TaskPhase.STOPPED, TaskPhase.CHECKPOINTED)
+
+
+@dataclass(frozen=True, slots=True)
+class _Stopping:
+    """A cancelled run. Announcements after `since_s` tell whether it still goes on."""
+
+    vm: VmId
+    job: JobId
+    token: FencingToken
+    since_s: float
+    until_s: float
+
+
+class Runs:
+    """Starts committed leases, follows the reports and ends runs.
+
+    `starting` holds the time of the first start order of each run that was not reported yet.
+    `stopping` holds cancelled runs that may go on.
+    """
+
+    def __init__(self, board: Board, lease_s: float = LEASE_S) -> None:
+        self.board = board
+        self.lease_s = lease_s
+        self.leases = LeaseBook(lease_s)
+        self.orders = OrderBook()
+        self.pressure = Pressure()
+        self.is_elected = False
+        self.finishing: dict[TaskId, tuple[FencingToken, float]] = {}
+        self.starting: dict[TaskId, float] = {}
+        self.stopping: dict[TaskId, _Stopping] = {}
+        self.endless: dict[TaskId, float] = {}
+
+    def take(self, change: Changed[TaskId, TaskRecord], now_s: float) -> None:
+        """Take in the change of a task."""
+        task, old, new = change.key, change.old, change.new
+        if new is None:
+            self.forget(task)
+            return
+        if new.state is TaskState.CANCELLED:
+            self._stop(old, new, now_s)
+        self.leases.take(new, now_s, elected=not self.is_elected)
+        if new.state is TaskState.LEASED and old is not None and old.token == new.token:
+            return
+        self.forget(task)
+        if new.state is TaskState.LEASED:
+            self.starting[task] = NEVER_S
+            if not self.is_elected:
+                self.orders.postpone(task, TaskOrderKind.START, now_s + FIRST_REPORTS_S)
+        elif new.state is TaskState.CANCELLED and task not in self.stopping:
+            self.board.release(task)
+
+    def forget(self, task: TaskId) -> None:
+        """Drop what is kept for a run that ended."""
+        self.orders.forget(task)
+        self.starting.pop(task, None)
+        self.finishing.pop(task, None)
+        self.endless.pop(task, None)
+
+    def _stop(self, old: TaskRecord | None, new: TaskRecord, now_s: float) -> None:
+        holder = old if new.vm is None and old is not None else new
+        if holder.vm is None:
+            return
+        # A start order that is on its way takes effect after the next announcement.
+        delay_s = ORDER_DELIVERY_S if new.task in self.starting else 0.0
+        until_s = max(self.leases.until_s(new.task), holder.lease_until_s)
+        self.stopping[new.task] = _Stopping(
+            holder.vm, new.job, holder.token, now_s + delay_s, until_s
+        )
+
+    def renewals(self, reports: Iterable[Announcement], now_s: float) -> tuple[LeaseRenewal, ...]:
+        """Renew the leases of the tasks that run on the workers of a holder's report."""
+        renewed: list[LeaseRenewal] = []
+        for announcement in reports:
+            for report in announcement.tasks:
+                if self._may_renew(announcement.vm, report) and self.leases.renew(
+                    report.task, report.token, now_s
+                ):
+                    renewed.append(
+                        LeaseRenewal(announcement.vm, report.task, report.token, self.lease_s)
+                    )
+        return tuple(renewed)
+
+    def _may_renew(self, vm: VmId, report: TaskReport) -> bool:
+        record = self.board.tasks.seen.get(report.task)
+        return (
+            record is not None
+            and record.state is TaskState.LEASED
+            and record.vm == vm
+            and record.token == report.token
+            and report.phase is TaskPhase.RUNNING
+            and report.task not in self.finishing
+        )
+
+    def read_reports(self, target: ObservedTarget, now_s: float) -> list[Action]:
+        """Learn from a new announcement; return the ends that it reports and stops of strays."""
+        actions: list[Action] = []
+        vm = target.announcement.vm
+        for report in target.announcement.tasks:
+            record = self.board.tasks.seen.get(report.task)
+            is_current = (
+                record is not None
+                and record.state is TaskState.LEASED
+                and record.vm == vm
+                and record.token == report.token
+            )
+            if record is None or not is_current:
+                if report.phase is TaskPhase.RUNNING:
+                    actions.append(_stop_stray(target.announcement, record, report))
+                continue
+            self.starting.pop(report.task, None)
+            job = self.board.jobs.get(record.job)
+            if job is not None and self.board.estimates.add(job, report):
+                self.board.recharge(job)
+            if report.phase in ENDED:
+                actions += self._finish(record, report.phase, report.reason, now_s)
+            elif job is not None and self.board.estimates.is_endless(job, report.run_s):
+                self.endless[report.task] = report.run_s
+        return actions
+
+    def _finish(
+        self, record: TaskRecord, phase: TaskPhase, reason: str, now_s: float
+    ) -> list[Action]:
+        token, proposed_s = self.finishing.get(record.task, (FencingToken(-1), -NEVER_S))
+        if token == record.token and now_s - proposed_s < PROPOSAL_PATIENCE_S:
+            return []
+        self.finishing[record.task] = (record.token, now_s)
+        return [ProposeCommand(FinishTask(record.task, record.token, phase, reason, now_s))]
+
+    def expire(self, now_s: float) -> list[Action]:
+        """End the runs whose leases are surely over, so that their tasks wait again."""
+        actions: list[Action] = []
+        for task, token in self.leases.expired(now_s):
+            self.finishing.setdefault(task, (token, -NEVER_S))
+        for task, (token, proposed_s) in tuple(self.finishing.items()):
+            record = self.board.tasks.seen.get(task)
+            if record is None or record.state is not TaskState.LEASED or record.token != token:
+                self.finishing.pop(task)
+            elif regrant_after_s(self.leases.until_s(task), self.lease_s) <= now_s:
+                actions += self._finish(record, TaskPhase.STOPPED, "the lease ended", now_s)
+            elif now_s - proposed_s >= PROPOSAL_PATIENCE_S:
+                # The proposal was lost; the next report of the worker brings it up again.
+                self.finishing.pop(task)
+        return actions
+
+    def leave_workers(self, now_s: float) -> None:
+        """Ask the tasks on draining and moving workers to checkpoint."""
+        for vm in self.board.leaving:
+            for task in self.board.running_on(vm):
+                self.end(task, vm, now_s, NEVER_S)
+
+    def end(self, task: TaskId, vm: VmId, now_s: float, patience_s: float) -> None:
+        """Ask a run to checkpoint; it is stopped if it has not within `patience_s`."""
+        record = self.board.tasks.seen.get(task)
+        worker = self.board.workers.get(vm)
+        if record is None or worker is None or record.state is not TaskState.LEASED:
+            return
+        self.orders.end(
+            task,
+            Ending(vm, worker.record.epoch, record.job, record.token, now_s, now_s + patience_s),
+        )
+
+    def relieve(self, vm: VmId, now_s: float) -> list[Action]:
+        """Relieve a worker whose new report shows that it is about to be overrun."""
+        worker = self.board.workers.get(vm)
+        relief = None if worker is None else self.pressure.look(worker, now_s)
+        if worker is None or relief is None:
+            return []
+        if relief.stage is Stage.THROTTLE:
+            return self._throttle(worker, relief, now_s)
+        patience_s = NEVER_S if relief.stage is Stage.CHECKPOINT else 0.0
+        for task in relief.tasks:
+            self.end(task, vm, now_s, patience_s)
+        return []
+
+    def _throttle(self, worker: Worker, relief: Relief, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for task in relief.tasks:
+            record = self.board.tasks.seen.get(task)
+            if record is None or record.state is not TaskState.LEASED:
+                continue
+            if self.orders.is_due(task, TaskOrderKind.THROTTLE, now_s):
+                order = TaskOrder(TaskOrderKind.THROTTLE, task, record.job, record.token)
+                actions.append(OrderTask(relief.vm, worker.record.epoch, order))
+        return actions
+
+    def stop_cancelled(self, now_s: float) -> list[Action]:
+        """Stop cancelled runs; their room is free once the worker no longer reports them."""
+        actions: list[Action] = []
+        for task, stopping in tuple(self.stopping.items()):
+            worker = self.board.workers.get(stopping.vm)
+            target = None if worker is None else worker.target
+            is_over = worker is None or regrant_after_s(stopping.until_s, self.lease_s) <= now_s
+            if worker is not None and target is not None and worker.announced_s > stopping.since_s:
+                is_over = is_over or not any(
+                    report.task == task and report.phase is TaskPhase.RUNNING
+                    for report in target.announcement.tasks
+                )
+            if is_over or worker is None:
+                del self.stopping[task]
+                self.board.release(task)
+                self.orders.forget(task)
+            elif self.orders.is_due(task, TaskOrderKind.STOP, now_s):
+                order = TaskOrder(TaskOrderKind.STOP, task, stopping.job, stopping.token)
+                actions.append(OrderTask(stopping.vm, worker.record.epoch, order))
+        return actions
+
+    def start(self, now_s: float) -> list[Action]:
+        """Send the start orders of committed leases until the worker reports the task."""
+        actions: list[Action] = []
+        for task in tuple(self.starting):
+            record = self.board.tasks.seen.get(task)
+            job = None if record is None else self.board.jobs.get(record.job)
+            if record is None or record.vm is None or record.state is not TaskState.LEASED:
+                del self.starting[task]
+                continue
+            worker = self.board.workers.get(record.vm)
+            lease_s = self.leases.until_s(task) - now_s - ORDER_DELIVERY_S
+            if job is None or worker is None or lease_s <= 0.0 or task in self.orders.endings:
+                continue
+            if self.orders.is_due(task, TaskOrderKind.START, now_s):
+                self.starting[task] = min(self.starting[task], now_s)
+                order = start_order(
+                    task, job.id, record.token, lease_s, self.board.size(job), job.command
+                )
+                actions.append(OrderTask(record.vm, worker.record.epoch, order))
+        return actions
+
+    def is_settled(self, task: TaskId, now_s: float) -> bool:
+        """Return whether a run has started and is not about to end, as far as is known."""
+        if task in self.stopping:
+            return False
+        return now_s - self.starting.get(task, -NEVER_S) >= START_DELIVERY_S
+
+
+def _stop_stray(
+    announcement: Announcement, record: TaskRecord | None, report: TaskReport
+) -> OrderTask:
+    """Stop a run whose lease is over. The token keeps a newer run of the task out of it."""
+    job = JobId("") if record is None else record.job
+    order = TaskOrder(TaskOrderKind.STOP, report.task, job, report.token)
+    return OrderTask(announcement.vm, announcement.epoch, order)
--- a/tests/core/decisions/test_faults.py
+++ b/tests/core/decisions/test_faults.py
@@ -13,6 +13,7 @@
 from marigolddoor_core.maintenance.budget import PoolLoss
 from marigolddoor_core.maintenance.waves import Candidate
 from marigolddoor_core.placement import Placement
+from marigolddoor_core.placement.runs import Runs
 from marigolddoor_core.state.objects import VmRecord
 from marigolddoor_core.targets import TaskPhase
 
@@ -72,14 +73,14 @@
         return super()._finish(replace(fleet, tasks=tasks))
 
 
-class EarlyPlacement(Placement):
-    """Grants again before the lease is surely over."""
+class EarlyRuns(Runs):
+    """Runs without the guard that waits until the lease is surely over."""
 
-    def _expire(self, now_s: float) -> list:
-        return super()._expire(now_s + 40.0)
+    def expire(self, now_s: float) -> list:
+        return super().expire(now_s + 40.0)
 
 
-class ForgetfulPlacement(Placement):
+class ForgetfulRuns(Runs):
     """Takes a run whose lease ended for finished, so that its task does not wait again."""
 
     def _finish(self, record, phase, reason, now_s) -> list:  # type: ignore[no-untyped-def]
@@ -88,13 +89,20 @@
         return super()._finish(record, phase, reason, now_s)
 
 
+def placement_with(runs: type[Runs]) -> Placement:
+    placement = Placement()
+    placement.runs = runs(placement.board)
+    placement.placer.runs = placement.faults.runs = placement.runs
+    return placement
+
+
 def leader_with(
-    placement: type[Placement] = Placement,
+    runs: type[Runs] = Runs,
     capacity: type[Capacity] = Capacity,
     wave: object = None,
 ) -> list[Decision]:
     ledger = BudgetLedger()
-    return [placement(), Maintenance(ledger, wave), capacity(ledger)]  # type: ignore[arg-type]
+    return [placement_with(runs), Maintenance(ledger, wave), capacity(ledger)]  # type: ignore[arg-type]
 
 
 class TestGuards(testtools.TestCase):
@@ -120,7 +128,7 @@
         (
             "one run at once",
             {
-                "leader": lambda: leader_with(EarlyPlacement),
+                "leader": lambda: leader_with(EarlyRuns),
                 "names": ("data centre cut off",),
                 "problem": "times at once",
             },
@@ -128,7 +136,7 @@
         (
             "no lost task",
             {
-                "leader": lambda: leader_with(ForgetfulPlacement),
+                "leader": lambda: leader_with(ForgetfulRuns),
                 "names": ("rack lost during a wave",),
                 "problem": "never completed",
             },
