Add slow commits and lost proposals to the fault table

Cause: the table applied every command in the round that proposed it. Change: commands may take effect two rounds late or be lost; budgets are checked when a command is proposed, against all that is on its way. Conclusion: decisions that are called again before their actions took effect exceed no budget and run no task twice.

--- a/standins/src/marigolddoor_standins/virtual/fleet.py
+++ b/standins/src/marigolddoor_standins/virtual/fleet.py
@@ -34,7 +34,8 @@
     """Runs decisions against workers in steps of virtual time.
 
     Faults are attributes: `cut_off` data centres send and receive nothing, `report_delay_s` delays
-    every report, `is_leaderless` lets no decision run, `lose_proposal` drops proposals.
+    every report, `is_leaderless` lets no decision run, `lose_proposal` drops proposals and
+    `commit_s` delays what is left of them.
     """
 
     def __init__(
@@ -60,7 +61,10 @@
         self.report_delay_s = 0.0
         self.is_leaderless = False
         self.lose_proposal: Callable[[Command], bool] = lambda command: False
-        self.on_command: Callable[[Command, Fleet], None] = lambda command, fleet: None
+        self.commit_s = 0.0
+        self.pending: list[tuple[float, Command]] = []
+        self.on_propose: Callable[[Command, Fleet], None] = lambda command, fleet: None
+        self.on_commit: Callable[[Command], None] = lambda command: None
         self.reports: list[_Report] = []
         self.seen: dict[VmId, _Report] = {}
         self.announced_s: dict[VmId, float] = {}
@@ -106,6 +110,7 @@
         self.events = [later for later in self.events if later[0] > self.now_s]
         for event in due:
             event()
+        self._commit()
         for worker in self.workers.values():
             if worker.is_up(self.now_s):
                 self.completed.update(worker.advance(self.now_s, self.step_s))
@@ -121,6 +126,14 @@
             for action in decision.decide(fleet):
                 self._carry_out(action, fleet)
 
+    def _commit(self) -> None:
+        """Apply the proposals that are due, in the order in which they were made."""
+        while self.pending and self.pending[0][0] <= self.now_s:
+            _, command = self.pending.pop(0)
+            self.on_commit(command)
+            if self.state.apply(command, self.now_s):
+                self.applied[type(command)] += 1
+
     def look(self) -> Fleet:
         """Return the fleet as the leader sees it."""
         return Fleet(
@@ -201,10 +214,12 @@
 
     def _carry_out(self, action: Action, fleet: Fleet) -> None:
         if isinstance(action, ProposeCommand):
-            if not self.lose_proposal(action.command):
-                self.on_command(action.command, fleet)
-                if self.state.apply(action.command, self.now_s):
-                    self.applied[type(action.command)] += 1
+            self.on_propose(action.command, fleet)
+            if self.lose_proposal(action.command):
+                return
+            self.pending.append((self.now_s + self.commit_s, action.command))
+            if self.commit_s <= 0.0:
+                self._commit()
         elif isinstance(action, OrderTask):
             worker = self.workers.get(action.vm)
             if worker is not None and self._is_reachable(worker) and worker.epoch == action.epoch:
--- a/tests/core/decisions/worlds.py
+++ b/tests/core/decisions/worlds.py
@@ -83,7 +83,8 @@
         self.fleet = VirtualFleet(VirtualState(declared), self.leader, STEP_S, STEP_S)
         for name, count in (("web", 6), ("floor", 4), ("spare", 6)):
             add_workers(self.fleet, name, count)
-        self.fleet.on_command = self.check_command
+        self.fleet.on_propose = self.check_proposal
+        self.fleet.on_commit = self.check_commit
         names = ("web", "floor", "spare")
         self.queues = {ServiceId(name): FluidQueue() for name in names}
         # The mean of the first queue is above its pool, so that VMs move in the end.
@@ -131,17 +132,15 @@
         for task in self.submitted - self.fleet.state.tasks.keys():
             self.problems.append(f"{self.fleet.now_s}: {task} is lost")
 
-    def check_command(self, command: Command, fleet: Fleet) -> None:
-        """Check a command before it is applied."""
-        if isinstance(command, BeginMove):
-            self._check_budget(command.vm, fleet)
-        elif isinstance(command, RecordMaintenance):
-            if command.step is MaintenanceStep.DRAINING:
-                self._check_budget(command.vm, fleet)
-        elif isinstance(command, FinishMove):
-            worker = self.fleet.workers[command.vm]
-            if worker.running():
-                self.problems.append(f"{fleet.now_s}: {command.vm} moves while it runs tasks")
+    def check_proposal(self, command: Command, fleet: Fleet) -> None:
+        """Check a command that takes a VM, against all that was taken before."""
+        if _takes(command):
+            self._check_budget(command.vm, fleet)  # type: ignore[union-attr]
+
+    def check_commit(self, command: Command) -> None:
+        """Check a command when it takes effect."""
+        if isinstance(command, FinishMove) and self.fleet.workers[command.vm].running():
+            self.problems.append(f"{self.fleet.now_s}: {command.vm} moves while it runs tasks")
 
     def _check_budget(self, vm: VmId, fleet: Fleet) -> None:
         """Count the loss afresh, from the state as it is when the command is applied."""
@@ -153,6 +152,9 @@
             for other, r in state.vms.items()
             if r.pool == record.pool and self._is_out(r, fleet)
         }
+        for _, pending in self.fleet.pending:
+            if _takes(pending) and state.vms[pending.vm].pool == record.pool:  # type: ignore[union-attr]
+                out.add(pending.vm)  # type: ignore[union-attr]
         members = sum(r.pool == record.pool for r in state.vms.values())
         needed = declared.floor if declared.spare else declared.size
         lost = len(out | {vm}) + max(0, needed - members)
@@ -182,6 +184,13 @@
                 self.problems.append(f"{task} counts as finished and never completed")
 
 
+def _takes(command: Command) -> bool:
+    """Return whether a command takes a VM out of service."""
+    if isinstance(command, RecordMaintenance):
+        return command.step is MaintenanceStep.DRAINING
+    return isinstance(command, BeginMove)
+
+
 Fault = Callable[[World, random.Random], None]
 
 
@@ -285,6 +294,22 @@
     world.fleet.change_leader()
 
 
+def slow_commits(world: World, draw: random.Random) -> None:
+    """Let every command take effect two rounds late, from now on."""
+    world.request_wave("floor")
+    world.fleet.commit_s = 2 * STEP_S
+
+
+def lost_proposals(world: World, draw: random.Random) -> None:
+    """Lose every third proposal for 2 minutes."""
+    world.fleet.lose_proposal = lambda command: draw.random() < 0.33
+
+    def recover() -> None:
+        world.fleet.lose_proposal = lambda command: False
+
+    world.fleet.at(world.fleet.now_s + 120.0, recover)
+
+
 FAULTS: dict[str, Fault] = {
     "flood of the least urgent": flood_least,
     "flood of the most urgent": flood_urgent,
@@ -299,6 +324,8 @@
     "late reports": late_reports,
     "second loss after a repair": second_loss,
     "restart after changes": restart,
+    "slow commits": slow_commits,
+    "lost proposals": lost_proposals,
 }
 
 
