--- a/packages/core/src/marigolddoor_core/state/tasks.py
+++ b/packages/core/src/marigolddoor_core/state/tasks.py
@@ -98,6 +98,7 @@
                 Refusal.LEASE_HELD, f"{task.task} is leased for {task.lease_until_s - now_s:.1f} s"
             )
         token = FencingToken(task.token + 1)
+        job = self.declarations.jobs.get(task.job)
         self._put(
             replace(
                 task,
@@ -105,6 +106,7 @@
                 token=token,
                 vm=vm.vm,
                 lease_until_s=now_s + command.lease_s,
+                version="" if job is None else job.version,
             )
         )
         return LeaseGranted(token)
