--- a/tests/test_operator_docs.py
+++ b/tests/test_operator_docs.py
@@ -56,6 +56,13 @@
     return sorted(choices)
 
 
+def choices() -> list[str]:
+    """Return the names of all choices that questions offer, as the code of the core has them."""
+    folder = Path(marigolddoor_core.__file__).parent
+    sources = [file.read_text() for file in folder.rglob("*.py") if file.parent != folder]
+    return sorted({name for text in sources for name in re.findall(r'Choice\(\s*"([^"]+)"', text)})
+
+
 class PageTest(testtools.TestCase):
     """A page has an entry for each name."""
 
@@ -65,6 +72,7 @@
             ("operators/errors.md", [f"| `{name}` |" for name in public_errors()]),
             ("operators/command-line.md", [f"| `{name}" for name in commands()]),
             ("operators/command-line.md", [f"| {code.value} |" for code in ExitCode]),
+            ("operators/questions.md", [f"`{name}`" for name in choices()]),
             ("glossary.md", [f"\n| {word} |" for word in USER_WORDS]),
         ]
         for entry in entries
