--- a/tests/control/operators/test_peer_timelines.py
+++ b/tests/control/operators/test_peer_timelines.py
@@ -98,6 +98,6 @@
     def test_clocks_follow_each_other(self) -> None:
         behind, ahead = recorder("c", 1), recorder("e1", 1)
         ahead.observe(HybridTime(40_000), 40_000)
-        timelines = PeerTimelines(behind, Peers({FIRST: ahead}), lambda: (FIRST,), lambda: 50)
+        timelines = PeerTimelines(behind, Peers({FIRST: ahead}), known(FIRST), lambda: 50)
         fetch(timelines, {})
         self.assertGreaterEqual(behind.last, ahead.last)
