--- a/packages/control/src/marigolddoor_control/leadership.py
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -6,7 +6,7 @@
 from marigolddoor_core.capacity import Capacity
 from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
 from marigolddoor_core.instants import Instant
-from marigolddoor_core.maintenance import BudgetLedger, Maintenance
+from marigolddoor_core.maintenance import BudgetLedger, Maintenance, Rollout
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.registration import Registrar
@@ -48,6 +48,7 @@
             Registrar(),
             self.placement,
             Maintenance(ledger),
+            Rollout(ledger),
             Capacity(ledger),
             Detection(ledger),
             ClaimExpiry(),
--- a/tests/core/decisions/test_faults.py
+++ b/tests/core/decisions/test_faults.py
@@ -13,6 +13,7 @@
 from marigolddoor_core.maintenance.budget import PoolLoss
 from marigolddoor_core.maintenance.waves import Candidate
 from marigolddoor_core.placement import Placement
+from marigolddoor_core.placement.runs import Runs
 from marigolddoor_core.state.objects import VmRecord
 from marigolddoor_core.targets import TaskPhase
 
@@ -22,13 +23,25 @@
 TRIPLES = 24
 
 
+# Combinations that once broke a check, with their seeds.
+FOUND = [
+    # A set-aside worker was taken while a rack was lost, though it still answered requests.
+    (("rack lost during a wave", "worker fails everything", "endless job"), 1),
+    # A task was granted on a worker that left in the same round, and waited for its lease to end.
+    (("rotating demand", "late reports", "restart after changes"), 2),
+]
+
+
 def drawn_triples() -> list[tuple[str, ...]]:
     triples = list(combinations(FAULTS, 3))
     return random.Random(TRIPLE_SEED).sample(triples, TRIPLES)
 
 
-def scenarios_of(combined: list[tuple[str, ...]]) -> list[tuple[str, dict]]:
-    return [(" and ".join(names), {"names": names}) for names in combined]
+def scenarios_of(combined: list[tuple[tuple[str, ...], int]]) -> list[tuple[str, dict]]:
+    return [
+        (f"{' and '.join(names)}, seed {seed}", {"names": names, "seed": seed})
+        for names, seed in combined
+    ]
 
 
 class TestFaults(testtools.TestCase):
@@ -36,14 +49,15 @@
 
     scenarios = scenarios_of(
         [
-            *((name,) for name in FAULTS),
-            *combinations(FAULTS, 2),
-            *drawn_triples(),
+            *(((name,), 1) for name in FAULTS),
+            *((pair, 1) for pair in combinations(FAULTS, 2)),
+            *((triple, 1) for triple in drawn_triples()),
+            *FOUND,
         ]
     )
 
     def test_nothing_breaks(self) -> None:
-        self.assertEqual([], run_faults(self.names, seed=1))
+        self.assertEqual([], run_faults(self.names, self.seed))
 
 
 class TakesAll:
@@ -64,14 +78,14 @@
         return super()._finish(replace(fleet, tasks=tasks))
 
 
-class EarlyPlacement(Placement):
-    """Grants again before the lease is surely over."""
+class EarlyRuns(Runs):
+    """Runs without the guard that waits until the lease is surely over."""
 
-    def _expire(self, now_s: float) -> list:
-        return super()._expire(now_s + 40.0)
+    def expire(self, now_s: float) -> list:
+        return super().expire(now_s + 40.0)
 
 
-class ForgetfulPlacement(Placement):
+class ForgetfulRuns(Runs):
     """Takes a run whose lease ended for finished, so that its task does not wait again."""
 
     def _finish(self, record, phase, reason, now_s) -> list:  # type: ignore[no-untyped-def]
@@ -80,13 +94,20 @@
         return super()._finish(record, phase, reason, now_s)
 
 
+def placement_with(runs: type[Runs]) -> Placement:
+    placement = Placement()
+    placement.runs = runs(placement.board)
+    placement.placer.runs = placement.faults.runs = placement.runs
+    return placement
+
+
 def leader_with(
-    placement: type[Placement] = Placement,
+    runs: type[Runs] = Runs,
     capacity: type[Capacity] = Capacity,
     wave: object = None,
 ) -> list[Decision]:
     ledger = BudgetLedger()
-    return [placement(), Maintenance(ledger, wave), capacity(ledger)]  # type: ignore[arg-type]
+    return [placement_with(runs), Maintenance(ledger, wave), capacity(ledger)]  # type: ignore[arg-type]
 
 
 class TestGuards(testtools.TestCase):
@@ -112,7 +133,7 @@
         (
             "one run at once",
             {
-                "leader": lambda: leader_with(EarlyPlacement),
+                "leader": lambda: leader_with(EarlyRuns),
                 "names": ("data centre cut off",),
                 "problem": "times at once",
             },
@@ -120,7 +141,7 @@
         (
             "no lost task",
             {
-                "leader": lambda: leader_with(ForgetfulPlacement),
+                "leader": lambda: leader_with(ForgetfulRuns),
                 "names": ("rack lost during a wave",),
                 "problem": "never completed",
             },
