--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -217,7 +217,7 @@
         return is_close and self._answers(replica, now) and progress.match_index >= self.first_index
 
     def _answers(self, replica: ReplicaId, now: Instant) -> bool:
-        return now - self.lease.contact(replica) < self.node.timing.quorum_lost_s
+        return now - self.lease.contact(replica) < self.node.timing.lease_s
 
     def is_lost(self, replica: ReplicaId, now: Instant) -> bool:
         """Return whether a member was silent for so long that it may be replaced."""
--- a/packages/core/src/marigolddoor_core/consensus/membership_plan.py
+++ b/packages/core/src/marigolddoor_core/consensus/membership_plan.py
@@ -36,27 +36,29 @@
     """Return the next change, or None.
 
     A process has one replica at a time, so a member whose address is now used by another
-    incarnation was wiped. A wiped or lost voter is removed once a learner has caught up, and the
-    learner is promoted next, because there are then too few voters.
+    incarnation was wiped. It never votes again, so it is removed at once: the group needs the
+    same voters as before. A learner that has caught up is promoted while there are too few voters,
+    and also in place of a lost one. A lost voter is removed only afterwards: if another fails in
+    between, the return of either lets the group go on.
     """
     for member in joining:
         if configuration.member(member.replica) is None:
             return PlannedChange(ChangeKind.ADD_LEARNER, member)
-    # The last learner at an address is the latest incarnation.
+    # The last member at an address is the latest incarnation.
     latest = {member.address: member for member in configuration.members}
-    latest.update({learner.address: learner for learner in configuration.learners})
     for learner in configuration.learners:
         if latest[learner.address] != learner:
             return PlannedChange(ChangeKind.REMOVE, learner)
-    for learner in configuration.learners:
-        if not is_caught_up(learner.replica):
-            continue
-        wiped = [voter for voter in configuration.voters if voter.address == learner.address]
-        if wiped and len(configuration.voters) > 1:
-            return PlannedChange(ChangeKind.REMOVE, wiped[0])
-        if len(configuration.voters) < wanted_voters:
-            return PlannedChange(ChangeKind.PROMOTE, learner)
-        lost = [voter for voter in configuration.voters if is_lost(voter.replica)]
-        if lost:
-            return PlannedChange(ChangeKind.REMOVE, lost[0])
+    for voter in configuration.voters:
+        if latest[voter.address] != voter:
+            return PlannedChange(ChangeKind.REMOVE, voter)
+    lost = [voter for voter in configuration.voters if is_lost(voter.replica)]
+    excess = len(configuration.voters) - wanted_voters
+    if excess > 0:
+        # If the lost voter has returned, the latest one becomes the spare again.
+        return PlannedChange(ChangeKind.REMOVE, (lost or list(configuration.voters[::-1]))[0])
+    if excess < 0 or lost:
+        for learner in configuration.learners:
+            if is_caught_up(learner.replica):
+                return PlannedChange(ChangeKind.PROMOTE, learner)
     return None
--- /dev/null
+++ b/tests/core/consensus/test_replica.py
@@ -0,0 +1,220 @@
+"""Guards single rules of the replica, by hand and step by step."""
+
+import random
+from typing import Any
+
+import testtools
+from marigolddoor_core.consensus import (
+    ChangeRefusedError,
+    Configuration,
+    NotLeaderError,
+    Output,
+    ReadId,
+    Recovered,
+    Replica,
+    Role,
+)
+from marigolddoor_core.consensus.messages import (
+    AppendEntries,
+    AppendReply,
+    RequestVote,
+    TimeoutNow,
+    VoteReply,
+)
+from marigolddoor_core.ids import LogIndex, ReplicaId, Term
+from marigolddoor_core.instants import Instant
+
+from tests.core.consensus.test_configuration import group
+
+A, B, C, D = (ReplicaId(name) for name in "abcd")
+
+
+def new_replica(configuration: Configuration, now: float = 0.0) -> Replica:
+    """Return replica `a` with an empty log."""
+    recovered = Recovered(Term(0), None, None, configuration, LogIndex(0), Term(0), ())
+    return Replica(A, recovered, random.Random(1), Instant(now))
+
+
+def finish_writes(replica: Replica, now: float) -> Output:
+    """Complete every write; return all that became due."""
+    total = Output()
+    while not (output := replica.take_output()).is_empty():
+        for name in ("writes", "messages", "chunks", "committed", "reads"):
+            getattr(total, name).extend(getattr(output, name))
+        if output.writes:
+            replica.wrote(output.writes[-1].number, Instant(now))
+    return total
+
+
+def answer(replica: Replica, peers: list[ReplicaId], now: float) -> Output:
+    """Let peers accept the whole log in the current round."""
+    assert replica.leading is not None
+    last = replica.node.log.last_index
+    reply = AppendReply(replica.term, True, last, LogIndex(0), replica.leading.lease.round)
+    for peer in peers:
+        replica.receive(peer, reply, Instant(now))
+    return finish_writes(replica, now)
+
+
+def new_leader(configuration: Configuration) -> Replica:
+    """Return a leader of term 1 whose first entry is committed at 2.0 s."""
+    replica = new_replica(configuration)
+    now = Instant(2.0)
+    replica.tick(now)
+    for is_pre_vote in (True, False):
+        for peer in (B, C):
+            replica.receive(peer, VoteReply(Term(1), is_pre_vote, True), now)
+        finish_writes(replica, now)
+    answer(replica, [B, C], now)
+    assert replica.accepts_commands
+    return replica
+
+
+class ChangeTest(testtools.TestCase):
+    """A change is refused while the new voters that answer are no quorum.
+
+    Otherwise the change can't be committed, and the group never leads again (found by the fault
+    run as a group without progress).
+    """
+
+    scenarios: list[tuple[str, dict[str, Any]]] = [
+        ("all answer", {"answering": [B, C, D], "change": "remove", "allowed": True}),
+        ("the kept one is silent", {"answering": [C, D], "change": "remove", "allowed": False}),
+        ("the removed one is silent", {"answering": [B, D], "change": "remove", "allowed": True}),
+        ("promote", {"answering": [B, C, D], "change": "promote", "allowed": True}),
+        ("the learner is silent", {"answering": [B, C], "change": "promote", "allowed": False}),
+        ("one voter is silent", {"answering": [B, D], "change": "promote", "allowed": True}),
+        ("two voters are silent", {"answering": [D], "change": "promote", "allowed": False}),
+    ]
+
+    def test_change(self) -> None:
+        replica = new_leader(group("abc", "d"))
+        answer(replica, [D], 2.0)
+        now = 2.6
+        replica.tick(Instant(now))
+        answer(replica, self.answering, now)
+        try:
+            if self.change == "remove":
+                replica.remove(C, Instant(now))
+            else:
+                replica.promote(D, Instant(now))
+            allowed = True
+        except ChangeRefusedError:
+            allowed = False
+        self.assertEqual(self.allowed, allowed)
+
+    def test_second_change(self) -> None:
+        replica = new_leader(group("abc", "d"))
+        answer(replica, [B, C, D], 2.0)
+        replica.remove(C, Instant(2.0))
+        self.assertRaises(ChangeRefusedError, replica.promote, D, Instant(2.0))
+
+
+class HeldTest(testtools.TestCase):
+    """Nothing that speaks for a write leaves before the write is synced."""
+
+    scenarios = [
+        (
+            "vote",
+            {
+                "message": RequestVote(Term(1), LogIndex(0), Term(0), False, False),
+                "reply": VoteReply,
+            },
+        ),
+        (
+            "append",
+            {
+                "message": AppendEntries(Term(1), LogIndex(0), Term(0), (), LogIndex(0), 1),
+                "reply": AppendReply,
+            },
+        ),
+    ]
+
+    def test_held(self) -> None:
+        replica = new_replica(group("abc"))
+        replica.receive(B, self.message, Instant(5.0))
+        before = replica.take_output()
+        self.assertEqual([], before.messages)
+        self.assertNotEqual([], before.writes)
+        replica.wrote(before.writes[-1].number, Instant(5.0))
+        (sent,) = replica.take_output().messages
+        self.assertIsInstance(sent.message, self.reply)
+
+    def test_failed(self) -> None:
+        replica = new_replica(group("abc"))
+        replica.receive(B, self.message, Instant(5.0))
+        replica.take_output()
+        replica.write_failed()
+        replica.receive(C, self.message, Instant(9.0))
+        replica.tick(Instant(99.0))
+        self.assertIs(Role.HALTED, replica.role)
+        self.assertTrue(replica.take_output().is_empty())
+
+
+class VoteTest(testtools.TestCase):
+    """Who gets a vote, and when: a replica that may be bound by a lease answers nobody."""
+
+    scenarios = [
+        ("free", {"now": 0.6, "transfer": False, "granted": True}),
+        ("just started", {"now": 0.4, "transfer": False, "granted": None}),
+        ("transfer", {"now": 0.4, "transfer": True, "granted": True}),
+    ]
+
+    def test_vote(self) -> None:
+        replica = new_replica(group("abc"))
+        request = RequestVote(Term(1), LogIndex(0), Term(0), False, self.transfer)
+        replica.receive(B, request, Instant(self.now))
+        replies = [sent.message for sent in finish_writes(replica, self.now).messages]
+        expected = [] if self.granted is None else [VoteReply(Term(1), False, self.granted)]
+        self.assertEqual(expected, replies)
+
+
+class ReadTest(testtools.TestCase):
+    """A read is answered under the lease, or after a quorum answered a later round."""
+
+    scenarios = [
+        ("lease", {"now": 2.4, "peers": [], "expected": 1}),
+        ("no lease, no answer", {"now": 2.6, "peers": [], "expected": None}),
+        ("no lease, one answer", {"now": 2.6, "peers": [B], "expected": 1}),
+    ]
+
+    def test_read(self) -> None:
+        replica = new_leader(group("abc"))
+        replica.read(ReadId(1), Instant(self.now))
+        reads = finish_writes(replica, self.now).reads
+        reads += answer(replica, self.peers, self.now).reads
+        self.assertEqual(self.expected, reads[0].index if reads else None)
+
+
+class TransferTest(testtools.TestCase):
+    """A leader that hands over steps down in the same step and accepts nothing more."""
+
+    def test_transfer(self) -> None:
+        replica = new_leader(group("abc"))
+        replica.transfer(Instant(2.1))
+        sent = [outgoing.message for outgoing in finish_writes(replica, 2.1).messages]
+        self.assertIn(TimeoutNow(Term(1)), sent)
+        self.assertFalse(replica.has_lease(Instant(2.1)))
+        self.assertRaises(NotLeaderError, replica.propose, [b"x"], Instant(2.1))
+
+    def test_alone(self) -> None:
+        replica = new_replica(group("a"))
+        finish_writes(replica, 0.0)
+        replica.transfer(Instant(0.1))
+        self.assertTrue(replica.accepts_commands)
+
+
+class PausedLeaderTest(testtools.TestCase):
+    """A leader that was paused has no lease when it resumes, and steps down at its next step."""
+
+    scenarios = [
+        ("short", {"now": 2.3, "lease": True, "role": Role.LEADER}),
+        ("longer than the lease", {"now": 2.5, "lease": False, "role": Role.LEADER}),
+        ("long", {"now": 9.0, "lease": False, "role": Role.FOLLOWER}),
+    ]
+
+    def test_resume(self) -> None:
+        replica = new_leader(group("abc"))
+        self.assertEqual(self.lease, replica.has_lease(Instant(self.now)))
+        replica.tick(Instant(self.now))
+        self.assertIs(self.role, replica.role)
