Measure claims and recovery with the real state machine

Cause: the measurement used a table of objects in place of the state machine. Change: it declares a service and a pool and uses StateMachine; each restart compares the whole state with the leader's.

--- a/bench/measure_agreement.py
+++ b/bench/measure_agreement.py
@@ -11,33 +11,31 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 from loguru import logger
 from marigolddoor_control.agreement import Agreement, AgreementSettings
+from marigolddoor_core.declaration import Declaration, Pool, Service
 from marigolddoor_core.ids import (
-    ClaimId,
     DataCentreId,
-    Epoch,
     IdempotencyKey,
-    JobId,
-    LogIndex,
+    OperatorId,
+    OrganisationId,
     PoolId,
     ProcessId,
     RackId,
+    RequestId,
+    Revision,
     ServiceId,
-    TaskId,
     VmId,
 )
-from marigolddoor_core.state.commands import Claim, Command, RegisterVm
-from marigolddoor_core.state.objects import Change, ObjectKind, TaskRecord, TaskState, VmRecord
-from marigolddoor_core.state.results import ClaimGranted, ClaimPending, Done, Result
+from marigolddoor_core.state.commands import ApplyDeclaration, Claim, RegisterVm
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.results import ClaimGranted, DeclarationAccepted, Done
 from marigolddoor_core.targets import Resources
 from marigolddoor_storage import ReplicaStore
 from marigolddoor_wire.handshake import SharedKey
-from marigolddoor_wire.messages import WatchReply
 from marigolddoor_wire.peers import Address, PeerPool, PeerServer
 
 from bench.rows import Goal, GoalKind, Row
@@ -51,47 +49,11 @@
 RESTARTS = 5
 NO_SNAPSHOT_BYTES = 10**12
 SIZE = Resources(16.0, 32_000, 0)
-
-
-class ObjectTable:
-    """A state machine with the objects of claims and VMs; it stands in for the real one."""
-
-    def __init__(self) -> None:
-        self.objects: dict[str, Change] = {}
-        self.index = LogIndex(0)
-
-    def apply(self, index: LogIndex, command: Command) -> Result:
-        """Apply a claim or the registration of a VM."""
-        self.index = index
-        if isinstance(command, Claim):
-            known = self.objects.get(command.key)
-            if known is not None:
-                return ClaimPending(ClaimId(known.index), command.claimant)
-            record = TaskRecord(TaskId(command.key), JobId(command.claimant), TaskState.WAITING)
-            self.objects[command.key] = Change(ObjectKind.TASK, command.key, index, record)
-            return ClaimGranted(ClaimId(index))
-        assert isinstance(command, RegisterVm)
-        vm = VmRecord(
-            command.vm,
-            command.data_centre,
-            command.rack,
-            command.address,
-            command.capacity,
-            command.slots,
-            command.pool,
-            Epoch(1),
-        )
-        self.objects[command.vm] = Change(ObjectKind.VM, command.vm, index, vm)
-        return Done()
-
-    def snapshot(self) -> WatchReply:
-        """Return all objects."""
-        return WatchReply(self.index, True, tuple(self.objects.values()))
-
-    def restore(self, snapshot: Any) -> None:
-        """Replace all objects."""
-        self.index = snapshot.index
-        self.objects = {change.key: change for change in snapshot.changes}
+ORDERS = ServiceId("orders")
+WEB = PoolId("web")
+DECLARATION = Declaration(
+    OrganisationId("bench"), (Service(ORDERS, WEB, False, 6),), (Pool(WEB, 200, 100, 20),), (), ()
+)
 
 
 class Process:
@@ -100,7 +62,7 @@
     def __init__(self, settings: AgreementSettings, folder: Path) -> None:
         self.settings = settings
         self.folder = folder
-        self.machine = ObjectTable()
+        self.machine = StateMachine()
         self.agreement: Agreement
         self.scope = anyio.CancelScope()
         self.ended = anyio.Event()
@@ -175,13 +137,14 @@
     granted = 0
     started_s = time.monotonic()
     until_s = started_s + CLAIM_SECONDS
+    deadline_s = agreement.agreed_time() + 60.0
 
     async def call(caller: int) -> None:
         nonlocal granted
         number = 0
         while time.monotonic() < until_s:
             key = IdempotencyKey(f"{prefix}-{caller}-{number}")
-            claim = Claim(ServiceId("orders"), key, b"d" * 32, ProcessId("entry-1"), 9e9)
+            claim = Claim(ORDERS, key, b"d" * 32, ProcessId("entry-1"), deadline_s)
             result = await agreement.propose(claim)
             assert isinstance(result, ClaimGranted)
             granted += 1
@@ -193,10 +156,17 @@
     return granted / (time.monotonic() - started_s)
 
 
+async def declare(agreement: Agreement) -> None:
+    """Declare the service and the pool."""
+    command = ApplyDeclaration(Revision(0), RequestId("r"), OperatorId("bench"), DECLARATION)
+    assert isinstance(await agreement.propose(command), DeclarationAccepted)
+
+
 async def measure_claims() -> tuple[float, float]:
     """Return the rate of many callers, and that of one, whose every claim has its own sync."""
     async with running(None) as (processes, _):
         agreement = processes[0].agreement
+        await declare(agreement)
         one = await claims_per_second(agreement, 1, "one")
         many = await claims_per_second(agreement, CALLERS, "many")
         return many, one
@@ -205,7 +175,9 @@
 async def measure_recovery(snapshot_after_bytes: int | None) -> float:
     """Return the longest time from a restart of a member to its first linearizable read."""
     async with running(snapshot_after_bytes) as (processes, tasks):
+        await declare(processes[0].agreement)
         await register_vms(processes[0].agreement)
+        expected = processes[0].machine.snapshot()
         longest_s = 0.0
         member = processes[-1]
         await member.agreement.read_barrier()
@@ -216,7 +188,7 @@
             await tasks.start(member.run)
             await member.agreement.read_barrier()
             longest_s = max(longest_s, time.monotonic() - started_s)
-            assert len(member.machine.objects) == CHANGED_VMS
+            assert member.machine.snapshot() == expected
         return longest_s
 
 
@@ -227,9 +199,9 @@
         for number in numbers:
             vm = VmId(f"vm-{number % CHANGED_VMS}")
             command = RegisterVm(
-                vm, DataCentreId("east"), RackId("r1"), "127.0.0.1:1", SIZE, 8, PoolId("web")
+                vm, DataCentreId("east"), RackId("r1"), "127.0.0.1:1", SIZE, 8, WEB
             )
-            await agreement.propose(command)
+            assert isinstance(await agreement.propose(command), Done)
 
     async with anyio.create_task_group() as tasks:
         for first in range(10):
