--- a/tests/core/state/test_snapshots.py
+++ b/tests/core/state/test_snapshots.py
@@ -94,6 +94,6 @@
             if machine.claims[granted.claim].answer.body is None:
                 break
         snapshot = machine.snapshot()
-        stored = encode(StoredState(1.0, encode(snapshot)))
+        stored = encode(StoredState(1.0, (encode(snapshot),)))
         self.assertGreater(len(stored), 23_000_000)
-        self.assertEqual(snapshot, decode(decode(stored).state))
+        self.assertEqual(snapshot, decode(decode(stored).parts[0]))
