Forget targets in the observers however they went

Cause: a target that vanished with a full delta or with a lost holder stayed counted by the observers, so a data centre whose other targets are all silent was not taken for cut off, and its targets could be found dead. Targets that a peer had found dead were probed for ever. Change: the directory names the VMs that no holder reports any more, and Members takes them out of the observers; a peer's verdict is recorded. Conclusion: found by reading the use in DataCentre, not by a test; the random runs do not compare the observers yet.

--- a/packages/core/src/marigolddoor_core/membership/directory.py
+++ b/packages/core/src/marigolddoor_core/membership/directory.py
@@ -77,6 +77,7 @@
         self._views: dict[VmId, TargetView] = {}
         self._pools: dict[PoolId, dict[VmId, TargetView]] = {}
         self._histories: OrderedDict[VmId, _History] = OrderedDict()
+        self._gone: dict[VmId, None] = {}
 
     def apply(self, delta: HolderDelta, now: Instant) -> DeltaOutcome:
         """Apply the delta of a holder.
@@ -161,9 +162,11 @@
         """Return one target, or None if it has not announced itself or has no pool."""
         return self._views.get(vm)
 
-    def is_held(self, vm: VmId) -> bool:
-        """Return whether some holder reports a VM, with a pool or without."""
-        return vm in self._holders_of
+    def take_gone(self) -> tuple[VmId, ...]:
+        """Return the VMs that no holder reports any more since the last call."""
+        gone = tuple(self._gone)
+        self._gone.clear()
+        return gone
 
     def __len__(self) -> int:
         """Return the number of VMs that some holder reports, with a pool or without."""
@@ -178,6 +181,7 @@
         holder.reports[vm] = _Report(target, after(now, -target.age_s))
         holder.checksum ^= fingerprint(target)
         self._holders_of.setdefault(vm, {})[process] = None
+        self._gone.pop(vm, None)
         incarnation = target.announcement.incarnation
         if target.state is TargetState.LEAVING and incarnation:
             left = self._history(vm).left
@@ -195,6 +199,7 @@
         del holders[process]
         if not holders:
             del self._holders_of[vm]
+            self._gone[vm] = None
         elif self._latest(vm) is None:
             # Only reports of incarnations that seemed ended remain. Unless the last one has left,
             # the holder that gave the VM up was wrong about their order.
--- a/packages/core/src/marigolddoor_core/membership/members.py
+++ b/packages/core/src/marigolddoor_core/membership/members.py
@@ -48,6 +48,7 @@
         """Mark silent and dead targets; return whether any changed."""
         changed = self.holder.suspect(now)
         self._publish_news(now)
+        self._forget_gone()
         for vm in self.observers.take_dead(now):
             changed = self.holder.confirm_dead(vm) or changed
         self._publish_news(now)
@@ -111,8 +112,13 @@
             self.observers.join(vm)
             if target.state is TargetState.SUSPECTED:
                 self.observers.suspect(vm, delta.process, self.holder.dead_at(vm))
-            elif target.state is not TargetState.DEAD:
+            elif target.state is TargetState.DEAD:
+                self.observers.confirmed(vm)
+            else:
                 self.observers.reached(vm)
-        for vm in delta.gone:
-            if not self.directory.is_held(vm):
-                self.observers.leave(vm)
+        self._forget_gone()
+
+    def _forget_gone(self) -> None:
+        # A target may also go with a full delta that does not list it, or with a lost holder.
+        for vm in self.directory.take_gone():
+            self.observers.leave(vm)
--- a/packages/core/src/marigolddoor_core/membership/observers.py
+++ b/packages/core/src/marigolddoor_core/membership/observers.py
@@ -74,6 +74,13 @@
             if len(suspicion.unreached_by) >= 2 and vm not in self._dead:
                 self._ripe[vm] = None
 
+    def confirmed(self, vm: VmId) -> None:
+        """Record that the holder of a target has found it dead."""
+        if vm in self._suspicions:
+            self._ripe.pop(vm, None)
+            self._silent_twice.pop(vm, None)
+            self._dead[vm] = None
+
     def reached(self, vm: VmId) -> None:
         """Record that a target announced itself or was reached, so that it is not suspected."""
         self._suspicions.pop(vm, None)
--- a/tests/core/membership/test_members.py
+++ b/tests/core/membership/test_members.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import testtools
+from marigolddoor_core.fleet import ObservedTarget
 from marigolddoor_core.ids import ProcessId, VmId
 from marigolddoor_core.membership import HolderDelta, Members
 from marigolddoor_core.targets import TargetState
@@ -275,6 +276,40 @@
             self.assertEqual(expected, states[VmId("vm-1")])
 
 
+class ForgottenTargetTest(testtools.TestCase):
+    """A target that has gone, however it went, does not hide that all others are silent."""
+
+    scenarios: list[tuple[str, dict[str, Any]]] = [
+        ("gone", {"go": lambda m: m.receive(peer_change(gone=(VmId("vm-x"),)), at(1.0))}),
+        ("not in a full delta", {"go": lambda m: m.receive(peer_change(full=True), at(1.0))}),
+        (
+            "lost holder",
+            {"go": lambda m: (m.directory.lose_holder(P2, at(0.0)), m.directory.expire(at(60.0)))},
+        ),
+    ]
+    go: Callable[[Members], object]
+
+    def test_cut_off(self) -> None:
+        members = Members(P1)
+        members.observers.set_processes([P1])
+        members.receive(peer_delta(), at(0.0))
+        for vm in ("vm-1", "vm-2"):
+            members.announce(f.announcement(vm), at(0.0))
+        members.suspect(at(5.0))
+        self.assertFalse(members.observers.is_cut_off())
+        self.go(members)
+        members.suspect(at(5.0))
+        self.assertTrue(members.observers.is_cut_off())
+
+    def test_dead_at_its_holder(self) -> None:
+        members = Members(P1)
+        for sequence, state in enumerate((TargetState.SUSPECTED, TargetState.DEAD), start=1):
+            target = ObservedTarget(f.announcement("vm-x"), state, 9.0)
+            members.receive(HolderDelta(P2, sequence, False, (target,)), at(0.0))
+            expected = (VmId("vm-x"),) if state is TargetState.SUSPECTED else ()
+            self.assertEqual(expected, members.observers.unreached_targets())
+
+
 class CostTest(testtools.TestCase):
     """A join, a leave and a suspicion take as many steps with 50 times the targets."""
 
@@ -319,3 +354,7 @@
     delta = holder.take_delta(at(0.0))
     assert delta is not None
     return delta
+
+
+def peer_change(full: bool = False, gone: tuple[VmId, ...] = ()) -> HolderDelta:
+    return HolderDelta(P2, 2, full, (), gone)
