--- a/tests/core/state/test_tasks.py
+++ b/tests/core/state/test_tasks.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 import testtools
-from marigolddoor_core.ids import FencingToken, VmId
+from marigolddoor_core.ids import FencingToken, TaskId, VmId
 from marigolddoor_core.state import commands as c
 from marigolddoor_core.state import results as r
 from marigolddoor_core.state.machine import StateMachine
@@ -182,3 +182,28 @@
         self.assertIn("t0", machine.tasks)
         f.apply_all(machine, replace(cancel[3], time_s=45.0))
         self.assertEqual({"report/0", "report/1", "t2", "t3"}, set(machine.tasks))
+
+
+class VersionTest(testtools.TestCase):
+    """A run records the version of its job, so that a roll-out ends after each task ran it.
+
+    Without it every task looked as if it ran another version, and was restarted for ever.
+    """
+
+    scenarios = [
+        ("first version", {"versions": ["1"]}),
+        ("new version", {"versions": ["1", "2"]}),
+    ]
+
+    def test_version_of_the_run(self) -> None:
+        machine = StateMachine()
+        f.apply_all(machine, f.declare(), f.register())
+        for number, version in enumerate(self.versions):
+            f.apply_all(
+                machine,
+                f.declare(number + 1, f"version {version}", f.with_job(1, version)),
+                f.grant(),
+            )
+            task = machine.tasks[TaskId("report/0")]
+            self.assertEqual((TaskState.LEASED, version), (task.state, task.version))
+            f.apply_all(machine, f.end(task.token, TaskPhase.CHECKPOINTED))
