--- a/bench/measure_maintenance.py
+++ b/bench/measure_maintenance.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import replace
 
+from marigolddoor_core.actions import ProposeCommand
 from marigolddoor_core.fleet import Fleet, ObservedTarget
 from marigolddoor_core.ids import Epoch, Revision, VmId
 from marigolddoor_core.maintenance import BudgetLedger, BudgetWave, Maintenance, OneAtATime
@@ -82,13 +83,14 @@
         fleet = VirtualFleet(self.state, list)
         for declared in pools:
             add_workers(fleet, declared.id, size)
-        self.targets = {vm: self._target(vm) for vm in self.state.vms}
+        self.vms = dict(self.state.vms)
+        self.targets = {vm: self._target(vm) for vm in self.vms}
         self.now_s = 1e9
         self.down: dict[VmId, int] = {}
-        for vm, record in self.state.vms.items():
+        for vm, record in self.vms.items():
             never = replace(record, maintained_s=0.0)
             last_s = due_since_s(never, pools[0], self.now_s) or self.now_s
-            self.state.vms[vm] = replace(record, maintained_s=last_s)
+            self.vms[vm] = replace(record, maintained_s=last_s)
         self.longest_s = 0.0
 
     def run(self) -> float:
@@ -97,7 +99,7 @@
             self.now_s += CALENDAR_STEP_S
             self._disturb()
             self._decide()
-        ages = [self.now_s - record.maintained_s for record in self.state.vms.values()]
+        ages = [self.now_s - record.maintained_s for record in self.vms.values()]
         return max(self.longest_s, *ages) / DAY_S
 
     def _decide(self) -> None:
@@ -105,19 +107,20 @@
             self.now_s,
             Revision(1),
             self.state.declaration,
-            self.state.vms,
+            self.vms,
             targets=self.targets,
         )
-        taken = [
-            action.command.vm  # type: ignore[union-attr]
+        commands = [
+            action.command
             for action in self.maintenance.decide(fleet)
-            if isinstance(getattr(action, "command", None), RecordMaintenance)
+            if isinstance(action, ProposeCommand)
         ]
+        taken = [command.vm for command in commands if isinstance(command, RecordMaintenance)]
         for vm in taken:
-            record = self.state.vms[vm]
+            record = self.vms[vm]
             self.longest_s = max(self.longest_s, self.now_s - record.maintained_s)
             self.down[vm] = 1
-            self.state.vms[vm] = replace(record, maintained_s=self.now_s)
+            self.vms[vm] = replace(record, maintained_s=self.now_s)
         self.maintenance.ledger.taken_s.clear()
 
     def _disturb(self) -> None:
@@ -128,7 +131,7 @@
                 del self.down[vm]
                 self.targets[vm] = self._target(vm)
         share = CALENDAR_STEP_S / DAY_S
-        vms = list(self.state.vms)
+        vms = list(self.vms)
         for rate, steps in ((FAILURES_A_DAY, FAILED_STEPS), (RESTARTS_A_DAY, 1)):
             count = int(rate * share) + (self.random.random() < rate * share % 1.0)
             for vm in self.random.sample(vms, count):
@@ -138,7 +141,7 @@
                 self.targets[vm] = replace(self.targets[vm], state=TargetState.DEAD)
 
     def _target(self, vm: VmId) -> ObservedTarget:
-        record = self.state.vms[vm]
+        record = self.vms[vm]
         announcement = Announcement(
             vm,
             record.data_centre,
--- a/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/messages/ttypes.py
@@ -12,6 +12,7 @@
 
 import sys
 import marigolddoor_wire.gen.state.ttypes
+import marigolddoor_wire.gen.timeline.ttypes
 
 from thrift.transport import TTransport
 all_structs = []
@@ -1561,22 +1562,672 @@
      - data_centre
      - interval_s
      - services
+     - in_force
+     - address
+
+    """
+
+    __slots__ = (
+        'process',
+        'data_centre',
+        'interval_s',
+        'services',
+        'in_force',
+        'address',
+    )
+
+
+    def __init__(self, process=None, data_centre=None, interval_s=None, services=None, in_force=None, address=None,):
+        self.process = process
+        self.data_centre = data_centre
+        self.interval_s = interval_s
+        self.services = services
+        self.in_force = in_force
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.interval_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = ServiceDemand()
+                        _elem40.read(iprot)
+                        self.services.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.in_force = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportDemand')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.interval_s is not None:
+            oprot.writeFieldBegin('interval_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.interval_s)
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter41 in self.services:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.in_force is not None:
+            oprot.writeFieldBegin('in_force', TType.I64, 5)
+            oprot.writeI64(self.in_force)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 6)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReportDemandReply(object):
+    """
+    Attributes:
+     - time_s
+
+    """
+
+    __slots__ = (
+        'time_s',
+    )
+
+
+    def __init__(self, time_s=None,):
+        self.time_s = time_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.time_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportDemandReply')
+        if self.time_s is not None:
+            oprot.writeFieldBegin('time_s', TType.DOUBLE, 1)
+            oprot.writeDouble(self.time_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadClaim(object):
+    """
+    Attributes:
+     - service_id
+     - key
+
+    """
+
+    __slots__ = (
+        'service_id',
+        'key',
+    )
+
+
+    def __init__(self, service_id=None, key=None,):
+        self.service_id = service_id
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadClaim')
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 1)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReadClaimReply(object):
+    """
+    Attributes:
+     - claim
+
+    """
+
+    __slots__ = (
+        'claim',
+    )
+
+
+    def __init__(self, claim=None,):
+        self.claim = claim
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = marigolddoor_wire.gen.state.ttypes.Tagged()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadClaimReply')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetDelta(object):
+    """
+    Attributes:
+     - process
+     - sequence
+     - full
+     - targets
+     - gone
+
+    """
+
+    __slots__ = (
+        'process',
+        'sequence',
+        'full',
+        'targets',
+        'gone',
+    )
+
+
+    def __init__(self, process=None, sequence=None, full=None, targets=None, gone=None,):
+        self.process = process
+        self.sequence = sequence
+        self.full = full
+        self.targets = targets
+        self.gone = gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = TargetReport()
+                        _elem47.read(iprot)
+                        self.targets.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetDelta')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 3)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter54 in self.targets:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.gone))
+            for iter55 in self.gone:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetDigest(object):
+    """
+    Attributes:
+     - process
+     - address
+     - sequence
+     - targets
+     - checksum
+
+    """
+
+    __slots__ = (
+        'process',
+        'address',
+        'sequence',
+        'targets',
+        'checksum',
+    )
+
+
+    def __init__(self, process=None, address=None, sequence=None, targets=None, checksum=None,):
+        self.process = process
+        self.address = address
+        self.sequence = sequence
+        self.targets = targets
+        self.checksum = checksum
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.targets = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.checksum = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetDigest')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.I64, 4)
+            oprot.writeI64(self.targets)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.I64, 5)
+            oprot.writeI64(self.checksum)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AskTargets(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskTargets')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetObservation(object):
+    """
+    Attributes:
+     - process
+     - vm
+     - reached
 
     """
 
     __slots__ = (
         'process',
-        'data_centre',
-        'interval_s',
-        'services',
+        'vm',
+        'reached',
     )
 
 
-    def __init__(self, process=None, data_centre=None, interval_s=None, services=None,):
+    def __init__(self, process=None, vm=None, reached=None,):
         self.process = process
-        self.data_centre = data_centre
-        self.interval_s = interval_s
-        self.services = services
+        self.vm = vm
+        self.reached = reached
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1594,23 +2245,12 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.interval_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.services = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = ServiceDemand()
-                        _elem40.read(iprot)
-                        self.services.append(_elem40)
-                    iprot.readListEnd()
+                if ftype == TType.BOOL:
+                    self.reached = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1622,25 +2262,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReportDemand')
+        oprot.writeStructBegin('TargetObservation')
         if self.process is not None:
             oprot.writeFieldBegin('process', TType.STRING, 1)
             oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
             oprot.writeFieldEnd()
-        if self.data_centre is not None:
-            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
-            oprot.writeFieldEnd()
-        if self.interval_s is not None:
-            oprot.writeFieldBegin('interval_s', TType.DOUBLE, 3)
-            oprot.writeDouble(self.interval_s)
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 2)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
             oprot.writeFieldEnd()
-        if self.services is not None:
-            oprot.writeFieldBegin('services', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter41 in self.services:
-                iter41.write(oprot)
-            oprot.writeListEnd()
+        if self.reached is not None:
+            oprot.writeFieldBegin('reached', TType.BOOL, 3)
+            oprot.writeBool(self.reached)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1667,32 +2300,23 @@
         return not (self == other)
 
 
-class TargetDelta(object):
+class ShareReport(object):
     """
     Attributes:
      - process
-     - sequence
-     - full
-     - targets
-     - gone
+     - demand
 
     """
 
     __slots__ = (
         'process',
-        'sequence',
-        'full',
-        'targets',
-        'gone',
+        'demand',
     )
 
 
-    def __init__(self, process=None, sequence=None, full=None, targets=None, gone=None,):
+    def __init__(self, process=None, demand=None,):
         self.process = process
-        self.sequence = sequence
-        self.full = full
-        self.targets = targets
-        self.gone = gone
+        self.demand = demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1708,35 +2332,116 @@
                     self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = ServiceDemand()
+                        _elem61.read(iprot)
+                        self.demand.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareReport')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand))
+            for iter62 in self.demand:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FetchTimeline(object):
+    """
+    Attributes:
+     - wanted
+     - after_sequence
+     - limit
+     - time
+
+    """
+
+    __slots__ = (
+        'wanted',
+        'after_sequence',
+        'limit',
+        'time',
+    )
+
+
+    def __init__(self, wanted=None, after_sequence=None, limit=None, time=None,):
+        self.wanted = wanted
+        self.after_sequence = after_sequence
+        self.limit = limit
+        self.time = time
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.wanted = marigolddoor_wire.gen.timeline.ttypes.TimelineFilter()
+                    self.wanted.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                    self.after_sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.full = iprot.readBool()
+                if ftype == TType.I64:
+                    self.limit = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.targets = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = TargetReport()
-                        _elem47.read(iprot)
-                        self.targets.append(_elem47)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.gone = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem53)
-                    iprot.readListEnd()
+                if ftype == TType.STRUCT:
+                    self.time = marigolddoor_wire.gen.timeline.ttypes.HybridTime()
+                    self.time.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1748,32 +2453,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('TargetDelta')
-        if self.process is not None:
-            oprot.writeFieldBegin('process', TType.STRING, 1)
-            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
-            oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 2)
-            oprot.writeI64(self.sequence)
+        oprot.writeStructBegin('FetchTimeline')
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.STRUCT, 1)
+            self.wanted.write(oprot)
             oprot.writeFieldEnd()
-        if self.full is not None:
-            oprot.writeFieldBegin('full', TType.BOOL, 3)
-            oprot.writeBool(self.full)
+        if self.after_sequence is not None:
+            oprot.writeFieldBegin('after_sequence', TType.I64, 2)
+            oprot.writeI64(self.after_sequence)
             oprot.writeFieldEnd()
-        if self.targets is not None:
-            oprot.writeFieldBegin('targets', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter54 in self.targets:
-                iter54.write(oprot)
-            oprot.writeListEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I64, 3)
+            oprot.writeI64(self.limit)
             oprot.writeFieldEnd()
-        if self.gone is not None:
-            oprot.writeFieldBegin('gone', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter55 in self.gone:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
-            oprot.writeListEnd()
+        if self.time is not None:
+            oprot.writeFieldBegin('time', TType.STRUCT, 4)
+            self.time.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1800,23 +2495,23 @@
         return not (self == other)
 
 
-class ShareReport(object):
+class FetchTimelineReply(object):
     """
     Attributes:
-     - process
-     - demand
+     - timeline
+     - time
 
     """
 
     __slots__ = (
-        'process',
-        'demand',
+        'timeline',
+        'time',
     )
 
 
-    def __init__(self, process=None, demand=None,):
-        self.process = process
-        self.demand = demand
+    def __init__(self, timeline=None, time=None,):
+        self.timeline = timeline
+        self.time = time
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1828,19 +2523,15 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.timeline = marigolddoor_wire.gen.timeline.ttypes.ProcessTimeline()
+                    self.timeline.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.demand = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = ServiceDemand()
-                        _elem61.read(iprot)
-                        self.demand.append(_elem61)
-                    iprot.readListEnd()
+                if ftype == TType.STRUCT:
+                    self.time = marigolddoor_wire.gen.timeline.ttypes.HybridTime()
+                    self.time.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1852,17 +2543,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ShareReport')
-        if self.process is not None:
-            oprot.writeFieldBegin('process', TType.STRING, 1)
-            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+        oprot.writeStructBegin('FetchTimelineReply')
+        if self.timeline is not None:
+            oprot.writeFieldBegin('timeline', TType.STRUCT, 1)
+            self.timeline.write(oprot)
             oprot.writeFieldEnd()
-        if self.demand is not None:
-            oprot.writeFieldBegin('demand', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter62 in self.demand:
-                iter62.write(oprot)
-            oprot.writeListEnd()
+        if self.time is not None:
+            oprot.writeFieldBegin('time', TType.STRUCT, 2)
+            self.time.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2008,6 +2696,24 @@
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'interval_s', None, None, ),  # 3
     (4, TType.LIST, 'services', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 4
+    (5, TType.I64, 'in_force', None, None, ),  # 5
+    (6, TType.STRING, 'address', 'UTF8', None, ),  # 6
+)
+all_structs.append(ReportDemandReply)
+ReportDemandReply.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'time_s', None, None, ),  # 1
+)
+all_structs.append(ReadClaim)
+ReadClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+)
+all_structs.append(ReadClaimReply)
+ReadClaimReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [marigolddoor_wire.gen.state.ttypes.Tagged, None], None, ),  # 1
 )
 all_structs.append(TargetDelta)
 TargetDelta.thrift_spec = (
@@ -2018,11 +2724,44 @@
     (4, TType.LIST, 'targets', (TType.STRUCT, [TargetReport, None], False), None, ),  # 4
     (5, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(TargetDigest)
+TargetDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'targets', None, None, ),  # 4
+    (5, TType.I64, 'checksum', None, None, ),  # 5
+)
+all_structs.append(AskTargets)
+AskTargets.thrift_spec = (
+)
+all_structs.append(TargetObservation)
+TargetObservation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'vm', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'reached', None, None, ),  # 3
+)
 all_structs.append(ShareReport)
 ShareReport.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'demand', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 2
 )
+all_structs.append(FetchTimeline)
+FetchTimeline.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'wanted', [marigolddoor_wire.gen.timeline.ttypes.TimelineFilter, None], None, ),  # 1
+    (2, TType.I64, 'after_sequence', None, None, ),  # 2
+    (3, TType.I64, 'limit', None, None, ),  # 3
+    (4, TType.STRUCT, 'time', [marigolddoor_wire.gen.timeline.ttypes.HybridTime, None], None, ),  # 4
+)
+all_structs.append(FetchTimelineReply)
+FetchTimelineReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'timeline', [marigolddoor_wire.gen.timeline.ttypes.ProcessTimeline, None], None, ),  # 1
+    (2, TType.STRUCT, 'time', [marigolddoor_wire.gen.timeline.ttypes.HybridTime, None], None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/marigolddoor_wire/messages.py
+++ b/packages/wire/src/marigolddoor_wire/messages.py
@@ -6,6 +6,7 @@
 from marigolddoor_core.ids import (
     DataCentreId,
     FencingToken,
+    IdempotencyKey,
     LogIndex,
     ProcessId,
     Revision,
@@ -15,22 +16,33 @@
 )
 from marigolddoor_core.state.commands import Command
 from marigolddoor_core.state.objects import Change
-from marigolddoor_core.state.results import Result
+from marigolddoor_core.state.results import ClaimFinished, ClaimPending, Result
 from marigolddoor_core.targets import Announcement, TargetState
+from marigolddoor_core.timeline.clock import HybridTime
+from marigolddoor_core.timeline.filters import TimelineFilter
+from marigolddoor_core.timeline.timelines import ProcessTimeline
 
 __all__ = [
     "Acknowledgement",
+    "AskTargets",
     "ErrorKind",
     "ErrorReply",
+    "FetchTimeline",
+    "FetchTimelineReply",
     "LeaseRenewal",
     "Propose",
     "ProposeReply",
+    "ReadClaim",
+    "ReadClaimReply",
     "ReportDemand",
+    "ReportDemandReply",
     "ReportTargets",
     "ReportTargetsReply",
     "ServiceDemand",
     "ShareReport",
     "TargetDelta",
+    "TargetDigest",
+    "TargetObservation",
     "TargetReport",
     "Watch",
     "WatchReply",
@@ -157,12 +169,40 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportDemand:
-    """The demand that an entry process saw in the last `interval_s` seconds."""
+    """The demand that an entry process saw in the last `interval_s` seconds.
+
+    It also tells the leader that the process is there, the address of its peer listener, and which
+    revision it works with.
+    """
 
     process: ProcessId
     data_centre: DataCentreId
     interval_s: float
     services: tuple[ServiceDemand, ...]
+    in_force: Revision = Revision(0)
+    address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportDemandReply:
+    """The leader's agreed time, for the deadlines of claims."""
+
+    time_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClaim:
+    """Ask for the claim on an idempotency key, as it was after this message was sent."""
+
+    service: ServiceId
+    key: IdempotencyKey
+
+
+@dataclass(frozen=True, slots=True)
+class ReadClaimReply:
+    """The claim; None if there is none."""
+
+    claim: ClaimPending | ClaimFinished | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,9 +219,52 @@
     gone: tuple[VmId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TargetDigest:
+    """Number and checksum of a holder's targets as of `sequence`, to find lost deltas."""
+
+    process: ProcessId
+    address: str
+    sequence: int
+    targets: int
+    checksum: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskTargets:
+    """Ask a holder for a full `TargetDelta`."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetObservation:
+    """Whether `process` reached a target that its holder suspects."""
+
+    process: ProcessId
+    vm: VmId
+    reached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ShareReport:
     """The recent demand of an entry process, from which its peers compute their shares."""
 
     process: ProcessId
     demand: tuple[ServiceDemand, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTimeline:
+    """Ask a process for its events after `after_sequence`; `time` is the time of the sender."""
+
+    wanted: TimelineFilter
+    after_sequence: int
+    limit: int
+    time: HybridTime | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTimelineReply:
+    """The events of the process that was asked; `time` is its time."""
+
+    timeline: ProcessTimeline
+    time: HybridTime | None = None
--- a/standins/src/marigolddoor_standins/virtual/fleet.py
+++ b/standins/src/marigolddoor_standins/virtual/fleet.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 
 from marigolddoor_core.actions import Action, Decision, OrderTask, ProposeCommand, RebootVm
+from marigolddoor_core.errors import InvalidInputError
 from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
 from marigolddoor_core.ids import DataCentreId, JobId, ServiceId, TaskId, VmId
 from marigolddoor_core.placement import Placement
-from marigolddoor_core.state.commands import Command, MaintenanceStep
-from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.state.commands import Command, MaintenanceStep, RegisterVm
 from marigolddoor_core.targets import Announcement, TargetState
 
 from marigolddoor_standins.virtual.state import VirtualState
@@ -75,15 +75,21 @@
         self.progress: dict[TaskId, float] = {}
         self.events: list[tuple[float, Callable[[], None]]] = []
 
-    def add(self, record: VmRecord) -> VirtualWorker:
-        """Add a registered VM and its worker."""
+    def add(self, command: RegisterVm) -> VirtualWorker:
+        """Register a VM and start its worker."""
+        if not self.state.apply(command, self.now_s):
+            raise InvalidInputError(f"{command.vm} was not registered")
         worker = VirtualWorker(
-            record.vm, record.data_centre, record.rack, record.capacity, record.slots, record.epoch
+            command.vm,
+            command.data_centre,
+            command.rack,
+            command.capacity,
+            command.slots,
+            self.state.vms[command.vm].epoch,
+            progress=self.progress,
         )
-        worker.progress = self.progress
-        self.state.vms[record.vm] = record
-        self.workers[record.vm] = worker
-        self.heard_s[record.data_centre] = self.now_s
+        self.workers[command.vm] = worker
+        self.heard_s[command.data_centre] = self.now_s
         return worker
 
     def change_leader(self) -> None:
--- a/standins/src/marigolddoor_standins/virtual/samples.py
+++ b/standins/src/marigolddoor_standins/virtual/samples.py
@@ -6,7 +6,6 @@
 from marigolddoor_core.declaration.organisation import Weights
 from marigolddoor_core.ids import (
     DataCentreId,
-    Epoch,
     JobId,
     OrganisationId,
     PoolId,
@@ -16,8 +15,7 @@
     TeamId,
     VmId,
 )
-from marigolddoor_core.state.commands import SubmitTask
-from marigolddoor_core.state.objects import VmRecord
+from marigolddoor_core.state.commands import RegisterVm, SubmitTask
 from marigolddoor_core.targets import Resources
 
 from marigolddoor_standins.virtual.fleet import VirtualFleet
@@ -80,7 +78,7 @@
         data_centre = DataCentreId(f"dc-{rack % DATA_CENTRES}")
         vm = VmId(f"{pool_name}-{number}")
         fleet.add(
-            VmRecord(
+            RegisterVm(
                 vm,
                 data_centre,
                 RackId(f"{pool_name}-rack-{rack}"),
@@ -88,8 +86,6 @@
                 capacity,
                 8,
                 PoolId(pool_name),
-                Epoch(1),
-                maintained_s=fleet.now_s,
             )
         )
         vms.append(vm)
