Take operators' requests for waves from the agreed state alone

Change: the soft requests are removed, RequestDrain marks the VMs; a run of the table ends when nothing is open any more. Conclusion: maintenance keeps nothing that a new leader needs.

--- a/bench/measure_maintenance.py
+++ b/bench/measure_maintenance.py
@@ -6,12 +6,12 @@
 
 from marigolddoor_core.actions import ProposeCommand
 from marigolddoor_core.fleet import Fleet, ObservedTarget
-from marigolddoor_core.ids import Epoch, Revision, VmId
+from marigolddoor_core.ids import Epoch, OperatorId, PoolId, RequestId, Revision, VmId
 from marigolddoor_core.maintenance import BudgetLedger, BudgetWave, Maintenance, OneAtATime
 from marigolddoor_core.maintenance.calendar import due_since_s
 from marigolddoor_core.maintenance.waves import WavePolicy
 from marigolddoor_core.placement import Placement
-from marigolddoor_core.state.commands import MaintenanceStep, RecordMaintenance
+from marigolddoor_core.state.commands import MaintenanceStep, RecordMaintenance, RequestDrain
 from marigolddoor_core.targets import Announcement, TargetState
 from marigolddoor_standins.virtual import JobBehaviour, VirtualFleet, VirtualState
 from marigolddoor_standins.virtual.samples import (
@@ -59,11 +59,12 @@
     fleet = VirtualFleet(
         VirtualState(declared), lambda: [Placement(), maintenance], STEP_S, 1.0, REBOOT_S
     )
-    vms = add_workers(fleet, "web", WAVE_VMS)
+    add_workers(fleet, "web", WAVE_VMS)
     submit(fleet, "j", 2 * WAVE_VMS, JobBehaviour(1e9, SIZE, checkpoint_s=CHECKPOINT_S))
     fleet.run(10.0)
     started_s = fleet.now_s
-    maintenance.request(vms, started_s)
+    request = RequestDrain(PoolId("web"), None, OperatorId("ada"), RequestId("wave"))
+    fleet.state.apply(request, started_s)
     while any(vm.maintenance is not MaintenanceStep.DONE for vm in fleet.state.vms.values()):
         fleet.step()
     bound_s = math.ceil(WAVE_VMS / WAVE_BUDGET) * (CHECKPOINT_S + REBOOT_S)
--- a/packages/core/src/marigolddoor_core/maintenance/__init__.py
+++ b/packages/core/src/marigolddoor_core/maintenance/__init__.py
@@ -1,7 +1,7 @@
 """Waves that take VMs out of service within the availability budgets."""
 
 from marigolddoor_core.maintenance.budget import BudgetLedger
-from marigolddoor_core.maintenance.maintenance import DrainProgress, Maintenance
+from marigolddoor_core.maintenance.maintenance import Maintenance
 from marigolddoor_core.maintenance.rollout import AllAtOnce, Rollout, TenthAtOnce, WaveSize
 from marigolddoor_core.maintenance.waves import BudgetWave, OneAtATime, WavePolicy
 
@@ -9,7 +9,6 @@
     "AllAtOnce",
     "BudgetLedger",
     "BudgetWave",
-    "DrainProgress",
     "Maintenance",
     "OneAtATime",
     "Rollout",
--- a/packages/core/src/marigolddoor_core/maintenance/maintenance.py
+++ b/packages/core/src/marigolddoor_core/maintenance/maintenance.py
@@ -1,6 +1,5 @@
 """Takes VMs out of service, reboots them and brings them back, within the pools' budgets."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marigolddoor_core.actions import Action, OrderTask, ProposeCommand, RebootVm
@@ -10,7 +9,6 @@
 from marigolddoor_core.maintenance.budget import (
     BudgetLedger,
     PoolLoss,
-    is_planned_loss,
     is_unplanned_loss,
 )
 from marigolddoor_core.maintenance.calendar import due_since_s
@@ -21,7 +19,7 @@
 from marigolddoor_core.state.objects import TaskState, VmRecord
 from marigolddoor_core.targets import TargetState, TaskOrder, TaskOrderKind
 
-__all__ = ["DrainProgress", "Maintenance"]
+__all__ = ["Maintenance"]
 
 # A reboot request is idempotent, so it is repeated in case the platform lost it.
 REBOOT_REPEAT_S = 10.0
@@ -52,14 +50,6 @@
     proposed_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class DrainProgress:
-    """How far an operator's request has come."""
-
-    waiting: tuple[VmId, ...]
-    under_way: tuple[VmId, ...]
-
-
 class Maintenance:
     """The maintenance decision: the calendar, operators' requests, reboots and their repair.
 
@@ -75,19 +65,6 @@
         self.policy = policy or BudgetWave()
         self.questions = QuestionBook((concerns.NOT_BACK, concerns.STUCK_DRAIN))
         self.progress: dict[VmId, _Progress] = {}
-        self.requested: dict[VmId, float] = {}
-
-    def request(self, vms: Iterable[VmId], now_s: float) -> None:
-        """Maintain these VMs soon, as an operator asked; a VM that is under way is not repeated."""
-        for vm in vms:
-            self.requested.setdefault(vm, now_s)
-
-    def drain_progress(self, fleet: Fleet, vms: Iterable[VmId]) -> DrainProgress:
-        """Return how far the maintenance of these VMs has come."""
-        named = [vm for vm in vms if vm in fleet.vms]
-        under_way = tuple(vm for vm in named if is_planned_loss(fleet.vms[vm]))
-        waiting = tuple(vm for vm in named if vm in self.requested and vm not in under_way)
-        return DrainProgress(waiting, under_way)
 
     def decide(self, fleet: Fleet) -> tuple[Action, ...]:
         """Return the next steps of the VMs under maintenance, and the VMs that are taken now."""
@@ -109,8 +86,7 @@
     def _progress_of(self, vm: VmId, record: VmRecord, now_s: float) -> _Progress | None:
         step = record.maintenance
         if step is None or step is MaintenanceStep.DONE:
-            if self.progress.pop(vm, None) is not None:
-                self.requested.pop(vm, None)
+            self.progress.pop(vm, None)
             return None
         progress = self.progress.get(vm)
         if progress is None or progress.step is not step:
@@ -301,8 +277,7 @@
             for vm, record in loss.members.items():
                 if vm in loss.loss.planned or record.data_centre in fleet.silent_data_centres:
                     continue
-                is_requested = record.maintenance_requested
-                if is_requested or vm in self.requested or vm in ordered:
+                if record.maintenance_requested or vm in ordered:
                     candidates.setdefault(pool, []).append(Candidate(vm, REQUESTED_ORDER))
                     continue
                 due_s = due_since_s(record, loss.pool, fleet.now_s)
