--- a/packages/core/src/marigolddoor_core/state/tasks.py
+++ b/packages/core/src/marigolddoor_core/state/tasks.py
@@ -103,10 +103,10 @@
             replace(
                 task,
                 state=TaskState.LEASED,
+                version="" if job is None else job.version,
                 token=token,
                 vm=vm.vm,
                 lease_until_s=now_s + command.lease_s,
-                version="" if job is None else job.version,
             )
         )
         return LeaseGranted(token)
--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -58,6 +58,8 @@
 FIRST_CLAIM_WAIT_S = 0.05
 MAX_CLAIM_WAIT_S = 1.0
 NO_TARGET_RETRY_S = 1.0
+# An election takes less than 2 s.
+RETRY_AFTER_S = 2.0
 
 
 @dataclass(slots=True)
@@ -247,11 +249,15 @@
             self._free(exchange)
             if step is not ClaimNextStep.WAIT:
                 return _kept(step, result)
-            # Another request holds the claim, so from now on "not run" would not be certain.
-            exchange.may_have_run = True
+            # Another request holds the claim, so from now on "not run" would not be certain. A
+            # claim that this process gives up never ran.
+            if self.claimant.book.phase(key) is not ClaimPhase.RELEASING:
+                exchange.may_have_run = True
             remaining_s = exchange.request.deadline - self._now()
             if remaining_s <= wait_s:
                 await anyio.sleep(max(0.0, remaining_s))
+                if not exchange.may_have_run:
+                    raise NoQuorumForClaimError("the claim is being given up", RETRY_AFTER_S)
                 raise OutcomeUnknownError("the first request with this key has not ended")
             await anyio.sleep(wait_s)
             wait_s = min(wait_s * 2, MAX_CLAIM_WAIT_S)
