--- a/packages/wire/idl/consensus.thrift
+++ b/packages/wire/idl/consensus.thrift
@@ -1,4 +1,4 @@
-// Messages and stored records of the consensus group. Fields are only appended.
+/** Messages and stored records of the consensus group. Field ids are never reused. */
 include "state.thrift"
 
 namespace py marigolddoor_wire.gen.consensus
--- a/tests/control/groups.py
+++ b/tests/control/groups.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -52,11 +52,13 @@
 class Process:
     """A control process: a peer server, a pool and an agreement in a scope of their own."""
 
-    def __init__(self, settings: AgreementSettings, folder: Path, files: Files | None) -> None:
+    def __init__(
+        self, settings: AgreementSettings, folder: Path, files: Files | None, machine: Any
+    ) -> None:
         self.settings = settings
         self.folder = folder
         self.files = files
-        self.machine = KeyList()
+        self.machine = machine
         self.agreement: Agreement
         self.scope = anyio.CancelScope()
         self.ended = anyio.Event()
@@ -105,6 +107,7 @@
         self.settings = settings
         self.addresses = [Address(f"127.0.0.1:{port}") for port in free_ports(count)]
         self.processes: list[Process] = []
+        self.new_machine: Callable[[], Any] = KeyList
 
     async def start(self, number: int, files: Files | None = None) -> Process:
         """Start the process with this number, in its folder."""
@@ -112,7 +115,7 @@
         folder.mkdir(exist_ok=True)
         peers = tuple(address for i, address in enumerate(self.addresses) if i != number)
         settings = AgreementSettings(f"r{number}", self.addresses[number], peers, **self.settings)
-        process = Process(settings, folder, files)
+        process = Process(settings, folder, files, self.new_machine())
         await self.tasks.start(process.run)
         if number < len(self.processes):
             self.processes[number] = process
@@ -156,10 +159,13 @@
 
 
 @asynccontextmanager
-async def running_group(root: Path, count: int, **settings: Any) -> AsyncIterator[Group]:
+async def running_group(
+    root: Path, count: int, new_machine: Callable[[], Any] = KeyList, **settings: Any
+) -> AsyncIterator[Group]:
     """Run `count` processes until the block ends."""
     async with anyio.create_task_group() as tasks:
         group = Group(root, count, tasks, **settings)
+        group.new_machine = new_machine
         for number in range(count):
             await group.start(number)
         yield group
