Let a replica be stopped while it waits for its peers

Cause: stop() waited for a loop that begins only after every peer has answered. Change: stop() cancels the wait; the driver reads the replica through properties instead of its parts. Conclusion: a process can be stopped in each phase.

--- a/packages/control/src/marigolddoor_control/agreement.py
+++ b/packages/control/src/marigolddoor_control/agreement.py
@@ -133,6 +133,7 @@
         self.known_role: tuple[Any, ...] = ()
         self.received_state: bytes | None = None
         self.unsnapshotted_bytes = 0
+        self.joining_scope = anyio.CancelScope()
         self.is_taking_snapshot = False
         self.is_stopping = False
         self.stopped = anyio.Event()
@@ -201,7 +202,7 @@
             if remaining_s <= 0 or self.failure is not None or self.is_stopping:
                 raise NoQuorumError("no leader confirmed the read in time")
             index: LogIndex | None = None
-            if self.replica is not None and self.replica.leading is not None:
+            if self.replica is not None and self.replica.is_leader:
                 index = await self._read_here(remaining_s)
             elif self.leader not in (None, self.settings.address):
                 index = await self._read_at_leader(remaining_s)
@@ -234,16 +235,22 @@
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Run the replica until `stop`. `task_status` is reported once its folder is open.
 
+        A replica with an empty folder opens it after its peers have answered.
+
         Raises:
           StorageError: the data folder can't be opened. A later failure stops the replica, which
             then neither votes nor acknowledges; it is in `failure`.
         """
         settings = self.settings
-        identity = await establish_identity(
-            self.store, settings.name, settings.address, settings.peers, self.pool, self.rng
-        )
-        self.replica_id = identity.replica
         try:
+            with self.joining_scope:
+                identity = await establish_identity(
+                    self.store, settings.name, settings.address, settings.peers, self.pool, self.rng
+                )
+                self.replica_id = identity.replica
+            if self.is_stopping:
+                task_status.started()
+                return
             self._open()
             async with anyio.create_task_group() as group:
                 self.group = group
@@ -260,14 +267,15 @@
         """Hand the leadership over, finish what was accepted, and stop."""
         replica = self.replica
         with anyio.move_on_after(timeout_s):
-            if replica is not None and replica.leading is not None:
+            if replica is not None and replica.is_leader:
                 replica.transfer(self._now())
                 self.wake.set()
-                while replica.leading is not None and len(replica.configuration.voters) > 1:
+                while replica.is_leader and len(replica.configuration.voters) > 1:
                     await self.role_changed.wait()
             while self.proposals.appended:
                 await self.applied.wait()
         self.is_stopping = True
+        self.joining_scope.cancel()
         self.wake.set()
         await self.stopped.wait()
 
@@ -434,7 +442,7 @@
 
     def _change_membership(self) -> None:
         replica = self._replica()
-        if replica.leading is None:
+        if not replica.is_leader:
             self.joining.clear()
             return
         joining = tuple(self.joining.values())
@@ -451,7 +459,7 @@
 
     def _snapshot_if_due(self) -> None:
         replica = self._replica()
-        snapshot = replica.node.snapshot
+        snapshot = replica.snapshot
         size = 0 if snapshot is None else snapshot.size_bytes
         is_due = self.unsnapshotted_bytes >= max(self.settings.snapshot_after_bytes, size)
         if is_due and not self.is_taking_snapshot and self.failure is None:
@@ -588,7 +596,7 @@
 
     async def _answer_join(self, message: Join) -> Acknowledgement:
         replica = self.replica
-        if replica is not None and replica.leading is not None:
+        if replica is not None and replica.is_leader:
             self.joining[message.member.replica] = message.member
             self.wake.set()
         elif self.leader not in (None, self.settings.address, message.member.address):
@@ -609,12 +617,12 @@
 
     def _is_outside(self) -> bool:
         """Return whether the group does not list this replica, or may have removed it."""
-        node = self._replica().node
-        if node.leader == self.replica_id:
+        replica = self._replica()
+        if replica.is_leader:
             return False
-        if self.clock() - node.leader_contact > ABANDONED_AFTER_S:
+        if self.clock() - replica.leader_contact > ABANDONED_AFTER_S:
             return True
-        return node.leader is None and not node.is_voter
+        return replica.leader is None and not replica.is_voter
 
     def _take(self, message: PeerMessage) -> None:
         if message.recipient != self.replica_id or self.replica is None:
--- a/packages/core/src/marigolddoor_core/consensus/replica.py
+++ b/packages/core/src/marigolddoor_core/consensus/replica.py
@@ -78,6 +78,26 @@
         """Return the latest configuration in the log."""
         return self.node.configuration
 
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads its term. Only `has_lease` says that it still may."""
+        return self.leading is not None
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether the latest configuration lists this replica as a voter."""
+        return self.node.is_voter
+
+    @property
+    def snapshot(self) -> SnapshotMeta | None:
+        """Return the latest snapshot of this replica."""
+        return self.node.snapshot
+
+    @property
+    def leader_contact(self) -> Instant:
+        """Return when a leader was last heard of, or when the replica started."""
+        return self.node.leader_contact
+
     @property
     def accepts_commands(self) -> bool:
         """Return whether `propose` appends."""
--- a/tests/control/test_joining.py
+++ b/tests/control/test_joining.py
@@ -119,3 +119,24 @@
         except RemoteError as error:
             found = error.kind
         self.assertEqual(self.expected, found)
+
+
+class StopTest(testtools.TestCase):
+    """A process that still waits for its peers can be stopped."""
+
+    def test_stop(self) -> None:
+        anyio.run(self.stop)
+
+    async def stop(self) -> None:
+        store = ReplicaStore(temporary_folder(self))
+        pool: Any = ScriptedPool({HIGHER: [AWAY]})
+        agreement = Agreement(
+            AgreementSettings("r", OWN, (HIGHER,)), store, KeyList(), pool, random.Random(1)
+        )
+        with anyio.fail_after(5.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(agreement.run)
+                while not pool.asked:
+                    await anyio.lowlevel.checkpoint()
+                await agreement.stop()
+        self.assertTrue(agreement.stopped.is_set())
