Guard the cost of quiet rounds

Cause: nothing checked that a round costs what changed and not tasks times workers. Change: a table counts the searches for room in rounds without a change.

--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -359,3 +359,36 @@
         fleet.run(5)
         (run,) = [run for worker in fleet.workers.values() for run in worker.running()]
         self.assertEqual(2, run.token)
+
+
+class TestQuietRounds(testtools.TestCase):
+    """Guards against rounds whose cost grows with tasks times workers.
+
+    A job that waits for room is looked at again only when something changed that could help it.
+    """
+
+    scenarios = [
+        ("full pool", {"tasks": 60, "size": SIZE}),
+        ("never fits", {"tasks": 60, "size": Resources(99.0, 1)}),
+        ("nothing waits", {"tasks": 3, "size": SIZE}),
+    ]
+
+    def test_no_search_without_a_change(self) -> None:
+        placement = Placement()
+        fleet = fleet_of(job("j", size=self.size), placement=placement)
+        submit(fleet, "j", self.tasks, JobBehaviour(1e9, self.size))
+        fleet.run(30)
+        searches: list[Resources] = []
+        for room in placement.board.pools.values():
+            find = room.free.find
+
+            def search(size, accept, find=find):  # type: ignore[no-untyped-def]
+                searches.append(size)
+                return find(size, accept)
+
+            room.free.find = search  # type: ignore[method-assign]
+        fleet.run(10)
+        self.assertEqual([], searches)
+        submit(fleet, "j", 1, STEADY, first=self.tasks)
+        fleet.run(3)
+        self.assertTrue(searches)
