Bound the time by which a start order is sent

Cause: the lease of a start order counts from its receipt; a leader that was paused between its decision and the order could start a run that outlasts the lease its successor knows of. Change: OrderTask names the time by which it has to be on its way. Conclusion: the manager has to drop orders that are past send_by_s.

--- a/packages/core/src/marigolddoor_core/actions.py
+++ b/packages/core/src/marigolddoor_core/actions.py
@@ -20,11 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderTask:
-    """Push an order to the worker on `vm`, which follows it only in `epoch`."""
+    """Push an order to the worker on `vm`, which follows it only in `epoch`.
+
+    The order is dropped if it is not on its way by the agreed time `send_by_s`. The lease of a
+    start order counts from its receipt, so one that a paused process sends late would outlast the
+    lease that a new leader knows of.
+    """
 
     vm: VmId
     epoch: Epoch
     order: TaskOrder
+    send_by_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/placement/runs.py
+++ b/packages/core/src/marigolddoor_core/placement/runs.py
@@ -24,9 +24,11 @@
 
 __all__ = ["NEVER_S", "Runs"]
 
-# An order is given up if the worker did not take it within this time. Its lease counts from
-# receipt, so it is shorter by as much, and ends no later than the leader assumes.
-ORDER_DELIVERY_S = 3.0
+# An order that is on its way is given up after this time.
+ORDER_TIMEOUT_S = 2.0
+# A start order is received within this time or not at all. Its lease counts from receipt, so it is
+# shorter by as much, and ends no later than the leader assumes.
+ORDER_DELIVERY_S = ORDER_TIMEOUT_S + 1.0
 # By then a start order has reached its worker. The report of it may take 20 s more.
 START_DELIVERY_S = 0.4
 # A new leader has the reports of all holders by then, and starts only what they do not show.
@@ -263,7 +265,8 @@
                 order = start_order(
                     task, job.id, record.token, lease_s, self.board.size(job), job.command
                 )
-                actions.append(OrderTask(record.vm, worker.record.epoch, order))
+                send_by_s = now_s + ORDER_DELIVERY_S - ORDER_TIMEOUT_S
+                actions.append(OrderTask(record.vm, worker.record.epoch, order, send_by_s))
         return actions
 
     def is_settled(self, task: TaskId, now_s: float) -> bool:
--- a/standins/src/marigolddoor_standins/virtual/workers.py
+++ b/standins/src/marigolddoor_standins/virtual/workers.py
@@ -72,6 +72,7 @@
     silent: bool = False
     fails_all: bool = False
     returns: bool = True
+    ignores_starts: bool = False
     ignores_ends: bool = False
     boots: int = 0
     up_at_s: float = 0.0
@@ -99,6 +100,8 @@
         """Follow an order; what belongs to another token is ignored."""
         run = self.runs.get(order.task)
         if order.kind is TaskOrderKind.START:
+            if self.ignores_starts:
+                return
             if behaviour is not None and (run is None or run.token < order.token):
                 left_s = self.progress.get(order.task, behaviour.run_s)
                 run = Run(
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import testtools
+from marigolddoor_core.actions import OrderTask
 from marigolddoor_core.declaration import Job, Team
 from marigolddoor_core.ids import JobId, PoolId, TaskId, TeamId, VmId
 from marigolddoor_core.placement import NoPreemption, Placement
@@ -392,3 +393,26 @@
         submit(fleet, "j", 1, STEADY, first=self.tasks)
         fleet.run(3)
         self.assertTrue(searches)
+
+
+class TestStartOrder(testtools.TestCase):
+    """Guards against a start order whose lease outlasts the one that the leader knows of."""
+
+    scenarios = [("first order", {"rounds": 2}), ("repeated order", {"rounds": 20})]
+
+    def test_the_latest_receipt_is_within_the_lease(self) -> None:
+        placement = Placement()
+        fleet = fleet_of(job("j"), placement=placement)
+        for worker in fleet.workers.values():
+            worker.ignores_starts = True
+        submit(fleet, "j", 1, STEADY)
+        fleet.run(self.rounds)
+        orders: list[OrderTask] = []
+        while not orders:
+            fleet.now_s += 1.0
+            actions = placement.decide(fleet.look())
+            orders = [action for action in actions if isinstance(action, OrderTask)]
+        latest_s = orders[0].send_by_s + 2.0
+        until_s = fleet.state.tasks[TaskId("j/0")].lease_until_s
+        self.assertLessEqual(latest_s + orders[0].order.lease_s, until_s)
+        self.assertLessEqual(orders[0].send_by_s, fleet.now_s + 1.0)
