--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import testtools
+from marigolddoor_core.actions import OrderTask
 from marigolddoor_core.declaration import Job, Team
 from marigolddoor_core.ids import JobId, PoolId, TaskId, TeamId, VmId
 from marigolddoor_core.placement import NoPreemption, Placement
@@ -359,3 +360,59 @@
         fleet.run(5)
         (run,) = [run for worker in fleet.workers.values() for run in worker.running()]
         self.assertEqual(2, run.token)
+
+
+class TestQuietRounds(testtools.TestCase):
+    """Guards against rounds whose cost grows with tasks times workers.
+
+    A job that waits for room is looked at again only when something changed that could help it.
+    """
+
+    scenarios = [
+        ("full pool", {"tasks": 60, "size": SIZE}),
+        ("never fits", {"tasks": 60, "size": Resources(99.0, 1)}),
+        ("nothing waits", {"tasks": 3, "size": SIZE}),
+    ]
+
+    def test_no_search_without_a_change(self) -> None:
+        placement = Placement()
+        fleet = fleet_of(job("j", size=self.size), placement=placement)
+        submit(fleet, "j", self.tasks, JobBehaviour(1e9, self.size))
+        fleet.run(30)
+        searches: list[Resources] = []
+        for room in placement.board.pools.values():
+            find = room.free.find
+
+            def search(size, accept, find=find):  # type: ignore[no-untyped-def]
+                searches.append(size)
+                return find(size, accept)
+
+            room.free.find = search  # type: ignore[method-assign]
+        fleet.run(10)
+        self.assertEqual([], searches)
+        submit(fleet, "j", 1, STEADY, first=self.tasks)
+        fleet.run(3)
+        self.assertTrue(searches)
+
+
+class TestStartOrder(testtools.TestCase):
+    """Guards against a start order whose lease outlasts the one that the leader knows of."""
+
+    scenarios = [("first order", {"rounds": 2}), ("repeated order", {"rounds": 20})]
+
+    def test_the_latest_receipt_is_within_the_lease(self) -> None:
+        placement = Placement()
+        fleet = fleet_of(job("j"), placement=placement)
+        for worker in fleet.workers.values():
+            worker.ignores_starts = True
+        submit(fleet, "j", 1, STEADY)
+        fleet.run(self.rounds)
+        orders: list[OrderTask] = []
+        while not orders:
+            fleet.now_s += 1.0
+            actions = placement.decide(fleet.look())
+            orders = [action for action in actions if isinstance(action, OrderTask)]
+        latest_s = orders[0].send_by_s + 2.0
+        until_s = fleet.state.tasks[TaskId("j/0")].lease_until_s
+        self.assertLessEqual(latest_s + orders[0].order.lease_s, until_s)
+        self.assertLessEqual(orders[0].send_by_s, fleet.now_s + 1.0)
