--- a/packages/control/src/marigolddoor_control/leadership.py
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -6,7 +6,7 @@
 from marigolddoor_core.capacity import Capacity
 from marigolddoor_core.fleet import Demand, Fleet, ObservedTarget
 from marigolddoor_core.instants import Instant
-from marigolddoor_core.maintenance import BudgetLedger, Maintenance
+from marigolddoor_core.maintenance import BudgetLedger, Maintenance, Rollout
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.registration import Registrar
@@ -20,6 +20,7 @@
     ReportTargetsReply,
     ServiceDemand,
 )
+from marigolddoor_wire.peers import Address
 
 from marigolddoor_control.agreement import Agreement
 
@@ -47,6 +48,7 @@
             Registrar(),
             self.placement,
             Maintenance(ledger),
+            Rollout(ledger),
             Capacity(ledger),
             Detection(ledger),
             ClaimExpiry(),
@@ -93,6 +95,11 @@
             want_full,
         )
 
+    def entry_addresses(self) -> tuple[Address, ...]:
+        """Return the peer addresses of the entry processes that report here."""
+        reports = self.reports.entries.values()
+        return tuple(Address(report.address) for report in reports if report.address)
+
     def take_demand(self, message: ReportDemand) -> None:
         """Take the demand report of an entry process."""
         self.reports.record_entry(
