Check commands and files on the operators' pages

Cause: a page could show a command that the parser refuses, or name a file that does not exist, and there was no list of what the release contains. Change: tables in tests/test_operator_docs.py parse every command shown on docs/operators/*.md and CHANGELOG.md with the real parser, and look up each named file.

--- a/tests/test_operator_docs.py
+++ b/tests/test_operator_docs.py
@@ -1,9 +1,12 @@
-"""Guards against pages that miss an error, a setting or a command, or show settings that fail."""
+"""Guards against pages that miss an error, a setting or a command, or show ones that fail."""
 
+import contextlib
 import importlib
 import inspect
+import io
 import pkgutil
 import re
+import shlex
 import tomllib
 from pathlib import Path
 
@@ -23,7 +26,14 @@
 
 from tests.daemon.test_settings import KEY, TOKENS, Folder
 
-DOCS = Path(__file__).resolve().parent.parent / "docs"
+ROOT = Path(__file__).resolve().parent.parent
+DOCS = ROOT / "docs"
+OPERATOR_PAGES = sorted(
+    str(page.relative_to(ROOT))
+    for page in [*(DOCS / "operators").glob("*.md"), ROOT / "CHANGELOG.md"]
+)
+# The top folders of the repository, with which the path of a file begins on a page.
+FOLDERS = ("bench", "docs", "examples", "packages", "standins", "tests", "tools")
 PACKAGES = (
     marigolddoor_control,
     marigolddoor_core,
@@ -63,6 +73,124 @@
     return sorted({name for text in sources for name in re.findall(r'Choice\(\s*"([^"]+)"', text)})
 
 
+def shown_commands(text: str) -> list[str]:
+    """Return the commands that a page shows, in blocks and in lines of text.
+
+    `marigolddoor COMMAND` stands for any command and is left out. A span of the program and one
+    word in a line of text is the name of a command, not a whole one; `named_commands` returns
+    those.
+    """
+    blocks = re.findall(r"^ *```[a-z]*\n(.*?)^ *```", text, re.DOTALL | re.MULTILINE)
+    lines = [line for block in blocks for line in block.splitlines()]
+    found = [line.strip() for line in lines if re.match(r"\s*marigolddoor ", line)]
+    found += [part for line in lines for part in re.findall(r"\$\((marigolddoor [^|)]*)", line)]
+    found += [span for span in prose_spans(text) if len(span.split()) > 2]
+    return [command for command in found if not command.startswith("marigolddoor COMMAND")]
+
+
+def named_commands(text: str) -> list[str]:
+    """Return the names of commands that the lines of text of a page have after the program."""
+    return [span.split()[1] for span in prose_spans(text) if len(span.split()) == 2]
+
+
+def prose_spans(text: str) -> list[str]:
+    """Return the code spans outside blocks that begin with the program."""
+    prose = re.sub(r"^ *```[a-z]*\n.*?^ *```", "", text, flags=re.DOTALL | re.MULTILINE)
+    return re.findall(r"`(marigolddoor\s[^`]*)`", prose)
+
+
+def named_files(text: str) -> list[str]:
+    """Return the files of the repository that a page names in code spans or as link targets."""
+    names = re.findall(r"`([^`\s]+)`", text) + re.findall(r"\]\(([^)\s#]+)\)", text)
+    return [
+        name
+        for name in names
+        if name.startswith(tuple(f"{folder}/" for folder in FOLDERS)) or name.endswith(".md")
+    ]
+
+
+class ShownCommandTest(testtools.TestCase):
+    """A command on a page is accepted by the command line; a typed copy must not be refused."""
+
+    scenarios = [
+        (f"{page}: {command}", {"command": command})
+        for page in OPERATOR_PAGES
+        for command in dict.fromkeys(shown_commands((ROOT / page).read_text()))
+    ]
+
+    def test_parses(self) -> None:
+        # A shell variable holds a revision or the id of a request, both of which may be a number.
+        arguments = shlex.split(re.sub(r"\$\w+", "1", self.command))[1:]
+        complaint = io.StringIO()
+        with contextlib.redirect_stderr(complaint):
+            try:
+                build_parser().parse_args(arguments)
+            except SystemExit:
+                self.fail(complaint.getvalue())
+
+
+class NamedCommandTest(testtools.TestCase):
+    """A command that a page names exists; a renamed one must not leave its old name on a page."""
+
+    scenarios = [
+        (f"{page}: {name}", {"name": name})
+        for page in OPERATOR_PAGES
+        for name in dict.fromkeys(named_commands((ROOT / page).read_text()))
+    ]
+
+    def test_exists(self) -> None:
+        self.assertIn(self.name, commands())
+
+
+class NamedFileTest(testtools.TestCase):
+    """A file that a page names exists; a renamed file must not leave its old name on a page.
+
+    A name without a folder is that of a page beside the one that names it, or at the root.
+    """
+
+    scenarios = [
+        (f"{page}: {name}", {"page": page, "name": name})
+        for page in OPERATOR_PAGES
+        for name in dict.fromkeys(named_files((ROOT / page).read_text()))
+    ]
+
+    def test_exists(self) -> None:
+        places = [ROOT / self.name, (ROOT / self.page).parent / self.name]
+        self.assertTrue(any(place.exists() for place in places), f"no file {self.name}")
+
+
+class ExtractionTest(testtools.TestCase):
+    """What the tables above look for is found; a page must not pass because nothing was read."""
+
+    scenarios = [
+        ("block", {"text": "```\nmarigolddoor status\n```\n", "expected": ["marigolddoor status"]}),
+        (
+            "indented block",
+            {
+                "text": "1. Do:\n\n   ```\n   marigolddoor pools\n   ```\n",
+                "expected": ["marigolddoor pools"],
+            },
+        ),
+        (
+            "line of text",
+            {"text": "Use `marigolddoor jobs --json`.", "expected": ["marigolddoor jobs --json"]},
+        ),
+        (
+            "in a script",
+            {
+                "text": "```\nx=$(marigolddoor status --json | cat)\n```\n",
+                "expected": ["marigolddoor status --json "],
+            },
+        ),
+        ("the name of a command", {"text": "Use `marigolddoor jobs`.", "expected": []}),
+        ("any command", {"text": "`marigolddoor COMMAND --help`", "expected": []}),
+        ("the daemon", {"text": "```\nmarigolddoord --settings x\n```\n", "expected": []}),
+    ]
+
+    def test_commands(self) -> None:
+        self.assertEqual(self.expected, shown_commands(self.text))
+
+
 class PageTest(testtools.TestCase):
     """A page has an entry for each name."""
 
