Ask about a data centre that was cut off with the old leader

Cause: a leader knew only the data centres that it heard since its election, so one that was cut off together with the old leader was neither marked as silent nor asked about. Change: a new leader expects every data centre that has VMs, and counts it as silent 15 s after its election: the time limit of a watch, a report, and the usual 5 s.

--- a/packages/control/src/marigolddoor_control/leadership.py
+++ b/packages/control/src/marigolddoor_control/leadership.py
@@ -42,6 +42,8 @@
     def decisions(self) -> Sequence[Decision]:
         """Return new decisions for a leadership that begins."""
         self.reports.clear()
+        data_centres = {vm.data_centre for vm in self.state.vms.values()}
+        self.reports.expect(data_centres, Instant(self.clock()))
         self.placement = Placement()
         ledger = BudgetLedger()
         return (
--- a/packages/core/src/marigolddoor_core/reports.py
+++ b/packages/core/src/marigolddoor_core/reports.py
@@ -16,6 +16,9 @@
 # An entry process reports every second. A data centre whose entry processes are all silent for
 # longer than this is cut off or lost.
 SILENT_DATA_CENTRE_S = 5.0
+# A watch on a lost control process ends after 8 s, and the entry process reports to the new leader
+# within a second of the next one. Until then its silence at a new leader says nothing.
+FIND_LEADER_S = 10.0
 # Demand of a process that is silent for longer than this no longer counts.
 STALE_DEMAND_S = 5.0
 FORGET_PROCESS_S = 600.0
@@ -55,6 +58,14 @@
         """Forget everything; done when the process becomes leader."""
         self.__init__()  # type: ignore[misc]
 
+    def expect(self, data_centres: Iterable[DataCentreId], now: Instant) -> None:
+        """Count data centres that were not heard yet as silent later, unless they report.
+
+        A leader that is elected because of a partition never hears the data centre that is cut off.
+        """
+        for data_centre in data_centres:
+            self.known_data_centres.setdefault(data_centre, after(now, FIND_LEADER_S))
+
     def record_targets(
         self,
         holder: ProcessId,
