Tell the age of the last announcement only if there was one

Cause: a leader that never heard a cut-off data centre said in its question that the last announcement was 0 s old. Change: the fact says that this leader has heard none. Conclusion: the facts of the question are true after a change of the leader.

--- a/packages/core/src/marigolddoor_core/questions/detectors.py
+++ b/packages/core/src/marigolddoor_core/questions/detectors.py
@@ -245,13 +245,16 @@
             record for _, record in sorted(fleet.vms.items()) if record.data_centre == data_centre
         )
         ages = [fleet.targets[r.vm].age_s for r in records if r.vm in fleet.targets]
-        age_s = min(ages, default=0.0)
+        heard = Fact("This leader has heard no announcement from it.", fleet.now_s)
+        if ages:
+            age_s = min(ages)
+            heard = Fact(f"The last announcement is {age_s:.0f} s old.", fleet.now_s - age_s)
         concern = Concern(
             f"{CUT_OFF}{data_centre}",
             f"Nothing is heard from data centre {data_centre}. Is it lost or only cut off?",
             (
                 Fact(f"{len(records)} VMs are in it.", fleet.now_s),
-                Fact(f"The last announcement is {age_s:.0f} s old.", fleet.now_s - age_s),
+                heard,
             ),
             (
                 Choice("cut-off", "Its VMs keep their pools, and the system waits for them."),
--- a/tests/core/questions/test_questions.py
+++ b/tests/core/questions/test_questions.py
@@ -7,10 +7,13 @@
 from marigolddoor_core.ids import DataCentreId, OperatorId, RequestId, VmId
 from marigolddoor_core.maintenance import BudgetLedger, Maintenance
 from marigolddoor_core.questions.detection import Detection
+from marigolddoor_core.questions.detectors import cut_off_data_centres
 from marigolddoor_core.state.commands import AnswerQuestion, ApplyDeclaration, OpenQuestion
 from marigolddoor_standins.virtual import VirtualFleet, VirtualState
 from marigolddoor_standins.virtual.samples import TEAM, add_workers, job, organisation, pool
 
+from tests.core.fleets import announcement, declaration, fleet, observed, record
+
 HUGE_TEAM = (Team(TEAM, 10, 1_000.0),)
 SMALL_TEAM = (Team(TEAM, 10, 2.0),)
 GOOD_TEAM = (Team(TEAM, 10, 50.0),)
@@ -213,3 +216,24 @@
         fleet.run(60)
         self.assertEqual(self.reboots, len(fleet.reboots))
         self.assertEqual(1, fleet.applied[OpenQuestion])
+
+
+class CutOffFactsTest(testtools.TestCase):
+    """The facts about a silent data centre never tell an age that the leader does not know."""
+
+    scenarios = [
+        ("heard", {"age_s": 7.0, "expected": "The last announcement is 7 s old."}),
+        (
+            "never heard by this leader",
+            {"age_s": None, "expected": "This leader has heard no announcement from it."},
+        ),
+    ]
+
+    def test_facts(self) -> None:
+        target = announcement("vm-1", "dc-0", "r-0")
+        targets = [] if self.age_s is None else [observed(target, age_s=self.age_s)]
+        looked = fleet(declaration([("web", 1)]), targets, [record(target, "web")])
+        looked = replace(looked, silent_data_centres=frozenset({target.data_centre}))
+        (finding,) = cut_off_data_centres(looked, {})
+        facts = [fact.text for fact in finding.concern.facts]
+        self.assertEqual(["1 VMs are in it.", self.expected], facts)
