entry: connect dispatch reports and metrics

Cause: the runtime left report_dispatch and observe at their defaults. A target that requests could not reach was suspected only after its silence, and no page showed the latencies.

Change: DataCentre.report_dispatch passes each attempt to the holder, and the runtime feeds Metrics. GET /marigolddoor/metrics answers with the text page on the targets' listener and with 404 on the callers' one.

Conclusion: three failed dispatches in a row suspect a held target at once. The cost of a page and of an observation was not measured here.

--- a/packages/entry/src/marigolddoor_entry/application.py
+++ b/packages/entry/src/marigolddoor_entry/application.py
@@ -16,7 +16,7 @@
 from marigolddoor_entry.callers import CallersService, read_body
 from marigolddoor_entry.json_forms import JsonFormError, announcement_from_json, to_json
 from marigolddoor_entry.ports import Holder
-from marigolddoor_entry.replies import Reply, error_reply, json_reply
+from marigolddoor_entry.replies import Reply, error_reply, json_reply, text_reply
 
 __all__ = ["Application", "ListenerKind"]
 
@@ -26,6 +26,7 @@
 
 ANNOUNCE_PATH = "/marigolddoor/announce"
 LEAVE_PATH = "/marigolddoor/leave"
+METRICS_PATH = "/marigolddoor/metrics"
 ANNOUNCEMENT_TIMEOUT_S = 5.0
 
 
@@ -49,6 +50,7 @@
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
         clock: Callable[[], float],
+        metrics_page: Callable[[], str],
     ) -> None:
         self.kind = kind
         self.callers = callers
@@ -57,6 +59,7 @@
         self.is_ready = is_ready
         self.is_stopping = is_stopping
         self.clock = clock
+        self.metrics_page = metrics_page
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -111,6 +114,9 @@
                 return await self._announce(receive)
             if path == LEAVE_PATH:
                 return await self._leave(receive)
+        # Callers must not learn the services and the load of others.
+        if self.kind is ListenerKind.TARGETS and method == "GET" and path == METRICS_PATH:
+            return text_reply(self.metrics_page())
         raw_path = scope["raw_path"].decode("ascii")
         if method == "GET" and raw_path.startswith(OUTCOMES_PATH + "/"):
             service, separator, key = raw_path.removeprefix(OUTCOMES_PATH + "/").partition("/")
--- a/packages/entry/src/marigolddoor_entry/data_centre.py
+++ b/packages/entry/src/marigolddoor_entry/data_centre.py
@@ -106,6 +106,13 @@
         self._carry_news()
         return changed
 
+    def report_dispatch(self, vm: VmId, reached: bool) -> None:
+        """Record whether an attempt reached a target, which counts if this process holds it."""
+        if reached:
+            self.members.holder.dispatch_succeeded(vm)
+        elif self.members.dispatch_failed(vm, self._now()):
+            self._carry_news()
+
     def assign(self, records: Sequence[VmRecord]) -> None:
         """Replace the committed assignments of the VMs of the data centre."""
         self.members.assign(records)
--- a/packages/entry/src/marigolddoor_entry/ports.py
+++ b/packages/entry/src/marigolddoor_entry/ports.py
@@ -77,6 +77,10 @@
     return 0.0
 
 
+def _no_text() -> str:
+    return ""
+
+
 def _ignore(*arguments: object) -> None:
     """Ignore an observation that nobody wants."""
 
@@ -89,7 +93,7 @@
     of claims. `report_demand` takes the demand of each second for the leader, `exchange_demand`
     that of each half second for the entry processes of the data centre. `report_dispatch` takes
     the VM of each attempt and whether it was reached, `observe` the service, outcome and latency in
-    seconds of each request.
+    seconds of each request. `metrics_page` returns the metrics as text.
     """
 
     proposer: Proposer
@@ -101,3 +105,4 @@
     exchange_demand: Callable[[ShareReport], Awaitable[None]] = _drop
     report_dispatch: Callable[[VmId, bool], None] = _ignore
     observe: Callable[[ServiceId, Outcome, float], None] = _ignore
+    metrics_page: Callable[[], str] = _no_text
--- a/packages/entry/src/marigolddoor_entry/process.py
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -188,6 +188,7 @@
             is_ready=self._is_ready,
             is_stopping=self.stop_requested.is_set,
             clock=self.clock,
+            metrics_page=self.ports.metrics_page,
         )
         config = _hypercorn_config(listener, self.settings.stop_timeout_s)
         async with anyio.create_task_group() as group:
--- a/packages/entry/src/marigolddoor_entry/replies.py
+++ b/packages/entry/src/marigolddoor_entry/replies.py
@@ -12,7 +12,7 @@
 from marigolddoor_core.requests.outcomes import OUTCOMES_PATH, Outcome
 from marigolddoor_core.requests.refusals import OutcomeUnknownError, RequestError
 
-__all__ = ["Reply", "answer_reply", "error_reply", "json_reply", "outcome_url"]
+__all__ = ["Reply", "answer_reply", "error_reply", "json_reply", "outcome_url", "text_reply"]
 
 _NOT_RETURNED = frozenset(
     (
@@ -75,6 +75,16 @@
     return f"{OUTCOMES_PATH}/{quote(key.service, safe='')}/{quote(key.key, safe='')}"
 
 
+def text_reply(text: str) -> Reply:
+    """Return a reply with a page in the text exposition format of metrics."""
+    body = text.encode()
+    headers = [
+        (b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    return Reply(200, headers, body)
+
+
 def json_reply(
     status: int,
     fields: Mapping[str, str | int | float],
--- a/packages/entry/src/marigolddoor_entry/runtime.py
+++ b/packages/entry/src/marigolddoor_entry/runtime.py
@@ -33,6 +33,7 @@
 
 from marigolddoor_entry.control_link import ControlLink
 from marigolddoor_entry.data_centre import DataCentre
+from marigolddoor_entry.metrics import Metrics
 from marigolddoor_entry.ports import EntryPorts
 from marigolddoor_entry.process import BoundAddresses, EntryProcess
 from marigolddoor_entry.settings import EntrySettings
@@ -99,6 +100,7 @@
         self.clock = time.monotonic
         self.time = AgreedTimeEstimate(self.clock)
         self.recorder = Recorder(settings.entry.process, settings.timeline_capacity)
+        self.metrics = Metrics()
         self.process: EntryProcess | None = None
         self.data_centre: DataCentre | None = None
         self.link: ControlLink | None = None
@@ -133,6 +135,9 @@
                     self.time.read,
                     self._report_demand,
                     data_centre.exchange_demand,
+                    data_centre.report_dispatch,
+                    self.metrics.observe,
+                    self.metrics.page,
                 ),
                 self.rng,
             )
--- /dev/null
+++ b/tests/entry/test_runtime.py
@@ -0,0 +1,131 @@
+"""Guards against parts of an entry process that work alone and are not connected."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any
+
+import anyio
+import httpx
+import testtools
+from anyio.abc import TaskStatus
+from marigolddoor_core.ids import DataCentreId, Epoch, LogIndex, PoolId, ProcessId, VmId
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.targets import TargetState
+from marigolddoor_entry.control_link import ControlLink
+from marigolddoor_entry.data_centre import DataCentre
+from marigolddoor_entry.json_forms import to_json
+from marigolddoor_entry.runtime import EntryAddresses, EntryRuntime, EntryRuntimeSettings
+from marigolddoor_entry.settings import EntrySettings
+from marigolddoor_wire.handshake import SharedKey
+from marigolddoor_wire.messages import WatchReply
+from marigolddoor_wire.peers import Address, PeerPool
+
+from tests.entry.fakes import DATA_CENTRE, RENEWALS, FakeTarget, declared
+
+KEY = SharedKey(b"k" * 32)
+NOBODY = Address("127.0.0.1:1")
+LOOPBACK = Address("127.0.0.1:0")
+VM = VmId("vm-1")
+
+
+@asynccontextmanager
+async def running_runtime(
+    target: FakeTarget, serve: bool = True
+) -> AsyncIterator[tuple[EntryRuntime, EntryAddresses, httpx.AsyncClient]]:
+    """Run an entry process without control processes, and a target that announced itself."""
+    entry = EntrySettings(
+        ProcessId("entry-1"), DATA_CENTRE, LOOPBACK, LOOPBACK, drain_s=0.05, stop_timeout_s=5.0
+    )
+    runtime = EntryRuntime(EntryRuntimeSettings(entry, LOOPBACK, (), (NOBODY,)), KEY)
+    stopping, stopped = anyio.Event(), anyio.Event()
+
+    async def run(*, task_status: TaskStatus[EntryAddresses]) -> None:
+        await runtime.run(stopping, task_status=task_status)
+        stopped.set()
+
+    async with anyio.create_task_group() as group:
+        await group.start(target.serve)
+        if not serve:
+            target.address = NOBODY
+        addresses = await group.start(run)
+        changes = tuple(declared([target]))
+        runtime._apply(WatchReply(LogIndex(1), True, changes))
+        url = f"http://{addresses.targets}/marigolddoor/announce"
+        announcement = replace(target.announcement(), epoch=Epoch(1))
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await client.post(url, content=to_json(announcement))
+            yield runtime, addresses, client
+        stopping.set()
+        with anyio.fail_after(10):
+            await stopped.wait()
+        group.cancel_scope.cancel()
+
+
+async def send(addresses: EntryAddresses, client: httpx.AsyncClient) -> httpx.Response:
+    """Send a request of a caller."""
+    headers = {"marigolddoor-service": RENEWALS, "marigolddoor-team": "pantry"}
+    return await client.get(f"http://{addresses.callers}/x", headers=headers)
+
+
+class DispatchReportTest(testtools.TestCase):
+    """A target that requests can't reach is suspected before it is silent, and no other one."""
+
+    scenarios = [
+        ("reached", {"reports": [True] * 5, "due": TargetState.READY}),
+        ("two failures", {"reports": [False] * 2, "due": TargetState.READY}),
+        ("three failures", {"reports": [False] * 3, "due": TargetState.SUSPECTED}),
+        (
+            "reached between failures",
+            {"reports": [False, False, True, False, False], "due": TargetState.READY},
+        ),
+        ("other target", {"vm": VmId("vm-2"), "reports": [False] * 3, "due": TargetState.READY}),
+    ]
+    vm = VM
+
+    def test_report(self) -> None:
+        anyio.run(self.report)
+
+    async def report(self) -> None:
+        changes: list[Any] = []
+        async with PeerPool(KEY) as pool:
+            link = ControlLink(pool, (NOBODY,), ProcessId("e"), DataCentreId("dc-a"))
+            data_centre = DataCentre(
+                link, pool, (), lambda: changes.append(None), anyio.current_time
+            )
+            target = FakeTarget(VM, PoolId("renewals"), address="127.0.0.1:1")
+            data_centre.announce(target.announcement(), Instant(anyio.current_time()))
+            changes.clear()
+            for reached in self.reports:
+                data_centre.report_dispatch(self.vm, reached)
+        self.assertEqual(self.due, data_centre.members.holder.held[VM].state)
+        self.assertEqual(self.due is TargetState.SUSPECTED, bool(changes))
+
+
+class ConnectedTest(testtools.TestCase):
+    """The end of a request reaches the holder and the metrics of the runtime."""
+
+    scenarios = [
+        ("reached", {"serve": True, "outcome": "answered", "failures": 0}),
+        ("not reached", {"serve": False, "outcome": "not-run", "failures": 1}),
+    ]
+
+    def test_request(self) -> None:
+        anyio.run(self.request)
+
+    async def request(self) -> None:
+        target = FakeTarget(VM, PoolId("renewals"))
+        async with running_runtime(target, self.serve) as (runtime, addresses, client):
+            response = await send(addresses, client)
+            page = await client.get(f"http://{addresses.targets}/marigolddoor/metrics")
+            hidden = await client.get(f"http://{addresses.callers}/marigolddoor/metrics")
+            assert runtime.data_centre is not None
+            held = runtime.data_centre.members.holder.held[VM]
+        self.assertEqual(self.outcome, response.headers["marigolddoor-outcome"])
+        self.assertEqual(self.failures, held.failures)
+        self.assertIn(
+            f'marigolddoor_request_seconds_count{{service="renewals",outcome="{self.outcome}"}} 1',
+            page.text,
+        )
+        self.assertTrue(page.headers["content-type"].startswith("text/plain; version=0.0.4"))
+        self.assertEqual(404, hidden.status_code)
