entry: apply the limits of the settings, remove two

Change: body_bytes and answer_bytes reach the entry process, with the former constants as defaults. connections and queued are no settings any more: the HTTP server has no bound on connections, and the queue's bound follows the slots (32 for each).

Result: before, no path led from the settings to the four cases of LimitsTest; now they pass.

Conclusion: a settings file that still names the two is refused at start with the name of the setting.

--- a/packages/core/src/marigolddoor_core/requests/contract.py
+++ b/packages/core/src/marigolddoor_core/requests/contract.py
@@ -26,6 +26,7 @@
 
 __all__ = ["MAX_BODY_BYTES", "CallerRequest", "Priority", "parse_request"]
 
+# The limit of a process whose settings name no other.
 MAX_BODY_BYTES = 1024 * 1024
 # Longer waits keep a connection and a claim for work that nobody waits for.
 MAX_DEADLINE_S = 600.0
@@ -77,6 +78,7 @@
     find_service: Callable[[ServiceId], Service | None],
     is_team: Callable[[TeamId], bool],
     now: Instant,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> CallerRequest:
     """Return the request that `headers`, with names in lower case, describe.
 
@@ -85,6 +87,7 @@
       find_service: returns the declared service, or None.
       is_team: returns whether the team is declared.
       now: when the request was received; its deadline counts from here.
+      max_body_bytes: the largest body that is allowed.
 
     Raises:
       RequestRefusedError: the headers break the contract.
@@ -102,7 +105,7 @@
     priority = _PRIORITIES.get(values.get(b"marigolddoor-priority", "normal"))
     if priority is None:
         raise BadHeaderError("Marigolddoor-Priority must be batch, normal or urgent")
-    body_bytes = _body_bytes(values)
+    body_bytes = _body_bytes(values, max_body_bytes)
     remaining_s = _remaining_s(values.get(b"marigolddoor-deadline-ms"), service)
     key = values.get(b"idempotency-key")
     if key is None and not service.idempotent:
@@ -149,12 +152,12 @@
     return milliseconds / 1000
 
 
-def _body_bytes(values: dict[bytes, str]) -> int:
+def _body_bytes(values: dict[bytes, str], max_body_bytes: int) -> int:
     text = values.get(b"content-length")
     if text is None or not text.isdecimal():
-        return MAX_BODY_BYTES if b"transfer-encoding" in values else 0
-    if int(text) > MAX_BODY_BYTES:
-        raise BodyTooLargeError(f"the body must be at most {MAX_BODY_BYTES} bytes")
+        return max_body_bytes if b"transfer-encoding" in values else 0
+    if int(text) > max_body_bytes:
+        raise BodyTooLargeError(f"the body must be at most {max_body_bytes} bytes")
     return int(text)
 
 
--- a/packages/daemon/src/marigolddoor_daemon/roles.py
+++ b/packages/daemon/src/marigolddoor_daemon/roles.py
@@ -14,7 +14,7 @@
 from marigolddoor_daemon.settings import Role, Settings, TlsSettings
 from marigolddoor_daemon.timeline_file import timeline_written
 
-__all__ = ["RUNNERS", "RoleRunner", "run_roles"]
+__all__ = ["RUNNERS", "RoleRunner", "entry_settings", "run_roles"]
 
 # Runs a role until the event is set, then shuts it down gracefully and returns.
 RoleRunner = Callable[[Settings, anyio.Event], Coroutine[Any, Any, None]]
@@ -27,23 +27,29 @@
             group.start_soon(RUNNERS[role], settings, stopping)
 
 
-async def run_entry(settings: Settings, stopping: anyio.Event) -> None:
-    """Run the role `entry`."""
+def entry_settings(settings: Settings) -> EntryRuntimeSettings:
+    """Return the part of `settings` for the role `entry`."""
     entry = settings.entry
     assert entry is not None
-    runtime = EntryRuntime(
-        EntryRuntimeSettings(
-            EntrySettings(
-                new_process_id(settings, Role.ENTRY),
-                settings.data_centre,
-                entry.callers,
-                entry.targets,
-            ),
-            entry.peer,
-            entry.peers,
-            entry.control,
-            settings.timeline.capacity,
+    return EntryRuntimeSettings(
+        EntrySettings(
+            new_process_id(settings, Role.ENTRY),
+            settings.data_centre,
+            entry.callers,
+            entry.targets,
+            limits=entry.limits,
         ),
+        entry.peer,
+        entry.peers,
+        entry.control,
+        settings.timeline.capacity,
+    )
+
+
+async def run_entry(settings: Settings, stopping: anyio.Event) -> None:
+    """Run the role `entry`."""
+    runtime = EntryRuntime(
+        entry_settings(settings),
         settings.key,
         _server_tls(settings.tls),
         _client_tls(settings.tls),
--- a/packages/daemon/src/marigolddoor_daemon/settings.py
+++ b/packages/daemon/src/marigolddoor_daemon/settings.py
@@ -24,6 +24,7 @@
 
 from marigolddoor_control.operators.tokens import TokenFileError, Tokens, parse_tokens
 from marigolddoor_core.ids import DataCentreId, ProcessId, ReplicaId
+from marigolddoor_entry.settings import EntryLimits
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.peers import Address
 
@@ -73,16 +74,6 @@
     JSON = "json"
 
 
-@dataclass(frozen=True, slots=True)
-class EntryLimits:
-    """What an entry process accepts at most; `queued` is for each service."""
-
-    body_bytes: int = 1024 * 1024
-    answer_bytes: int = 16 * 1024 * 1024
-    connections: int = 4096
-    queued: int = 1000
-
-
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Addresses of the role `entry`.
@@ -242,8 +233,6 @@
     limits = EntryLimits(
         body_bytes=table.number("body_bytes", default.body_bytes, 1024, 16 * 1024 * 1024),
         answer_bytes=table.number("answer_bytes", default.answer_bytes, 1024, 256 * 1024 * 1024),
-        connections=table.number("connections", default.connections, 16, 65_536),
-        queued=table.number("queued", default.queued, 1, 1_000_000),
     )
     table.finish()
     return limits
--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -42,6 +42,7 @@
 from marigolddoor_entry.dispatcher import Dispatcher, Forwarded
 from marigolddoor_entry.ports import EntryPorts
 from marigolddoor_entry.replies import Reply, answer_reply, claim_outcome_reply, error_reply
+from marigolddoor_entry.settings import EntryLimits
 
 __all__ = ["CallersService"]
 
@@ -104,6 +105,7 @@
         group: TaskGroup,
         clock: Callable[[], float],
         rng: random.Random,
+        limits: EntryLimits,
     ) -> None:
         self.catalogue = catalogue
         self.admission = admission
@@ -114,6 +116,7 @@
         self.group = group
         self.clock = clock
         self.rng = rng
+        self.limits = limits
         self.budget = RetryBudget()
         self.meters: dict[ServiceId, DemandMeter] = {}
         self.waiters: dict[Ticket, anyio.Event] = {}
@@ -135,7 +138,13 @@
         held_bytes = 0
         self.active += 1
         try:
-            request = parse_request(headers, self.catalogue.services.get, self._is_team, received)
+            request = parse_request(
+                headers,
+                self.catalogue.services.get,
+                self._is_team,
+                received,
+                self.limits.body_bytes,
+            )
             meter = self.meter(request.service.id)
             meter.arrived += 1
             if request.key is not None:
@@ -144,7 +153,7 @@
                 raise QueueFullError("too many bodies are held", NO_TARGET_RETRY_S)
             held_bytes = request.body_bytes
             self.body_bytes += held_bytes
-            body = await read_body(receive, request.deadline - self._now())
+            body = await read_body(receive, request.deadline - self._now(), self.limits.body_bytes)
             forwarded = Forwarded(
                 request_id, request.service.id, method, path, tuple(headers), body
             )
@@ -427,11 +436,11 @@
             tried |= {dispatch.vm}
 
 
-async def read_body(receive: Receive, timeout_s: float) -> bytes:
+async def read_body(receive: Receive, timeout_s: float, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return the whole body of a request.
 
     Raises:
-      BodyTooLargeError: it is larger than `MAX_BODY_BYTES`.
+      BodyTooLargeError: it is larger than `max_bytes`.
       ClientDisconnectedError: the connection was closed first.
       DeadlineExpiredError: it took longer than `timeout_s`.
     """
@@ -444,14 +453,14 @@
                 raise ClientDisconnectedError("the caller closed the connection")
             part = message.get("body", b"")
             size += len(part)
-            if size <= MAX_BODY_BYTES:
+            if size <= max_bytes:
                 parts.append(part)
             elif size > MAX_DROPPED_BYTES:
                 break
             if not message.get("more_body", False):
                 break
-        if size > MAX_BODY_BYTES:
-            raise BodyTooLargeError(f"the body must be at most {MAX_BODY_BYTES} bytes")
+        if size > max_bytes:
+            raise BodyTooLargeError(f"the body must be at most {max_bytes} bytes")
         return parts[0] if len(parts) == 1 else b"".join(parts)
     raise DeadlineExpiredError("the body did not arrive before the deadline")
 
--- a/packages/entry/src/marigolddoor_entry/dispatcher.py
+++ b/packages/entry/src/marigolddoor_entry/dispatcher.py
@@ -116,7 +116,8 @@
 class Dispatcher:
     """Forwards requests to targets by HTTP."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self.max_answer_bytes = max_answer_bytes
         # Shared by all links: a context of its own for each target takes memory for nothing.
         self.tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self.links: dict[str, _Link] = {}
@@ -136,7 +137,9 @@
         link.in_use += 1
         try:
             with anyio.move_on_after(timeout_s):
-                return await _exchange(connection.transport, message, request)
+                return await _exchange(
+                    connection.transport, message, request, self.max_answer_bytes
+                )
         except _NOT_SENT as error:
             failed = not isinstance(error, httpx.LocalProtocolError)
             return Attempt(AttemptEnd.NOT_STARTED, failed, reason=type(error).__name__)
@@ -187,7 +190,10 @@
 
 
 async def _exchange(
-    transport: httpx.AsyncHTTPTransport, message: httpx.Request, request: Forwarded
+    transport: httpx.AsyncHTTPTransport,
+    message: httpx.Request,
+    request: Forwarded,
+    max_answer_bytes: int,
 ) -> Attempt:
     response = await transport.handle_async_request(message)
     try:
@@ -202,7 +208,7 @@
         async for part in response.stream:
             parts.append(part)
             size += len(part)
-            if size > MAX_ANSWER_BYTES:
+            if size > max_answer_bytes:
                 return Attempt(AttemptEnd.FAILED, False, reason="answer too large")
     finally:
         await response.aclose()
--- a/packages/entry/src/marigolddoor_entry/process.py
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -60,7 +60,7 @@
         self.catalogue = Catalogue()
         self.admission = FloorAdmission()
         self.routing = TwoChoices()
-        self.dispatcher = Dispatcher()
+        self.dispatcher = Dispatcher(settings.limits.answer_bytes)
         self.peers = PeerDemands()
         self.callers: CallersService | None = None
         self.stop_requested = anyio.Event()
@@ -174,6 +174,7 @@
             group=group,
             clock=self.clock,
             rng=self.rng,
+            limits=self.settings.limits,
         )
         return self.callers
 
--- a/packages/entry/src/marigolddoor_entry/settings.py
+++ b/packages/entry/src/marigolddoor_entry/settings.py
@@ -3,9 +3,19 @@
 from dataclasses import dataclass
 
 from marigolddoor_core.ids import DataCentreId, ProcessId
+from marigolddoor_core.requests.answers import MAX_ANSWER_BYTES
+from marigolddoor_core.requests.contract import MAX_BODY_BYTES
 from marigolddoor_wire.peers import Address
 
-__all__ = ["EntrySettings"]
+__all__ = ["EntryLimits", "EntrySettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryLimits:
+    """What an entry process accepts at most of one request and of its answer."""
+
+    body_bytes: int = MAX_BODY_BYTES
+    answer_bytes: int = MAX_ANSWER_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,3 +33,4 @@
     targets: Address | None = None
     drain_s: float = 2.0
     stop_timeout_s: float = 60.0
+    limits: EntryLimits = EntryLimits()
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -9,7 +9,9 @@
 import testtools
 from marigolddoor_daemon.errors import SettingsError
 from marigolddoor_daemon.main import main
+from marigolddoor_daemon.roles import entry_settings
 from marigolddoor_daemon.settings import LogFormat, Role, Settings, load_settings
+from marigolddoor_entry.settings import EntryLimits
 
 KEY = "k" * 32
 TOKENS = "ann " + "a" * 64 + "\n"
@@ -91,6 +93,20 @@
         self.assertIsNone(Folder(self, text).load().control)
 
 
+class EntryLimitsTest(testtools.TestCase):
+    """Limits that are read must reach the entry process; without any it has its own."""
+
+    scenarios = [
+        ("default", {"lines": "", "due": EntryLimits()}),
+        ("body", {"lines": "limits.body_bytes = 2048", "due": EntryLimits(body_bytes=2048)}),
+        ("answer", {"lines": "limits.answer_bytes = 4096", "due": EntryLimits(answer_bytes=4096)}),
+    ]
+
+    def test_passed(self) -> None:
+        folder = Folder(self, GOOD.replace("[entry]", f"[entry]\n{self.lines}"))
+        self.assertEqual(self.due, entry_settings(folder.load()).entry.limits)
+
+
 class BadSettingsTest(testtools.TestCase):
     """One wrong value is one problem with its key, its value and what is allowed."""
 
@@ -111,10 +127,12 @@
             ("own peer", "0.0.2:7000", "0.0.1:7000", "entry.peers", "['127", "without the own"),
             ("no control", '["127.0.0.1:7100"]', "[]", "entry.control", "[]", "at least 1"),
             ("address twice", ":8081", ":8080", "entry.targets", "'127", "entry.callers has it"),
-            ("text for number", "[entry]", "[entry]\nlimits.queued = '9'", "entry.limits.queued",
-             "'9'", "from 1 to 1000000"),
-            ("true for number", "[entry]", "[entry]\nlimits.queued = true", "entry.limits.queued",
-             "True", "from 1 to 1000000"),
+            ("text for number", "[entry]", "[entry]\nlimits.body_bytes = '9'",
+             "entry.limits.body_bytes", "'9'", "from 1024 to 16777216"),
+            ("true for number", "[entry]", "[entry]\nlimits.answer_bytes = true",
+             "entry.limits.answer_bytes", "True", "from 1024 to 268435456"),
+            ("limit that is not applied", "[entry]", "[entry]\nlimits.queued = 9",
+             "entry.limits.queued", "", ""),
             ("too large", "[entry]", "[entry]\nlimits.body_bytes = 99999999",
              "entry.limits.body_bytes", "99999999", "from 1024"),
             ("no members", "[[control.members]]", "[[control.voters]]", "control.members",
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -11,12 +11,13 @@
 from anyio.abc import TaskStatus
 from marigolddoor_core.ids import DataCentreId, Epoch, LogIndex, PoolId, ProcessId, VmId
 from marigolddoor_core.instants import Instant
+from marigolddoor_core.requests.contract import MAX_BODY_BYTES
 from marigolddoor_core.targets import TargetState
 from marigolddoor_entry.control_link import ControlLink
 from marigolddoor_entry.data_centre import DataCentre
 from marigolddoor_entry.json_forms import to_json
 from marigolddoor_entry.runtime import EntryAddresses, EntryRuntime, EntryRuntimeSettings
-from marigolddoor_entry.settings import EntrySettings
+from marigolddoor_entry.settings import EntryLimits, EntrySettings
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.messages import WatchReply
 from marigolddoor_wire.peers import Address, PeerPool
@@ -27,16 +28,15 @@
 NOBODY = Address("127.0.0.1:1")
 LOOPBACK = Address("127.0.0.1:0")
 VM = VmId("vm-1")
+DEFAULT_LIMITS = EntryLimits()
 
 
 @asynccontextmanager
 async def running_runtime(
-    target: FakeTarget, serve: bool = True
+    target: FakeTarget, serve: bool = True, limits: EntryLimits = DEFAULT_LIMITS
 ) -> AsyncIterator[tuple[EntryRuntime, EntryAddresses, httpx.AsyncClient]]:
     """Run an entry process without control processes, and a target that announced itself."""
-    entry = EntrySettings(
-        ProcessId("entry-1"), DATA_CENTRE, LOOPBACK, LOOPBACK, drain_s=0.05, stop_timeout_s=5.0
-    )
+    entry = EntrySettings(ProcessId("entry-1"), DATA_CENTRE, LOOPBACK, LOOPBACK, 0.05, 5.0, limits)
     runtime = EntryRuntime(EntryRuntimeSettings(entry, LOOPBACK, (), (NOBODY,)), KEY)
     stopping, stopped = anyio.Event(), anyio.Event()
 
@@ -62,10 +62,13 @@
         group.cancel_scope.cancel()
 
 
-async def send(addresses: EntryAddresses, client: httpx.AsyncClient) -> httpx.Response:
+async def send(
+    addresses: EntryAddresses, client: httpx.AsyncClient, body: bytes = b""
+) -> httpx.Response:
     """Send a request of a caller."""
     headers = {"marigolddoor-service": RENEWALS, "marigolddoor-team": "pantry"}
-    return await client.get(f"http://{addresses.callers}/x", headers=headers)
+    url = f"http://{addresses.callers}/x"
+    return await client.request("PUT", url, headers=headers, content=body)
 
 
 class DispatchReportTest(testtools.TestCase):
@@ -129,3 +132,32 @@
         )
         self.assertTrue(page.headers["content-type"].startswith("text/plain; version=0.0.4"))
         self.assertEqual(404, hidden.status_code)
+
+
+class LimitsTest(testtools.TestCase):
+    """The limits of the settings are in force, not the constants behind their defaults."""
+
+    scenarios = [
+        ("both allowed", {"limits": EntryLimits(1024, 2048), "due": ("answered", None)}),
+        ("body", {"limits": EntryLimits(1023, 2048), "due": ("not-run", "body-too-large")}),
+        ("answer", {"limits": EntryLimits(1024, 1024), "due": ("failed", "run-failed")}),
+        (
+            "above the defaults",
+            {
+                "limits": EntryLimits(2 * MAX_BODY_BYTES, 4 * MAX_BODY_BYTES),
+                "body": b"x" * (MAX_BODY_BYTES + 1),
+                "due": ("answered", None),
+            },
+        ),
+    ]
+    body = b"x" * 1024
+
+    def test_limits(self) -> None:
+        anyio.run(self.request)
+
+    async def request(self) -> None:
+        target = FakeTarget(VM, PoolId("renewals"))
+        async with running_runtime(target, limits=self.limits) as (_, addresses, client):
+            headers = (await send(addresses, client, self.body)).headers
+        due = (headers["marigolddoor-outcome"], headers.get("marigolddoor-error"))
+        self.assertEqual(self.due, due)
