entry: record the events of requests on the timeline

Change: CallersService records received, claim granted or refused, sent (with the VM), retried, and the end (answered, refused, failed or unknown, with status or error code), each with the previous one as its cause. Refusals and retries are counted from them. No text holds a body or a key.

--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -36,12 +36,14 @@
 from marigolddoor_core.routing.policies import RoutingPolicy
 from marigolddoor_core.state.commands import KeptAnswer
 from marigolddoor_core.state.results import ClaimFinished, ClaimPending, Result
+from marigolddoor_core.timeline import EventKind
 
 from marigolddoor_entry.claimant import FAILED_CONTENT_TYPE, Claimant
 from marigolddoor_entry.demand import DemandMeter
 from marigolddoor_entry.dispatcher import Dispatcher, Forwarded
 from marigolddoor_entry.ports import EntryPorts
 from marigolddoor_entry.replies import Reply, answer_reply, claim_outcome_reply, error_reply
+from marigolddoor_entry.request_events import RequestEvents
 from marigolddoor_entry.settings import EntryLimits
 
 __all__ = ["CallersService"]
@@ -70,6 +72,7 @@
     request: CallerRequest
     forwarded: Forwarded
     ticket: Ticket
+    events: RequestEvents
     digest: bytes = b""
     # Whether a run whose answer is not known may have happened, here or at another process.
     may_have_run: bool = False
@@ -134,7 +137,8 @@
         key: ClaimKey | None = None
         meter: DemandMeter | None = None
         received = self._now()
-        outcome = Outcome.UNKNOWN
+        outcome, text = Outcome.UNKNOWN, "interrupted"
+        events = RequestEvents(self.ports.record_event, request_id)
         held_bytes = 0
         self.active += 1
         try:
@@ -147,6 +151,8 @@
             )
             meter = self.meter(request.service.id)
             meter.arrived += 1
+            events.service = request.service.id
+            events.add(EventKind.REQUEST_RECEIVED)
             if request.key is not None:
                 key = ClaimKey(request.service.id, request.key)
             if self.body_bytes + request.body_bytes > MAX_BODIES_BYTES:
@@ -164,20 +170,21 @@
                 request.deadline,
                 request.received,
             )
-            exchange = _Exchange(request, forwarded, ticket)
+            exchange = _Exchange(request, forwarded, ticket, events)
             answer = await self._answer(exchange, receive)
-            outcome = Outcome.ANSWERED
+            outcome, text = Outcome.ANSWERED, f"status {answer.status}"
             meter.answered += 1
             if self._now() > request.deadline:
                 meter.late += 1
             return answer_reply(answer, request_id, method)
         except RequestError as error:
-            outcome = error.outcome
+            outcome, text = error.outcome, error.code
             if meter is not None and isinstance(error, RequestRefusedError):
                 meter.refused += 1
             return error_reply(error, request_id, key)
         finally:
             self.body_bytes -= held_bytes
+            events.end(outcome, text)
             if meter is not None:
                 self.ports.observe(request.service.id, outcome, self._now() - received)
             self.active -= 1
@@ -254,8 +261,12 @@
                 self._free(exchange)
                 raise
             if step is ClaimNextStep.RUN:
+                exchange.events.add(EventKind.CLAIM_GRANTED)
                 return await self._run_claimed(exchange, key)
             self._free(exchange)
+            # A request that waits asks again many times; the first refusal says it all.
+            if step is not ClaimNextStep.WAIT or not exchange.may_have_run:
+                exchange.events.add(EventKind.CLAIM_REFUSED, type(result).__name__)
             if step is not ClaimNextStep.WAIT:
                 return _kept(step, result)
             # Another request holds the claim, so from now on "not run" would not be certain. A
@@ -406,6 +417,7 @@
                 raise NoTargetError(f"no target of {pool!r} takes work", NO_TARGET_RETRY_S)
             if key is not None:
                 self.claimant.book.dispatch(key)
+            exchange.events.add(EventKind.REQUEST_SENT, vm=dispatch.vm)
             end, failed = AttemptEnd.LOST, False
             try:
                 attempt = await self.dispatcher.send(
@@ -433,6 +445,7 @@
                 if lost:
                     raise OutcomeUnknownError(f"the answer was lost: {attempt.reason}")
                 raise NoTargetError(f"a target did not start: {attempt.reason}", NO_TARGET_RETRY_S)
+            exchange.events.add(EventKind.REQUEST_RETRIED, attempt.reason, dispatch.vm)
             tried |= {dispatch.vm}
 
 
--- a/packages/entry/src/marigolddoor_entry/ports.py
+++ b/packages/entry/src/marigolddoor_entry/ports.py
@@ -12,8 +12,11 @@
 from marigolddoor_core.state.objects import VmRecord
 from marigolddoor_core.state.results import ClaimFinished, ClaimPending
 from marigolddoor_core.targets import Announcement, AnnouncementReply
+from marigolddoor_core.timeline import EventId, EventKind, Subject
 from marigolddoor_wire.messages import ReportDemand, ShareReport
 
+from marigolddoor_entry.request_events import RecordEvent
+
 __all__ = ["ClaimReader", "Directory", "EntryPorts", "Holder", "NoReader"]
 
 
@@ -77,6 +80,13 @@
     return 0.0
 
 
+def _no_event(
+    kind: EventKind, subject: Subject, text: str, cause: EventId | None
+) -> EventId | None:
+    """Drop an event where no timeline is kept."""
+    return None
+
+
 def _no_text() -> str:
     return ""
 
@@ -93,7 +103,8 @@
     of claims. `report_demand` takes the demand of each second for the leader, `exchange_demand`
     that of each half second for the entry processes of the data centre. `report_dispatch` takes
     the VM of each attempt and whether it was reached, `observe` the service, outcome and latency in
-    seconds of each request. `metrics_page` returns the metrics as text.
+    seconds of each request. `metrics_page` returns the metrics as text,
+    `record_event` takes the events of requests.
     """
 
     proposer: Proposer
@@ -106,3 +117,4 @@
     report_dispatch: Callable[[VmId, bool], None] = _ignore
     observe: Callable[[ServiceId, Outcome, float], None] = _ignore
     metrics_page: Callable[[], str] = _no_text
+    record_event: RecordEvent = _no_event
--- a/packages/entry/src/marigolddoor_entry/runtime.py
+++ b/packages/entry/src/marigolddoor_entry/runtime.py
@@ -12,9 +12,10 @@
 from loguru import logger
 from marigolddoor_core.errors import MarigolddoorError
 from marigolddoor_core.ids import IdempotencyKey, ServiceId
+from marigolddoor_core.metrics import CounterKind, Labels
 from marigolddoor_core.ports import NoQuorumError
 from marigolddoor_core.state.results import ClaimFinished, ClaimPending
-from marigolddoor_core.timeline import EventKind, Recorder, Subject
+from marigolddoor_core.timeline import EventId, EventKind, Recorder, Subject
 from marigolddoor_wire.errors import RemoteError
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.messages import (
@@ -40,6 +41,11 @@
 
 __all__ = ["EntryAddresses", "EntryRuntime", "EntryRuntimeSettings"]
 
+_COUNTED = {
+    EventKind.REQUEST_REFUSED: CounterKind.REFUSALS,
+    EventKind.REQUEST_RETRIED: CounterKind.RETRIES,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class EntryRuntimeSettings:
@@ -138,6 +144,7 @@
                     data_centre.report_dispatch,
                     self.metrics.observe,
                     self.metrics.page,
+                    self._record_request,
                 ),
                 self.rng,
             )
@@ -226,5 +233,15 @@
         assert isinstance(reply, ReportDemandReply)
         self.time.learn(reply.time_s)
 
+    def _record_request(
+        self, kind: EventKind, subject: Subject, text: str, cause: EventId | None
+    ) -> EventId:
+        counter = _COUNTED.get(kind)
+        if counter is not None:
+            # The text of a refusal is its code; other texts have no bound.
+            reason = text if kind is EventKind.REQUEST_REFUSED else ""
+            self.metrics.counters.add(counter, Labels(subject.service or "", reason=reason))
+        return self.recorder.record(kind, time.time_ns() // 1_000_000, subject, text, cause)
+
     def _record(self, kind: EventKind, subject: Subject) -> None:
         self.recorder.record(kind, time.time_ns() // 1_000_000, subject)
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from typing import Any
 
 import anyio
 import httpx
@@ -323,11 +324,12 @@
     process: str = "entry-1",
     serve_targets: bool = True,
     team_slots: int = 64,
+    **more_ports: Any,
 ) -> AsyncIterator[Running]:
     """Run an entry process whose targets have announced themselves."""
     group = group if group is not None else FakeGroup()
     local = LocalTargets()
-    ports = EntryPorts(proposer=group, directory=local, holder=local, claims=group)
+    ports = EntryPorts(proposer=group, directory=local, holder=local, claims=group, **more_ports)
     settings = EntrySettings(
         ProcessId(process), DATA_CENTRE, Address("127.0.0.1:0"), drain_s=0.05, stop_timeout_s=5.0
     )
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -3,16 +3,24 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import anyio
 import httpx
 import testtools
 from anyio.abc import TaskStatus
-from marigolddoor_core.ids import DataCentreId, Epoch, LogIndex, PoolId, ProcessId, VmId
+from marigolddoor_core.ids import DataCentreId, Epoch, LogIndex, PoolId, ProcessId, RequestId, VmId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.requests.contract import MAX_BODY_BYTES
 from marigolddoor_core.targets import TargetState
+from marigolddoor_core.timeline import (
+    EventId,
+    EventKind,
+    Recorder,
+    Subject,
+    TimelineFilter,
+)
 from marigolddoor_entry.control_link import ControlLink
 from marigolddoor_entry.data_centre import DataCentre
 from marigolddoor_entry.json_forms import to_json
@@ -22,7 +30,15 @@
 from marigolddoor_wire.messages import WatchReply
 from marigolddoor_wire.peers import Address, PeerPool
 
-from tests.entry.fakes import DATA_CENTRE, RENEWALS, FakeTarget, declared
+from tests.entry.fakes import (
+    DATA_CENTRE,
+    INTAKE,
+    RENEWALS,
+    Behaviour,
+    FakeTarget,
+    declared,
+    running_entry,
+)
 
 KEY = SharedKey(b"k" * 32)
 NOBODY = Address("127.0.0.1:1")
@@ -63,10 +79,11 @@
 
 
 async def send(
-    addresses: EntryAddresses, client: httpx.AsyncClient, body: bytes = b""
+    addresses: EntryAddresses, client: httpx.AsyncClient, body: bytes = b"", **more: str
 ) -> httpx.Response:
     """Send a request of a caller."""
     headers = {"marigolddoor-service": RENEWALS, "marigolddoor-team": "pantry"}
+    headers |= {name.replace("_", "-"): value for name, value in more.items()}
     url = f"http://{addresses.callers}/x"
     return await client.request("PUT", url, headers=headers, content=body)
 
@@ -161,3 +178,106 @@
             headers = (await send(addresses, client, self.body)).headers
         due = (headers["marigolddoor-outcome"], headers.get("marigolddoor-error"))
         self.assertEqual(self.due, due)
+
+
+class RequestEventsTest(testtools.TestCase):
+    """The id in the reply finds all events of the request, linked, without body or key."""
+
+    scenarios = [
+        (
+            "answered",
+            {"due": ["request received", "request sent", "request answered"], "text": "status 200"},
+        ),
+        (
+            "refused by the contract",
+            {"headers": {"marigolddoor_priority": "x"}, "due": ["request refused"]}
+            | {"text": "bad-header", "counted": 'refusals_total{reason="bad-header"} 1'},
+        ),
+        (
+            "refused in admission",
+            {"pool": PoolId("intake"), "due": ["request received", "request refused"]}
+            | {"text": "no-target"}
+            | {"counted": 'refusals_total{service="renewals",reason="no-target"} 1'},
+        ),
+        (
+            "failed",
+            {"behaviour": Behaviour.REPORT_FAILED, "text": "run-failed"}
+            | {"due": ["request received", "request sent", "request failed"]},
+        ),
+        (
+            "retried",
+            {"behaviour": Behaviour.CRASH, "text": "outcome-unknown"}
+            | {"due": ["request received", "request sent", "request retried", "request unknown"]}
+            | {"counted": 'retries_total{service="renewals"} 1'},
+        ),
+        (
+            "no quorum for the claim",
+            {"headers": {"marigolddoor_service": INTAKE}, "pool": PoolId("intake")}
+            | {"due": ["request received", "request refused"], "text": "no-quorum"},
+        ),
+    ]
+    headers: dict[str, str] = {}
+    pool = PoolId("renewals")
+    behaviour = Behaviour.ANSWER
+    counted = ""
+
+    def test_events(self) -> None:
+        anyio.run(self.request)
+
+    async def request(self) -> None:
+        target = FakeTarget(VM, self.pool, self.behaviour)
+        async with running_runtime(target) as (runtime, addresses, client):
+            reply = await send(
+                addresses, client, b"secret body", idempotency_key="secret-key", **self.headers
+            )
+        wanted = TimelineFilter(request=RequestId(reply.headers["marigolddoor-request-id"]))
+        events = runtime.recorder.fetch(wanted).events
+        self.assertEqual(self.due, [event.kind.value for event in events])
+        self.assertEqual(self.text, events[-1].text)
+        self.assertEqual([None, *(event.id for event in events[:-1])], [e.cause for e in events])
+        self.assertEqual(
+            [VM if event.kind is EventKind.REQUEST_SENT else None for event in events],
+            [None if e.kind is EventKind.REQUEST_RETRIED else e.subject.vm for e in events],
+        )
+        self.assertNotIn("secret", repr(events))
+        self.assertIn(self.counted, runtime.metrics.page())
+
+
+class ClaimEventsTest(testtools.TestCase):
+    """The claim of a request is on its timeline, and a waiting resend does not flood it."""
+
+    scenarios = [
+        ("first", {"sent": [b"a"], "due": ["claim granted"]}),
+        ("resend", {"sent": [b"a", b"a"], "due": ["claim granted", "claim refused"]}),
+        ("other body", {"sent": [b"a", b"b"], "due": ["claim granted", "claim refused"]}),
+        (
+            "waiting resend",
+            {"sent": [b"a", b"a"], "behaviour": Behaviour.SLOW}
+            | {"due": ["claim granted", "claim refused", "claim refused"]},
+        ),
+    ]
+    behaviour = Behaviour.ANSWER
+
+    def test_claims(self) -> None:
+        anyio.run(self.claim)
+
+    async def claim(self) -> None:
+        recorder = Recorder(ProcessId("e"))
+
+        def record(kind: EventKind, subject: Subject, text: str, cause: EventId | None) -> EventId:
+            return recorder.record(kind, 1, subject, text, cause)
+
+        target = FakeTarget(VM, PoolId("intake"), self.behaviour, delay_s=1.0)
+        async with (
+            running_entry([target], record_event=record) as entry,
+            anyio.create_task_group() as group,
+        ):
+            for number, body in enumerate(self.sent):
+                group.start_soon(partial(entry.post, body, idempotency_key="secret-key"))
+                # A slow run is still going on when the resend comes.
+                due = "claim granted" if self.behaviour is Behaviour.SLOW else "request answered"
+                while not number and due not in [one.kind.value for one in recorder.events]:
+                    await anyio.sleep(0.01)
+        kinds = [event.kind.value for event in recorder.events]
+        self.assertEqual(self.due, [kind for kind in kinds if kind.startswith("claim")])
+        self.assertNotIn("secret", repr(recorder.events))
