--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -36,12 +36,15 @@
 from marigolddoor_core.routing.policies import RoutingPolicy
 from marigolddoor_core.state.commands import KeptAnswer
 from marigolddoor_core.state.results import ClaimFinished, ClaimPending, Result
+from marigolddoor_core.timeline import EventKind
 
 from marigolddoor_entry.claimant import FAILED_CONTENT_TYPE, Claimant
 from marigolddoor_entry.demand import DemandMeter
 from marigolddoor_entry.dispatcher import Dispatcher, Forwarded
 from marigolddoor_entry.ports import EntryPorts
 from marigolddoor_entry.replies import Reply, answer_reply, claim_outcome_reply, error_reply
+from marigolddoor_entry.request_events import RequestEvents
+from marigolddoor_entry.settings import EntryLimits
 
 __all__ = ["CallersService"]
 
@@ -69,6 +72,7 @@
     request: CallerRequest
     forwarded: Forwarded
     ticket: Ticket
+    events: RequestEvents
     digest: bytes = b""
     # Whether a run whose answer is not known may have happened, here or at another process.
     may_have_run: bool = False
@@ -104,6 +108,7 @@
         group: TaskGroup,
         clock: Callable[[], float],
         rng: random.Random,
+        limits: EntryLimits,
     ) -> None:
         self.catalogue = catalogue
         self.admission = admission
@@ -114,6 +119,7 @@
         self.group = group
         self.clock = clock
         self.rng = rng
+        self.limits = limits
         self.budget = RetryBudget()
         self.meters: dict[ServiceId, DemandMeter] = {}
         self.waiters: dict[Ticket, anyio.Event] = {}
@@ -131,20 +137,29 @@
         key: ClaimKey | None = None
         meter: DemandMeter | None = None
         received = self._now()
-        outcome = Outcome.UNKNOWN
+        outcome, text = Outcome.UNKNOWN, "interrupted"
+        events = RequestEvents(self.ports.record_event, request_id)
         held_bytes = 0
         self.active += 1
         try:
-            request = parse_request(headers, self.catalogue.services.get, self._is_team, received)
+            request = parse_request(
+                headers,
+                self.catalogue.services.get,
+                self._is_team,
+                received,
+                self.limits.body_bytes,
+            )
             meter = self.meter(request.service.id)
             meter.arrived += 1
+            events.service = request.service.id
+            events.add(EventKind.REQUEST_RECEIVED)
             if request.key is not None:
                 key = ClaimKey(request.service.id, request.key)
             if self.body_bytes + request.body_bytes > MAX_BODIES_BYTES:
                 raise QueueFullError("too many bodies are held", NO_TARGET_RETRY_S)
             held_bytes = request.body_bytes
             self.body_bytes += held_bytes
-            body = await read_body(receive, request.deadline - self._now())
+            body = await read_body(receive, request.deadline - self._now(), self.limits.body_bytes)
             forwarded = Forwarded(
                 request_id, request.service.id, method, path, tuple(headers), body
             )
@@ -155,20 +170,21 @@
                 request.deadline,
                 request.received,
             )
-            exchange = _Exchange(request, forwarded, ticket)
+            exchange = _Exchange(request, forwarded, ticket, events)
             answer = await self._answer(exchange, receive)
-            outcome = Outcome.ANSWERED
+            outcome, text = Outcome.ANSWERED, f"status {answer.status}"
             meter.answered += 1
             if self._now() > request.deadline:
                 meter.late += 1
             return answer_reply(answer, request_id, method)
         except RequestError as error:
-            outcome = error.outcome
+            outcome, text = error.outcome, error.code
             if meter is not None and isinstance(error, RequestRefusedError):
                 meter.refused += 1
             return error_reply(error, request_id, key)
         finally:
             self.body_bytes -= held_bytes
+            events.end(outcome, text)
             if meter is not None:
                 self.ports.observe(request.service.id, outcome, self._now() - received)
             self.active -= 1
@@ -245,8 +261,12 @@
                 self._free(exchange)
                 raise
             if step is ClaimNextStep.RUN:
+                exchange.events.add(EventKind.CLAIM_GRANTED)
                 return await self._run_claimed(exchange, key)
             self._free(exchange)
+            # A request that waits asks again many times; the first refusal says it all.
+            if step is not ClaimNextStep.WAIT or not exchange.may_have_run:
+                exchange.events.add(EventKind.CLAIM_REFUSED, type(result).__name__)
             if step is not ClaimNextStep.WAIT:
                 return _kept(step, result)
             # Another request holds the claim, so from now on "not run" would not be certain. A
@@ -397,6 +417,7 @@
                 raise NoTargetError(f"no target of {pool!r} takes work", NO_TARGET_RETRY_S)
             if key is not None:
                 self.claimant.book.dispatch(key)
+            exchange.events.add(EventKind.REQUEST_SENT, vm=dispatch.vm)
             end, failed = AttemptEnd.LOST, False
             try:
                 attempt = await self.dispatcher.send(
@@ -424,14 +445,15 @@
                 if lost:
                     raise OutcomeUnknownError(f"the answer was lost: {attempt.reason}")
                 raise NoTargetError(f"a target did not start: {attempt.reason}", NO_TARGET_RETRY_S)
+            exchange.events.add(EventKind.REQUEST_RETRIED, attempt.reason, dispatch.vm)
             tried |= {dispatch.vm}
 
 
-async def read_body(receive: Receive, timeout_s: float) -> bytes:
+async def read_body(receive: Receive, timeout_s: float, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return the whole body of a request.
 
     Raises:
-      BodyTooLargeError: it is larger than `MAX_BODY_BYTES`.
+      BodyTooLargeError: it is larger than `max_bytes`.
       ClientDisconnectedError: the connection was closed first.
       DeadlineExpiredError: it took longer than `timeout_s`.
     """
@@ -444,14 +466,14 @@
                 raise ClientDisconnectedError("the caller closed the connection")
             part = message.get("body", b"")
             size += len(part)
-            if size <= MAX_BODY_BYTES:
+            if size <= max_bytes:
                 parts.append(part)
             elif size > MAX_DROPPED_BYTES:
                 break
             if not message.get("more_body", False):
                 break
-        if size > MAX_BODY_BYTES:
-            raise BodyTooLargeError(f"the body must be at most {MAX_BODY_BYTES} bytes")
+        if size > max_bytes:
+            raise BodyTooLargeError(f"the body must be at most {max_bytes} bytes")
         return parts[0] if len(parts) == 1 else b"".join(parts)
     raise DeadlineExpiredError("the body did not arrive before the deadline")
 
--- a/packages/entry/src/marigolddoor_entry/process.py
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -60,7 +60,7 @@
         self.catalogue = Catalogue()
         self.admission = FloorAdmission()
         self.routing = TwoChoices()
-        self.dispatcher = Dispatcher()
+        self.dispatcher = Dispatcher(settings.limits.answer_bytes)
         self.peers = PeerDemands()
         self.callers: CallersService | None = None
         self.stop_requested = anyio.Event()
@@ -174,6 +174,7 @@
             group=group,
             clock=self.clock,
             rng=self.rng,
+            limits=self.settings.limits,
         )
         return self.callers
 
@@ -188,6 +189,7 @@
             is_ready=self._is_ready,
             is_stopping=self.stop_requested.is_set,
             clock=self.clock,
+            metrics_page=self.ports.metrics_page,
         )
         config = _hypercorn_config(listener, self.settings.stop_timeout_s)
         async with anyio.create_task_group() as group:
