Move the checks of virtual fleets into the stand-ins

Cause: scenarios need the checks of budgets, pools and tasks, which stood in a test module. Change: virtual/checks.py holds them, each problem with the promise that it breaks; the fault table uses them. No check changed. Conclusion: the fault table and scenarios share one set of checks.

--- /dev/null
+++ b/standins/src/marigolddoor_standins/virtual/checks.py
@@ -0,0 +1,130 @@
+"""Checks of what must hold at every step of a virtual fleet, made apart from the decisions."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from marigolddoor_core.fleet import Fleet
+from marigolddoor_core.ids import TaskId, VmId
+from marigolddoor_core.state.commands import (
+    BeginMove,
+    Command,
+    FinishMove,
+    MaintenanceStep,
+    RecordMaintenance,
+)
+from marigolddoor_core.state.objects import TaskState, VmRecord
+from marigolddoor_core.targets import TargetState
+
+from marigolddoor_standins.virtual.fleet import VirtualFleet
+
+__all__ = ["Checks", "Problem", "Promise", "is_under_way"]
+
+
+class Promise(Enum):
+    """What must hold at every step."""
+
+    BUDGETS = "budgets hold"
+    ONE_POOL = "one pool a VM"
+    NOT_LOST = "no task lost"
+    NOT_TWICE = "no task runs twice"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """A promise that did not hold at a time."""
+
+    promise: Promise
+    time_s: float
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.time_s}: {self.text}"
+
+
+@dataclass
+class Checks:
+    """Watches a fleet; `problems` holds what was found."""
+
+    fleet: VirtualFleet
+    problems: list[Problem] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.fleet.on_propose = self._check_proposal
+        self.fleet.on_commit = self._check_commit
+
+    def check_step(self, submitted: Iterable[TaskId]) -> None:
+        """Check that no task runs twice at once and that none of `submitted` is lost."""
+        running = Counter(
+            run.task for worker in self.fleet.workers.values() for run in worker.running()
+        )
+        for task, count in running.items():
+            if count > 1:
+                self._add(Promise.NOT_TWICE, f"{task} runs {count} times at once")
+        for task in submitted:
+            if task not in self.fleet.state.tasks:
+                self._add(Promise.NOT_LOST, f"{task} is lost")
+
+    def check_finishes(self) -> None:
+        """Check that each task that counts as finished really completed."""
+        for task, record in self.fleet.state.tasks.items():
+            if record.state is TaskState.FINISHED and task not in self.fleet.completed:
+                self._add(Promise.NOT_LOST, f"{task} counts as finished and never completed")
+
+    def _check_proposal(self, command: Command, fleet: Fleet) -> None:
+        """Check a command that takes a VM, against all that was taken before."""
+        vm = _taken_vm(command)
+        if vm is not None:
+            self._check_budget(vm, fleet)
+
+    def _check_commit(self, command: Command) -> None:
+        """Check a command when it takes effect."""
+        if isinstance(command, FinishMove) and self.fleet.workers[command.vm].running():
+            self._add(Promise.ONE_POOL, f"{command.vm} moves while it runs tasks")
+
+    def _check_budget(self, vm: VmId, fleet: Fleet) -> None:
+        """Count the loss afresh, from the state as it is when the command is applied."""
+        state = self.fleet.state
+        record = state.vms[vm]
+        declared = next(p for p in state.declaration.pools if p.id == record.pool)
+        out = {
+            other for other, r in state.vms.items() if r.pool == record.pool and _is_out(r, fleet)
+        }
+        pending = (_taken_vm(command) for _, command in self.fleet.pending)
+        out.update(
+            other for other in pending if other is not None and state.vms[other].pool == record.pool
+        )
+        members = sum(r.pool == record.pool for r in state.vms.values())
+        needed = declared.floor if declared.spare else declared.size
+        lost = len(out | {vm}) + max(0, needed - members)
+        if vm not in out and lost > declared.max_unavailable:
+            text = f"{vm} is taken and {lost} of {record.pool} are out of service"
+            self._add(Promise.BUDGETS, text)
+
+    def _add(self, promise: Promise, text: str) -> None:
+        self.problems.append(Problem(promise, self.fleet.now_s, text))
+
+
+def _is_out(record: VmRecord, fleet: Fleet) -> bool:
+    target = fleet.targets.get(record.vm)
+    return (
+        is_under_way(record)
+        or record.data_centre in fleet.silent_data_centres
+        or target is None
+        or target.state is not TargetState.READY
+    )
+
+
+def is_under_way(vm: VmRecord) -> bool:
+    """Return whether a VM moves or is maintained."""
+    return vm.next_pool is not None or vm.maintenance not in (None, MaintenanceStep.DONE)
+
+
+def _taken_vm(command: Command) -> VmId | None:
+    """Return the VM that a command takes out of service, if it takes one."""
+    if isinstance(command, BeginMove):
+        return command.vm
+    if isinstance(command, RecordMaintenance) and command.step is MaintenanceStep.DRAINING:
+        return command.vm
+    return None
--- a/tests/core/decisions/worlds.py
+++ b/tests/core/decisions/worlds.py
@@ -1,14 +1,12 @@
 """A small organisation under faults, with checks after each step."""
 
 import random
-from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from marigolddoor_core.actions import Decision
 from marigolddoor_core.capacity import Capacity
 from marigolddoor_core.declaration import Team
-from marigolddoor_core.fleet import Fleet
 from marigolddoor_core.ids import (
     DataCentreId,
     OperatorId,
@@ -22,17 +20,13 @@
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.state.commands import (
-    BeginMove,
     CancelTask,
-    Command,
-    FinishMove,
-    MaintenanceStep,
-    RecordMaintenance,
     RequestDrain,
 )
-from marigolddoor_core.state.objects import TaskState, VmRecord
-from marigolddoor_core.targets import Resources, TargetState
+from marigolddoor_core.state.objects import TaskState
+from marigolddoor_core.targets import Resources
 from marigolddoor_standins.virtual import JobBehaviour, VirtualFleet, VirtualState
+from marigolddoor_standins.virtual.checks import Checks, is_under_way
 from marigolddoor_standins.virtual.demand import FluidQueue, RotatingDemand
 from marigolddoor_standins.virtual.samples import (
     SIZE,
@@ -95,8 +89,7 @@
         self.fleet = VirtualFleet(VirtualState(declared), self.leader, STEP_S, STEP_S)
         for name, count in (("web", 6), ("floor", 4), ("spare", 6)):
             add_workers(self.fleet, name, count)
-        self.fleet.on_propose = self.check_proposal
-        self.fleet.on_commit = self.check_commit
+        self.checks = Checks(self.fleet)
         names = ("web", "floor", "spare")
         self.queues = {ServiceId(name): FluidQueue() for name in names}
         # The mean of the first queue is above its pool, so that VMs move in the end.
@@ -124,7 +117,7 @@
             if self.rotates:
                 self._serve()
             self.fleet.step()
-            self._check_step()
+            self.checks.check_step(self.submitted)
 
     def settle(self) -> None:
         """Let time pass until moves had their time and nothing is open any more."""
@@ -139,7 +132,7 @@
         return any(
             task.job in SOUND_JOBS and task.state not in ended
             for task in self.fleet.state.tasks.values()
-        ) or any(_is_under_way(vm) for vm in vms)
+        ) or any(is_under_way(vm) for vm in vms)
 
     def _serve(self) -> None:
         for service, offered in self.demand.at(self.fleet.now_s).items():
@@ -147,77 +140,14 @@
             queue = self.queues[service]
             self.fleet.demand[service] = queue.step(self.fleet.now_s, offered, slots)
 
-    def _check_step(self) -> None:
-        running = Counter(
-            run.task for worker in self.fleet.workers.values() for run in worker.running()
-        )
-        for task, count in running.items():
-            if count > 1:
-                self.problems.append(f"{self.fleet.now_s}: {task} runs {count} times at once")
-        for task in self.submitted - self.fleet.state.tasks.keys():
-            self.problems.append(f"{self.fleet.now_s}: {task} is lost")
-
-    def check_proposal(self, command: Command, fleet: Fleet) -> None:
-        """Check a command that takes a VM, against all that was taken before."""
-        if _takes(command):
-            self._check_budget(command.vm, fleet)  # type: ignore[union-attr]
-
-    def check_commit(self, command: Command) -> None:
-        """Check a command when it takes effect."""
-        if isinstance(command, FinishMove) and self.fleet.workers[command.vm].running():
-            self.problems.append(f"{self.fleet.now_s}: {command.vm} moves while it runs tasks")
-
-    def _check_budget(self, vm: VmId, fleet: Fleet) -> None:
-        """Count the loss afresh, from the state as it is when the command is applied."""
-        state = self.fleet.state
-        record = state.vms[vm]
-        declared = next(p for p in state.declaration.pools if p.id == record.pool)
-        out = {
-            other
-            for other, r in state.vms.items()
-            if r.pool == record.pool and self._is_out(r, fleet)
-        }
-        for _, pending in self.fleet.pending:
-            if _takes(pending) and state.vms[pending.vm].pool == record.pool:  # type: ignore[union-attr]
-                out.add(pending.vm)  # type: ignore[union-attr]
-        members = sum(r.pool == record.pool for r in state.vms.values())
-        needed = declared.floor if declared.spare else declared.size
-        lost = len(out | {vm}) + max(0, needed - members)
-        if vm not in out and lost > declared.max_unavailable:
-            self.problems.append(
-                f"{fleet.now_s}: {vm} is taken and {lost} of {record.pool} are out of service"
-            )
-
-    @staticmethod
-    def _is_out(record: VmRecord, fleet: Fleet) -> bool:
-        target = fleet.targets.get(record.vm)
-        return (
-            _is_under_way(record)
-            or record.data_centre in fleet.silent_data_centres
-            or target is None
-            or target.state is not TargetState.READY
-        )
-
     def check_end(self) -> None:
         """Check that every task of a sound job finished, and that each finish was real."""
         for task, record in self.fleet.state.tasks.items():
             is_sound = record.job in SOUND_JOBS
             if is_sound and record.state not in (TaskState.FINISHED, TaskState.CANCELLED):
                 self.problems.append(f"{task} is {record.state.value} at the end")
-            if record.state is TaskState.FINISHED and task not in self.fleet.completed:
-                self.problems.append(f"{task} counts as finished and never completed")
-
-
-def _is_under_way(vm: VmRecord) -> bool:
-    """Return whether a VM moves or is maintained."""
-    return vm.next_pool is not None or vm.maintenance not in (None, MaintenanceStep.DONE)
-
-
-def _takes(command: Command) -> bool:
-    """Return whether a command takes a VM out of service."""
-    if isinstance(command, RecordMaintenance):
-        return command.step is MaintenanceStep.DRAINING
-    return isinstance(command, BeginMove)
+        self.checks.check_finishes()
+        self.problems.extend(str(problem) for problem in self.checks.problems)
 
 
 Fault = Callable[[World, random.Random], None]
