Add scripted scenarios in a small language, run in virtual time

Cause: the fault table is Python, and an operator cannot read or write a case of it. Change: a lark grammar, a parser into typed steps and a runner on VirtualFleet and the decisions of the leader; 17 scenarios with golden time lines, which tools/renew_golden.py also renews; tools/scenario.py runs one file. lark is a dependency of the stand-ins only.

--- a/tools/renew_golden.py
+++ b/tools/renew_golden.py
@@ -1,4 +1,4 @@
-"""Runs the command line sessions again, shows what differs from the golden files, and writes them.
+"""Renews the golden files of command line sessions and scenarios, and shows what differs.
 
 Example:
   python tools/renew_golden.py --check
@@ -7,6 +7,7 @@
 import argparse
 import difflib
 import sys
+from functools import partial
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -19,12 +20,14 @@
     options = parser.parse_args()
     sys.path.insert(0, str(ROOT))
     from tests.operator.sessions import GOLDEN, SESSIONS, play
+    from tests.scenarios.files import FILES, golden_of, timeline_of
 
+    renewals = [(GOLDEN / f"{session.name}.txt", partial(play, session)) for session in SESSIONS]
+    renewals += [(golden_of(file), partial(timeline_of, file)) for file in FILES]
     differs = False
-    for session in SESSIONS:
-        file = GOLDEN / f"{session.name}.txt"
+    for file, renew in renewals:
         old = file.read_text() if file.exists() else ""
-        new = play(session)
+        new = renew()
         if old == new:
             continue
         differs = True
