Tell a claim that was never sent from one that may have run

Cause: a request that waited for a claim of its own process ended as unknown, although the process knew that the claim had only been proposed. Change: the wait ends as not run unless the claim may have been sent to a target. Conclusion: unknown is left for requests that another process may have run.

--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -63,6 +63,7 @@
 NO_TARGET_RETRY_S = 1.0
 # An election takes less than 2 s.
 RETRY_AFTER_S = 2.0
+NOT_SENT_PHASES = (ClaimPhase.PROPOSED, ClaimPhase.GRANTED, ClaimPhase.RELEASING)
 
 
 @dataclass(slots=True)
@@ -269,20 +270,27 @@
                 exchange.events.add(EventKind.CLAIM_REFUSED, type(result).__name__)
             if step is not ClaimNextStep.WAIT:
                 return _kept(step, result)
-            # Another request holds the claim, so from now on "not run" would not be certain. A
-            # claim that this process gives up never ran.
-            if self.claimant.book.phase(key) is not ClaimPhase.RELEASING:
-                exchange.may_have_run = True
+            exchange.may_have_run = exchange.may_have_run or self._may_run(key, result)
             remaining_s = exchange.request.deadline - self._now()
             if remaining_s <= wait_s:
                 await anyio.sleep(max(0.0, remaining_s))
-                if not exchange.may_have_run:
-                    raise NoQuorumForClaimError("the claim is being given up", RETRY_AFTER_S)
-                raise OutcomeUnknownError("the first request with this key has not ended")
+                if exchange.may_have_run or self._may_run(key, result):
+                    raise OutcomeUnknownError("the first request with this key has not ended")
+                raise NoQuorumForClaimError("the claim was not confirmed", RETRY_AFTER_S)
             await anyio.sleep(wait_s)
             wait_s = min(wait_s * 2, MAX_CLAIM_WAIT_S)
             exchange.ticket = _again(exchange.ticket)
 
+    def _may_run(self, key: ClaimKey, result: Result) -> bool:
+        """Return whether the request that holds the claim may have been sent to a target.
+
+        This process knows it of its own claims. Those that it only proposed, or gives up because
+        their proposal was not confirmed, were not sent.
+        """
+        if not isinstance(result, ClaimPending) or result.claimant != self.claimant.process:
+            return True
+        return self.claimant.book.phase(key) not in NOT_SENT_PHASES
+
     async def _claim(self, exchange: _Exchange, key: ClaimKey) -> tuple[ClaimNextStep, Result]:
         request = exchange.request
         now = self._now()
