control: count moves, questions and changes of the leader

Cause: the operators' listener was given an empty set of counters, so /metrics never showed any. No event told of an election either.

Change: CountingRecorder counts what it records, on the leader only for moves and questions. The process records won and lost elections from the replica's role; the new leader counts the change.

Conclusion: the first election of a group counts as a change too. A role that is won and lost within one turn of the loop is not recorded.

--- /dev/null
+++ b/packages/control/src/marigolddoor_control/counting_recorder.py
@@ -0,0 +1,36 @@
+"""The timeline of a control process, with counters of the events that are metrics too."""
+
+from marigolddoor_core.ids import ProcessId
+from marigolddoor_core.metrics import CounterKind, Counters, Labels
+from marigolddoor_core.timeline import EventId, EventKind, Recorder, Subject
+
+__all__ = ["CountingRecorder"]
+
+_COUNTED = {
+    EventKind.MOVE_BEGUN: CounterKind.MOVES,
+    EventKind.QUESTION_OPENED: CounterKind.QUESTIONS,
+    # Only the new leader counts a change, so that the sum over all processes is right.
+    EventKind.ELECTION_WON: CounterKind.FAILOVERS,
+}
+
+
+class CountingRecorder(Recorder):
+    """A recorder that counts, independently of how many events it keeps."""
+
+    def __init__(self, process: ProcessId, capacity: int) -> None:
+        super().__init__(process, capacity)
+        self.counters = Counters()
+
+    def record(
+        self,
+        kind: EventKind,
+        physical_ms: int,
+        subject: Subject,
+        text: str = "",
+        cause: EventId | None = None,
+    ) -> EventId:
+        """Remember and count an event and return its id."""
+        counter = _COUNTED.get(kind)
+        if counter is not None:
+            self.counters.add(counter, Labels(pool=subject.pool or ""))
+        return super().record(kind, physical_ms, subject, text, cause)
--- a/packages/control/src/marigolddoor_control/process.py
+++ b/packages/control/src/marigolddoor_control/process.py
@@ -16,9 +16,8 @@
 from marigolddoor_core.consensus import Timing
 from marigolddoor_core.errors import MarigolddoorError
 from marigolddoor_core.ids import ProcessId
-from marigolddoor_core.metrics import Counters
 from marigolddoor_core.state.machine import StateMachine
-from marigolddoor_core.timeline import EventKind, Recorder, Subject
+from marigolddoor_core.timeline import EventKind, Subject
 from marigolddoor_storage import ReplicaStore
 from marigolddoor_wire.errors import RemoteError
 from marigolddoor_wire.handshake import SharedKey
@@ -26,6 +25,7 @@
 from marigolddoor_wire.peers import Address, PeerPool, PeerServer
 
 from marigolddoor_control.agreement import Agreement, AgreementSettings
+from marigolddoor_control.counting_recorder import CountingRecorder
 from marigolddoor_control.leadership import Leadership
 from marigolddoor_control.manager import Manager
 from marigolddoor_control.operators import (
@@ -96,7 +96,7 @@
         self.rng = rng if rng is not None else random.Random()
         self.clock = time.monotonic
         self.state = StateMachine()
-        self.recorder = Recorder(settings.name, settings.timeline_capacity)
+        self.recorder = CountingRecorder(settings.name, settings.timeline_capacity)
         self.agreement: Agreement | None = None
         self.leadership: Leadership | None = None
         self.requests: ControlRequests | None = None
@@ -137,6 +137,7 @@
                 self.settings.operators_tls,
             )
             group.start_soon(manager.run)
+            group.start_soon(self._record_elections, agreement)
             group.start_soon(self._call_rounds, agreement, manager)
             self._record(EventKind.PROCESS_STARTED)
             logger.info("control: operators on {}, peers on {}", operators, peer)
@@ -184,7 +185,7 @@
             self.recorder, pool, lambda: self._other_processes(pool), _wall_ms
         )
         service = OperatorService(view, agreement, declaration, timelines)
-        return OperatorsApplication(service, self.settings.tokens, Counters())
+        return OperatorsApplication(service, self.settings.tokens, self.recorder.counters)
 
     async def _other_processes(self, pool: PeerPool) -> Sequence[Address]:
         """Return the peer addresses of all other processes of the system that are known.
@@ -215,6 +216,16 @@
             await agreement.applied.wait()
             manager.call_round()
 
+    async def _record_elections(self, agreement: Agreement) -> None:
+        led = False
+        while True:
+            replica = agreement.replica
+            leads = replica is not None and replica.is_leader
+            if leads != led:
+                self._record(EventKind.ELECTION_WON if leads else EventKind.ELECTION_LOST)
+            led = leads
+            await agreement.role_changed.wait()
+
     def _is_leader(self) -> bool:
         return self.agreement is not None and self.agreement.is_leader
 
