tests: read a request's timeline through a control process

Cause: the events of requests were tested inside the entry process only.

Change: FaultTest has a case that takes the id of a reply and asks the operators' listener of a running system of six processes for its events.

The command line itself was not run against it.

--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -232,6 +232,17 @@
     case.assertEqual(served_before, leaving.served)
 
 
+async def an_operator_asks_for_a_request(case: "FaultTest", system: System) -> None:
+    """A control process shows what an entry process did with the request of a reply's id."""
+    answer = await system.send_until_answered(0, "orders", "asked")
+    request = answer.headers["marigolddoor-request-id"]
+    found = await system.operators.get("/v1/timeline", request=request)
+    kinds = [event["kind"] for event in found["events"]]
+    case.assertEqual(
+        ["request received", "claim granted", "request sent", "request answered"], kinds
+    )
+
+
 Fault = Callable[["FaultTest", System], Awaitable[None]]
 FAULTS: list[Fault] = [
     kill_the_leader,
@@ -242,6 +253,7 @@
     stop_an_entry_process,
     operators_race,
     a_target_leaves,
+    an_operator_asks_for_a_request,
 ]
 
 
