Move the randomised fault runs into bench/faults

Cause: the bench is to count broken promises over the same fault runs that the tests use, and it does not import from tests/.

Change: the group of replicas with its checkers and disk, the driver of the state machine with its checkers and commands, and the worlds of the decisions are now in bench/faults. The tests and tools/faults.py import them from there. `faults` yields every fault of a run of the state machine, and `first_fault` returns the first of them. No check, bound or seed changed.

Conclusion: the bench can use the runs, and nothing stands twice.

--- a/tests/core/consensus/simulation.py
+++ b/bench/faults/consensus.py
@@ -27,8 +27,8 @@
 from marigolddoor_core.ids import LogIndex, ReplicaId, Term
 from marigolddoor_core.instants import Instant
 
-from tests.core.consensus.checkers import Checkers, Violation
-from tests.core.consensus.virtual_disk import VirtualDisk
+from bench.faults.consensus_checkers import Checkers, Violation
+from bench.faults.virtual_disk import VirtualDisk
 
 # A chunk is smaller than a state, so that each transfer takes several.
 CHUNK_BYTES = 8
--- a/tests/core/consensus/checkers.py
+++ b/bench/faults/consensus_checkers.py
@@ -12,7 +12,7 @@
 from marigolddoor_core.ids import LogIndex, ReplicaId, Term
 
 if TYPE_CHECKING:
-    from tests.core.consensus.simulation import SimulatedNode, Simulation
+    from bench.faults.consensus import SimulatedNode, Simulation
 
 
 class Violation(Exception):  # noqa: N818 (an observation, not an error of the code that raises it)
--- a/tests/core/state/driver.py
+++ b/bench/faults/state.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
@@ -27,7 +27,7 @@
 from marigolddoor_core.state.objects import QuestionRecord, TaskRecord, VmRecord
 from marigolddoor_core.targets import TaskPhase
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 VMS = [f"vm-{n}" for n in range(4)]
 POOLS = ["web", "spare"]
@@ -76,10 +76,20 @@
     return StateMachine(CLAIMS_LIMIT_BYTES, TOMBSTONE_LIMIT, ENDED_TASKS_KEPT)
 
 
-def first_fault(
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What a checker found in a step."""
+
+    step: int
+    checker: Checker
+    text: str
+    command: Any
+
+
+def faults(
     seed: int, steps: int, checkers: Sequence[Checker], make: Make = new_machine
-) -> str | None:
-    """Return the first fault that a checker reports, with its step, or None."""
+) -> Iterator[Fault]:
+    """Run a machine and yield each fault that a checker reports."""
     chance = random.Random(seed)
     machine, restored = make(), make()
     party = Party(chance)
@@ -100,10 +110,18 @@
         step = Step(command, result, before, machine, restored, restored.apply(index, command))
         party.learn(result)
         for checker in checkers:
-            fault = checker.check(step)
-            if fault is not None:
-                name = type(checker).__name__
-                return f"seed {seed}, step {number}: {name}: {fault}; after {command}"
+            text = checker.check(step)
+            if text is not None:
+                yield Fault(number, checker, text, command)
+
+
+def first_fault(
+    seed: int, steps: int, checkers: Sequence[Checker], make: Make = new_machine
+) -> str | None:
+    """Return the first fault that a checker reports, with its step, or None."""
+    for fault in faults(seed, steps, checkers, make):
+        name = type(fault.checker).__name__
+        return f"seed {seed}, step {fault.step}: {name}: {fault.text}; after {fault.command}"
     return None
 
 
--- a/tests/core/state/checkers.py
+++ b/bench/faults/state_checkers.py
@@ -2,15 +2,17 @@
 
 from typing import Any
 
-from marigolddoor_core.ids import DataCentreId, LogIndex
+from marigolddoor_core.ids import DataCentreId, LogIndex, VmId
 from marigolddoor_core.state import commands as c
 from marigolddoor_core.state import results as r
 from marigolddoor_core.state.objects import Change, ObjectKind, TaskRecord, TaskState
 
-from tests.core.state.driver import Step
+from bench.faults.state import Step
 
 # The retry window of the service that the driver claims for.
 RETRY_WINDOW_S = 600.0
+# Stands for the VM of a command that is about none.
+NO_VM = VmId("")
 ACCEPTED = (r.Done, r.MoveBegun, r.LeaseGranted)
 
 
@@ -18,6 +20,7 @@
     """A revision is never lowered, and each base revision has one successor."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         after = step.machine.revision
         if after < step.before.revision:
             return f"revision {step.before.revision} became {after}"
@@ -33,6 +36,7 @@
         self.results: dict[str, r.Result] = {}
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         if not isinstance(step.command, c.ApplyDeclaration | c.RequestDrain):
             return None
         known = step.command.request in self.results
@@ -54,6 +58,7 @@
         self.epochs: dict[str, int] = {}
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         for vm in step.machine.vms.values():
             pool = self.pools.setdefault((vm.vm, vm.epoch), vm.pool)
             if pool != vm.pool:
@@ -73,6 +78,7 @@
     """A command with another epoch than the current one has no effect."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         epoch = getattr(step.command, "epoch", None)
         if epoch is None or not isinstance(step.result, ACCEPTED):
             return None
@@ -90,6 +96,7 @@
         self.until_s: dict[str, float] = {}
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         command, result = step.command, step.result
         if isinstance(result, r.LeaseGranted):
             task = command.task
@@ -114,8 +121,9 @@
     """A VM that drains, or has a lease in force, gets no lease and does not change its pool."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         command = step.command
-        vm = step.before.vms.get(getattr(command, "vm", None))
+        vm = step.before.vms.get(getattr(command, "vm", NO_VM))
         if vm is None or not isinstance(step.result, ACCEPTED):
             return None
         if isinstance(command, c.GrantLease) and vm.next_pool is not None:
@@ -131,6 +139,7 @@
     """A task is not lost before it ended, a declared one never, and a finished one stays so."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         after = step.machine.tasks
         for task in step.before.tasks.values():
             now = after.get(task.task)
@@ -165,6 +174,7 @@
         self.keys: dict[int, str] = {}
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         command, result = step.command, step.result
         if isinstance(command, c.ReleaseClaim) and isinstance(result, r.Done):
             self.kept_until_s.pop(self.keys.pop(command.claim), None)
@@ -184,6 +194,7 @@
         self.limit_bytes = limit_bytes
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         bodies = [claim.answer.body for claim in step.machine.claims.values() if claim.answer]
         used = 400 * len(step.machine.claims) + sum(len(body or b"") for body in bodies)
         return None if used <= self.limit_bytes else f"{used} bytes of claims"
@@ -196,6 +207,7 @@
         self.answers: dict[Any, Any] = {}
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         for claim in step.machine.claims.values():
             if claim.finished:
                 first = self.answers.setdefault(claim.claim, (claim.answer, claim.claimant))
@@ -217,6 +229,7 @@
     """A subject has at most one question that is not closed."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         subjects = [
             question.subject for question in step.machine.questions.values() if not question.closed
         ]
@@ -227,6 +240,7 @@
     """The agreed time never goes back."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         if step.machine.time_s < step.before.time_s:
             return f"{step.before.time_s} became {step.machine.time_s}"
         return None
@@ -236,6 +250,7 @@
     """A machine that was restored from a snapshot has the same state and the same results."""
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         if step.result != step.restored_result:
             return f"{step.result}, after a restore {step.restored_result}"
         if step.machine.snapshot() != step.restored.snapshot():
@@ -259,6 +274,7 @@
         self.held: dict[tuple[ObjectKind, str], Change] = {}
 
     def check(self, step: Step) -> str | None:
+        """Return a description of the fault, or None."""
         self.steps += 1
         if self.steps % self.period:
             return None
--- a/tests/core/state/fixtures.py
+++ b/bench/faults/state_commands.py
@@ -1,4 +1,4 @@
-"""A small declaration and commands on it, for the tests of the state machine."""
+"""A small declaration and commands on it, for runs and tests of the state machine."""
 
 from dataclasses import replace
 from typing import Any
@@ -56,6 +56,7 @@
     author: str = "ann",
     time_s: float = 0.0,
 ) -> c.ApplyDeclaration:
+    """Return the change of an operator to `declaration`."""
     return c.ApplyDeclaration(
         Revision(base), RequestId(request), OperatorId(author), declaration, time_s
     )
@@ -64,6 +65,7 @@
 def register(
     vm: str = "vm-1", pool: str = "web", data_centre: str = "east", **changes: Any
 ) -> c.RegisterVm:
+    """Return the registration of a VM; `changes` replace its fields."""
     command = c.RegisterVm(
         VmId(vm),
         DataCentreId(data_centre),
@@ -77,18 +79,22 @@
 
 
 def begin(vm: str = "vm-1", epoch: int = 1, pool: str = "spare") -> c.BeginMove:
+    """Return the start of a move to `pool`."""
     return c.BeginMove(VmId(vm), Epoch(epoch), PoolId(pool))
 
 
 def finish(vm: str = "vm-1", epoch: int = 1, time_s: float = 0.0) -> c.FinishMove:
+    """Return the end of a move."""
     return c.FinishMove(VmId(vm), Epoch(epoch), time_s)
 
 
 def retire(vm: str = "vm-1", epoch: int = 1) -> c.RetireVm:
+    """Return the removal of a VM."""
     return c.RetireVm(VmId(vm), Epoch(epoch))
 
 
 def maintain(step: c.MaintenanceStep, epoch: int = 1, time_s: float = 0.0) -> c.RecordMaintenance:
+    """Return the report of a maintenance step of `vm-1`."""
     return c.RecordMaintenance(VmId("vm-1"), Epoch(epoch), step, time_s)
 
 
@@ -104,6 +110,7 @@
 
 
 def drain(pool: str | None = None, vm: str | None = None, request: str = "d1") -> c.RequestDrain:
+    """Return the request of an operator to drain a pool or a VM."""
     return c.RequestDrain(
         None if pool is None else PoolId(pool),
         None if vm is None else VmId(vm),
@@ -113,6 +120,7 @@
 
 
 def submit(task: str = "t", job: str = "report") -> c.SubmitTask:
+    """Return the submission of a task."""
     return c.SubmitTask(TaskId(task), JobId(job))
 
 
@@ -123,14 +131,17 @@
     lease_s: float = 45.0,
     time_s: float = 0.0,
 ) -> c.GrantLease:
+    """Return the grant of a lease."""
     return c.GrantLease(TaskId(task), VmId(vm), Epoch(epoch), lease_s, time_s)
 
 
 def renew(token: int = 1, time_s: float = 0.0, lease_s: float = 45.0) -> c.RenewLease:
+    """Return the renewal of the lease of `report/0`."""
     return c.RenewLease(TaskId("report/0"), FencingToken(token), lease_s, time_s)
 
 
 def end(token: int = 1, phase: TaskPhase = TaskPhase.FINISHED, time_s: float = 0.0) -> c.FinishTask:
+    """Return the end of a run of `report/0`."""
     return c.FinishTask(TaskId("report/0"), FencingToken(token), phase, "", time_s)
 
 
@@ -141,26 +152,31 @@
     deadline_s: float = 10.0,
     time_s: float = 0.0,
 ) -> c.Claim:
+    """Return a claim on a key of the service `orders`."""
     return c.Claim(
         ServiceId("orders"), IdempotencyKey(key), digest, ProcessId(claimant), deadline_s, time_s
     )
 
 
 def kept(body: bytes | None = b"ok", status: int = 200) -> c.KeptAnswer:
+    """Return an answer as it is kept for resends."""
     return c.KeptAnswer(status, "text/plain", body, b"digest of " + (body or b"")[:8])
 
 
 def answered(
     claim_id: int, answer: c.KeptAnswer | None, claimant: str = "p1", time_s: float = 0.0
 ) -> c.FinishClaim:
+    """Return the end of a claimed run; `answer` is None if its outcome is unknown."""
     return c.FinishClaim(ClaimId(claim_id), ProcessId(claimant), answer, time_s)
 
 
 def release(claim_id: int, claimant: str = "p1") -> c.ReleaseClaim:
+    """Return the release of a claim."""
     return c.ReleaseClaim(ClaimId(claim_id), ProcessId(claimant))
 
 
 def ask(subject: str = "vm-1 silent", **changes: Any) -> c.OpenQuestion:
+    """Return a question with two choices; `changes` replace its fields."""
     command = c.OpenQuestion(
         subject,
         "Replace vm-1?",
@@ -173,6 +189,7 @@
 
 
 def answer(question: str, choice: str = "wait", author: str = "ann") -> c.AnswerQuestion:
+    """Return the answer of an operator to a question."""
     return c.AnswerQuestion(QuestionId(question), choice, OperatorId(author), RequestId("a"))
 
 
--- a/tests/core/decisions/worlds.py
+++ b/bench/faults/worlds.py
@@ -73,6 +73,8 @@
 
     leader: Leader = real_leader
     problems: list[str] = field(default_factory=list)
+    # How often a VM was taken, which is what breaks of a budget are counted over.
+    takes: int = 0
     submitted: set[TaskId] = field(default_factory=set)
     rotates: bool = False
 
@@ -143,7 +145,7 @@
 
     def _serve(self) -> None:
         for service, offered in self.demand.at(self.fleet.now_s).items():
-            slots = sum(8.0 for vm in self.fleet.state.vms.values() if vm.pool == service)
+            slots = sum(8.0 for vm in self.fleet.state.vms.values() if vm.pool == PoolId(service))
             queue = self.queues[service]
             self.fleet.demand[service] = queue.step(self.fleet.now_s, offered, slots)
 
@@ -159,8 +161,10 @@
 
     def check_proposal(self, command: Command, fleet: Fleet) -> None:
         """Check a command that takes a VM, against all that was taken before."""
-        if _takes(command):
-            self._check_budget(command.vm, fleet)  # type: ignore[union-attr]
+        vm = _taken_vm(command)
+        if vm is not None:
+            self.takes += 1
+            self._check_budget(vm, fleet)
 
     def check_commit(self, command: Command) -> None:
         """Check a command when it takes effect."""
@@ -178,8 +182,9 @@
             if r.pool == record.pool and self._is_out(r, fleet)
         }
         for _, pending in self.fleet.pending:
-            if _takes(pending) and state.vms[pending.vm].pool == record.pool:  # type: ignore[union-attr]
-                out.add(pending.vm)  # type: ignore[union-attr]
+            other = _taken_vm(pending)
+            if other is not None and state.vms[other].pool == record.pool:
+                out.add(other)
         members = sum(r.pool == record.pool for r in state.vms.values())
         needed = declared.floor if declared.spare else declared.size
         lost = len(out | {vm}) + max(0, needed - members)
@@ -213,11 +218,11 @@
     return vm.next_pool is not None or vm.maintenance not in (None, MaintenanceStep.DONE)
 
 
-def _takes(command: Command) -> bool:
-    """Return whether a command takes a VM out of service."""
-    if isinstance(command, RecordMaintenance):
-        return command.step is MaintenanceStep.DRAINING
-    return isinstance(command, BeginMove)
+def _taken_vm(command: Command) -> VmId | None:
+    """Return the VM that a command takes out of service, or None."""
+    if isinstance(command, RecordMaintenance) and command.step is MaintenanceStep.DRAINING:
+        return command.vm
+    return command.vm if isinstance(command, BeginMove) else None
 
 
 Fault = Callable[[World, random.Random], None]
@@ -358,8 +363,8 @@
 }
 
 
-def run_faults(names: Sequence[str], seed: int, leader: Leader = real_leader) -> list[str]:
-    """Run the faults one after the other at drawn times; return what the checks found."""
+def run_world(names: Sequence[str], seed: int, leader: Leader = real_leader) -> World:
+    """Run the faults one after the other at drawn times; return the world at its end."""
     draw = random.Random(f"{seed}:{names}")
     world = World(leader)
     world.run(20)
@@ -371,7 +376,12 @@
         world.run(600)
     world.settle()
     world.check_end()
-    return world.problems
+    return world
+
+
+def run_faults(names: Sequence[str], seed: int, leader: Leader = real_leader) -> list[str]:
+    """Run the faults and return what the checks found."""
+    return run_world(names, seed, leader).problems
 
 
-__all__ = ["FAULTS", "World", "real_leader", "run_faults"]
+__all__ = ["FAULTS", "World", "real_leader", "run_faults", "run_world"]
--- a/tests/core/consensus/test_faults.py
+++ b/tests/core/consensus/test_faults.py
@@ -16,9 +16,9 @@
 from marigolddoor_core.consensus.outputs import ReadOutcome
 from marigolddoor_core.consensus.replica import Replica
 
-from tests.core.consensus.checkers import Checkers, Violation
-from tests.core.consensus.simulation import Options, Simulation
-from tests.core.consensus.virtual_disk import VirtualDisk
+from bench.faults.consensus import Options, Simulation
+from bench.faults.consensus_checkers import Checkers, Violation
+from bench.faults.virtual_disk import VirtualDisk
 
 SEEDS = 2_000
 BLOCK = 250
--- a/tests/core/decisions/test_faults.py
+++ b/tests/core/decisions/test_faults.py
@@ -17,7 +17,7 @@
 from marigolddoor_core.state.objects import VmRecord
 from marigolddoor_core.targets import TaskPhase
 
-from tests.core.decisions.worlds import FAULTS, run_faults
+from bench.faults.worlds import FAULTS, run_faults
 
 TRIPLE_SEED = 20_261_204
 TRIPLES = 16
--- a/tests/core/declaration/test_plans.py
+++ b/tests/core/declaration/test_plans.py
@@ -9,7 +9,7 @@
 from marigolddoor_core.state.results import DeclarationAccepted
 from marigolddoor_core.targets import Resources
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 BASE = f.DECLARATION
 WEB, SPARE = BASE.pools
--- a/tests/core/state/test_claims.py
+++ b/tests/core/state/test_claims.py
@@ -10,7 +10,7 @@
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_wire.codec import decode, encode
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 
 class KeptAnswerTest(testtools.TestCase):
--- a/tests/core/state/test_commands.py
+++ b/tests/core/state/test_commands.py
@@ -10,7 +10,7 @@
 from marigolddoor_core.state import results as r
 from marigolddoor_core.state.machine import StateMachine
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 EXAMPLES = [
     f.declare(1, "r2"),
--- a/tests/core/state/test_journal.py
+++ b/tests/core/state/test_journal.py
@@ -9,7 +9,7 @@
 from marigolddoor_core.ids import DataCentreId, LogIndex, VmId
 from marigolddoor_core.state.machine import StateMachine
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 EAST, WEST = DataCentreId("east"), DataCentreId("west")
 
--- a/tests/core/state/test_machine.py
+++ b/tests/core/state/test_machine.py
@@ -17,7 +17,7 @@
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_core.targets import TaskPhase
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 STEP = c.MaintenanceStep
 
--- a/tests/core/state/test_random.py
+++ b/tests/core/state/test_random.py
@@ -19,8 +19,8 @@
     RevisionConflict,
 )
 
-from tests.core.state import checkers as k
-from tests.core.state.driver import CLAIMS_LIMIT_BYTES, EAST, Step, first_fault, new_machine
+from bench.faults import state_checkers as k
+from bench.faults.state import CLAIMS_LIMIT_BYTES, EAST, Step, first_fault, new_machine
 
 SEEDS = range(12)
 STEPS = 700
--- a/tests/core/state/test_snapshots.py
+++ b/tests/core/state/test_snapshots.py
@@ -12,8 +12,8 @@
 from marigolddoor_core.targets import TaskPhase
 from marigolddoor_wire.codec import decode, encode
 
-from tests.core.state import fixtures as f
-from tests.core.state.driver import Party, new_machine
+from bench.faults import state_commands as f
+from bench.faults.state import Party, new_machine
 
 
 class RoundTripTest(testtools.TestCase):
--- a/tests/core/state/test_tasks.py
+++ b/tests/core/state/test_tasks.py
@@ -10,7 +10,7 @@
 from marigolddoor_core.state.objects import TaskState
 from marigolddoor_core.targets import TaskPhase
 
-from tests.core.state import fixtures as f
+from bench.faults import state_commands as f
 
 NO_JOBS = replace(f.DECLARATION, jobs=())
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -13,8 +13,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from tests.core.consensus.checkers import Violation  # noqa: E402 (needs the path)
-from tests.core.consensus.simulation import Simulation  # noqa: E402
+from bench.faults.consensus import Simulation  # noqa: E402 (needs the path)
+from bench.faults.consensus_checkers import Violation  # noqa: E402
 
 
 def main() -> int:
