Count broken promises over fault runs, with and without their guards

The guards that the tests and the bench both take out now stand in bench/faults.

The runs drive the core, not the sockets of the entry process.

--- /dev/null
+++ b/bench/faults/answers.py
@@ -0,0 +1,321 @@
+"""Requests whose answers come late, from others, cut short or not at all.
+
+The checks of answers, the claim book, the rule for retries and the state machine are the real ones.
+The generator takes the part of entry processes, of targets and of the network between them.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from marigolddoor_core.ids import (
+    ClaimId,
+    IdempotencyKey,
+    LogIndex,
+    ProcessId,
+    RequestId,
+    ServiceId,
+)
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.requests.answers import (
+    ForeignAnswerError,
+    TruncatedAnswerError,
+    check_echo,
+    check_length,
+)
+from marigolddoor_core.requests.claims import (
+    ClaimBook,
+    ClaimKey,
+    ClaimNextStep,
+    ClaimPhase,
+    ClaimStateError,
+    kept_answer,
+)
+from marigolddoor_core.requests.outcomes import REQUEST_ID_HEADER
+from marigolddoor_core.requests.retries import AttemptEnd, RetryBudget, may_retry
+from marigolddoor_core.state.commands import (
+    Claim,
+    Command,
+    FinishClaim,
+    KeptAnswer,
+    ReleaseClaim,
+)
+from marigolddoor_core.state.machine import StateMachine
+from marigolddoor_core.state.results import ClaimFinished, Result
+
+from bench.faults import state_commands
+
+__all__ = [
+    "AnswerChecks",
+    "AnswerRun",
+    "Delivery",
+    "RealChecks",
+    "ReleaseAfterDispatch",
+    "WithoutEchoCheck",
+    "WithoutLengthCheck",
+]
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+PROCESSES = ("p1", "p2", "p3")
+CLAIMED_SERVICE = ServiceId("orders")
+IDEMPOTENT_SERVICE = ServiceId("help")
+DEADLINE_S = 10.0
+RETRY_WINDOW_S = 600.0
+MAX_BODY_BYTES = 400
+# A foreign answer is one of these latest answers of a target.
+KEPT_ANSWERS = 8
+RESEND_SHARE = 0.3
+# Share of claims whose result does not reach the process that proposed them.
+LOST_RESULT_SHARE = 0.05
+
+
+class Delivery(Enum):
+    """What comes back for an attempt."""
+
+    WHOLE = "whole"
+    LATE = "late answer to the request before"
+    FOREIGN = "answer to another request"
+    NO_ECHO = "answer without an id"
+    TRUNCATED = "truncated"
+    NO_LENGTH = "truncated, without a length"
+    LOST = "lost after the run"
+    NOT_STARTED = "not started"
+
+
+class AnswerChecks(Protocol):
+    """The checks of an answer before any of it goes to the caller."""
+
+    def check(self, headers: Headers, request: RequestId, body_bytes: int) -> None:
+        """Raise an error if the answer is not the whole answer to `request`."""
+        ...
+
+
+class RealChecks:
+    """Both checks, in the order of the dispatcher."""
+
+    def check(self, headers: Headers, request: RequestId, body_bytes: int) -> None:
+        """Check the echoed id, then the length."""
+        check_echo(headers, request)
+        check_length(headers, 200, "POST", body_bytes)
+
+
+class WithoutEchoCheck:
+    """The checks without the guard against foreign answers."""
+
+    def check(self, headers: Headers, request: RequestId, body_bytes: int) -> None:
+        """Check the length only."""
+        check_length(headers, 200, "POST", body_bytes)
+
+
+class WithoutLengthCheck:
+    """The checks without the guard against partial answers."""
+
+    def check(self, headers: Headers, request: RequestId, body_bytes: int) -> None:
+        """Check the echoed id only."""
+        check_echo(headers, request)
+
+
+class ReleaseAfterDispatch(ClaimBook):
+    """A claim book without the guard that keeps a dispatched claim from being released."""
+
+    def release(self, key: ClaimKey) -> ClaimId:
+        """Give up a claim in any phase."""
+        entry = self.entries[key]
+        entry.phase = ClaimPhase.GRANTED
+        return super().release(key)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request of a caller. A resend has the key of an earlier request and its own id."""
+
+    id: RequestId
+    service: ServiceId
+    key: ClaimKey
+
+    @property
+    def is_claimed(self) -> bool:
+        """Return whether the request may run only once."""
+        return self.service == CLAIMED_SERVICE
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a target sends back for a request."""
+
+    request: Request
+    body: bytes
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers of the whole answer."""
+        return (
+            (REQUEST_ID_HEADER.encode(), self.request.id.encode()),
+            (b"content-length", str(len(self.body)).encode()),
+        )
+
+
+@dataclass
+class AnswerRun:
+    """The requests of one seed, and what their callers got."""
+
+    seed: int
+    checks: AnswerChecks = field(default_factory=RealChecks)
+    new_book: Callable[[ProcessId], ClaimBook] = ClaimBook
+    new_machine: Callable[[], StateMachine] = StateMachine
+    requests: int = 0
+    delivered: int = 0
+    refused: int = 0
+    foreign_answers: int = 0
+    partial_answers: int = 0
+    false_not_run: int = 0
+    runs: Counter[ClaimKey] = field(default_factory=Counter)
+    seen: Counter[Delivery] = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        self.chance = random.Random(self.seed)
+        self.machine = self.new_machine()
+        self.now_s = 0.0
+        self._propose(state_commands.declare())
+        self.books = [self.new_book(ProcessId(name)) for name in PROCESSES]
+        self.budget = RetryBudget()
+        self.sent: list[Request] = []
+        self.answers: list[Answer] = []
+        # Each body begins with the id of its request, in bytes.
+        self.answered: dict[bytes, Request] = {}
+
+    @property
+    def double_runs(self) -> int:
+        """Return how many runs of claimed requests were not the first of their key."""
+        return sum(count - 1 for key, count in self.runs.items() if key.service == CLAIMED_SERVICE)
+
+    def run(self, requests: int) -> None:
+        """Send requests one after the other."""
+        for _ in range(requests):
+            self.now_s += self.chance.choice((0.0, 0.1, 1.0))
+            self.requests += 1
+            self.budget.count_request()
+            request = self._next_request()
+            book = self.chance.choice(self.books)
+            if not request.is_claimed or self._may_run(book, request):
+                self._serve(book, request)
+
+    def _next_request(self) -> Request:
+        request_id = RequestId(f"r{self.requests}")
+        if self.sent and self.chance.random() < RESEND_SHARE:
+            first = self.chance.choice(self.sent[-20:])
+            return Request(request_id, first.service, first.key)
+        service = self.chance.choice((CLAIMED_SERVICE, CLAIMED_SERVICE, IDEMPOTENT_SERVICE))
+        key = ClaimKey(service, IdempotencyKey(f"k{self.requests}"))
+        request = Request(request_id, service, key)
+        self.sent.append(request)
+        return request
+
+    def _propose(self, command: Command) -> Result:
+        return self.machine.apply(LogIndex(self.machine.index + 1), command)
+
+    def _may_run(self, book: ClaimBook, request: Request) -> bool:
+        """Claim the key of a request; return whether the request is to run now."""
+        forget_at = Instant(self.now_s + RETRY_WINDOW_S)
+        if not book.begin(request.key, b"digest", forget_at):
+            return False
+        deadline_s = self.now_s + DEADLINE_S
+        claim = Claim(*request.key, b"digest", book.process, deadline_s, self.now_s)
+        result = self._propose(claim)
+        if self.chance.random() < LOST_RESULT_SHARE:
+            book.withdraw(request.key)
+            return False
+        step = book.settle(request.key, result)
+        if isinstance(result, ClaimFinished) and result.answer is not None:
+            self._deliver(request, result.answer.body or b"", is_kept=True)
+        return step is ClaimNextStep.RUN
+
+    def _serve(self, book: ClaimBook, request: Request) -> None:
+        deadline = Instant(self.now_s + DEADLINE_S)
+        while True:
+            if request.is_claimed:
+                book.dispatch(request.key)
+            end, body = self._attempt(request)
+            if end is AttemptEnd.ANSWERED:
+                self._deliver(request, body)
+                if request.is_claimed:
+                    self._finish(book, request, kept_answer(200, "text/plain", body, b"digest"))
+                return
+            if end is AttemptEnd.NOT_STARTED and request.is_claimed:
+                book.not_started(request.key)
+            is_idempotent = not request.is_claimed
+            if not may_retry(end, is_idempotent, deadline, Instant(self.now_s), self.budget):
+                break
+        if request.is_claimed:
+            self._give_up(book, request)
+
+    def _give_up(self, book: ClaimBook, request: Request) -> None:
+        """Refuse a request as not run if its claim can be released; else its end is unknown."""
+        try:
+            claim = book.release(request.key)
+        except ClaimStateError:
+            self._finish(book, request, None)
+            return
+        self.refused += 1
+        self.false_not_run += self.runs[request.key] > 0
+        self._propose(ReleaseClaim(claim, book.process, self.now_s))
+        book.stored(request.key)
+
+    def _finish(self, book: ClaimBook, request: Request, answer: KeptAnswer | None) -> None:
+        claim = book.finish(request.key, answer)
+        self._propose(FinishClaim(claim, book.process, answer, self.now_s))
+        book.stored(request.key)
+
+    def _attempt(self, request: Request) -> tuple[AttemptEnd, bytes]:
+        delivery = self.chance.choice((*Delivery, Delivery.WHOLE, Delivery.WHOLE))
+        self.seen[delivery] += 1
+        if delivery is Delivery.NOT_STARTED:
+            return AttemptEnd.NOT_STARTED, b""
+        self.runs[request.key] += 1
+        headers, body = self._deliverable(delivery, self._answer(request))
+        if delivery is Delivery.LOST:
+            return AttemptEnd.LOST, b""
+        try:
+            self.checks.check(headers, request.id, len(body))
+        except (ForeignAnswerError, TruncatedAnswerError):
+            return AttemptEnd.LOST, b""
+        return AttemptEnd.ANSWERED, body
+
+    def _answer(self, request: Request) -> Answer:
+        padding = b"." * self.chance.randrange(1, MAX_BODY_BYTES)
+        answer = Answer(request, request.id.encode() + b":" + padding + b"$")
+        self.answered[request.id.encode()] = request
+        self.answers = [*self.answers[-KEPT_ANSWERS:], answer]
+        return answer
+
+    def _deliverable(self, delivery: Delivery, answer: Answer) -> tuple[Headers, bytes]:
+        """Return the headers and the body that come back in place of `answer`."""
+        if delivery is Delivery.LATE and len(self.answers) > 1:
+            answer = self.answers[-2]
+        elif delivery is Delivery.FOREIGN:
+            answer = self.chance.choice(self.answers)
+        elif delivery is Delivery.NO_ECHO:
+            return self.answers[0].headers[1:], self.answers[0].body
+        cut = answer.body[: self.chance.randrange(len(answer.body))]
+        if delivery is Delivery.TRUNCATED:
+            return answer.headers, cut
+        if delivery is Delivery.NO_LENGTH:
+            return answer.headers[:1], cut
+        return answer.headers, answer.body
+
+    def _deliver(self, request: Request, body: bytes, is_kept: bool = False) -> None:
+        """Compare what a caller gets with the one whole answer to its request.
+
+        A kept answer is that of an earlier request with the same key.
+        """
+        self.delivered += 1
+        sender, _, rest = body.partition(b":")
+        answered = self.answered.get(sender)
+        if answered is None or not rest.endswith(b"$"):
+            self.partial_answers += 1
+        elif answered.key != request.key or not (is_kept or answered == request):
+            self.foreign_answers += 1
--- a/bench/faults/worlds.py
+++ b/bench/faults/worlds.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from marigolddoor_core.actions import Decision
@@ -19,6 +19,8 @@
     VmId,
 )
 from marigolddoor_core.maintenance import BudgetLedger, Maintenance, Rollout
+from marigolddoor_core.maintenance.budget import PoolLoss
+from marigolddoor_core.maintenance.waves import Candidate, WavePolicy
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.state.commands import (
@@ -55,12 +57,20 @@
 Leader = Callable[[], Sequence[Decision]]
 
 
-def real_leader() -> Sequence[Decision]:
-    """Return the decisions as the control process runs them."""
+class TakesAll:
+    """A wave without the guard of the budget."""
+
+    def choose(self, pool: PoolLoss, candidates: Iterable[Candidate]) -> list[VmId]:
+        """Return every candidate."""
+        return [candidate.vm for candidate in candidates]
+
+
+def real_leader(wave: WavePolicy | None = None) -> Sequence[Decision]:
+    """Return the decisions as the control process runs them, or with another `wave`."""
     ledger = BudgetLedger()
     return [
         Placement(),
-        Maintenance(ledger),
+        Maintenance(ledger, wave),
         Rollout(ledger),
         Capacity(ledger),
         Detection(ledger),
@@ -75,6 +85,7 @@
     problems: list[str] = field(default_factory=list)
     # How often a VM was taken, which is what breaks of a budget are counted over.
     takes: int = 0
+    budget_breaks: int = 0
     submitted: set[TaskId] = field(default_factory=set)
     rotates: bool = False
 
@@ -189,6 +200,7 @@
         needed = declared.floor if declared.spare else declared.size
         lost = len(out | {vm}) + max(0, needed - members)
         if vm not in out and lost > declared.max_unavailable:
+            self.budget_breaks += 1
             self.problems.append(
                 f"{fleet.now_s}: {vm} is taken and {lost} of {record.pool} are out of service"
             )
@@ -384,4 +396,4 @@
     return run_world(names, seed, leader).problems
 
 
-__all__ = ["FAULTS", "World", "real_leader", "run_faults", "run_world"]
+__all__ = ["FAULTS", "TakesAll", "World", "real_leader", "run_faults", "run_world"]
--- a/tests/core/decisions/test_faults.py
+++ b/tests/core/decisions/test_faults.py
@@ -8,16 +8,13 @@
 from marigolddoor_core.actions import Decision
 from marigolddoor_core.capacity import Capacity
 from marigolddoor_core.fleet import Fleet
-from marigolddoor_core.ids import VmId
 from marigolddoor_core.maintenance import BudgetLedger, Maintenance
-from marigolddoor_core.maintenance.budget import PoolLoss
-from marigolddoor_core.maintenance.waves import Candidate
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.placement.runs import Runs
 from marigolddoor_core.state.objects import VmRecord
 from marigolddoor_core.targets import TaskPhase
 
-from bench.faults.worlds import FAULTS, run_faults
+from bench.faults.worlds import FAULTS, TakesAll, run_faults
 
 TRIPLE_SEED = 20_261_204
 TRIPLES = 16
@@ -60,13 +57,6 @@
         self.assertEqual([], run_faults(self.names, self.seed))
 
 
-class TakesAll:
-    """A wave without the guard of the budget."""
-
-    def choose(self, pool: PoolLoss, candidates: list[Candidate]) -> list[VmId]:
-        return [candidate.vm for candidate in candidates]
-
-
 class UndrainedCapacity(Capacity):
     """Moves without the guard that waits for the drain."""
 
--- a/tests/core/state/test_random.py
+++ b/tests/core/state/test_random.py
@@ -13,7 +13,6 @@
 from marigolddoor_core.state.machine import StateMachine
 from marigolddoor_core.state.objects import ObjectKind, TaskState
 from marigolddoor_core.state.results import (
-    ClaimGranted,
     DeclarationAccepted,
     LeaseGranted,
     RevisionConflict,
@@ -21,6 +20,7 @@
 
 from bench.faults import state_checkers as k
 from bench.faults.state import CLAIMS_LIMIT_BYTES, EAST, Step, first_fault, new_machine
+from bench.faults.state_guards import grant_without_claim, keep_epoch
 
 SEEDS = range(12)
 STEPS = 700
@@ -143,17 +143,6 @@
     part.current = lambda vm, epoch: current(vm, part.vms[vm].epoch if vm in part.vms else epoch)
 
 
-def keep_epoch(machine: StateMachine) -> None:
-    part = machine._pools
-    put = part._put
-
-    def keep(vm: Any) -> None:
-        known = part.vms.get(vm.vm)
-        put(vm if known is None else replace(vm, epoch=known.epoch))
-
-    part._put = keep
-
-
 def skip_drain(machine: StateMachine) -> None:
     part = machine._pools
 
@@ -293,17 +282,6 @@
     part._expire = lambda now_s: [part._remove(claim) for claim in list(part.claims.values())]
 
 
-def grant_without_claim(machine: StateMachine) -> None:
-    part = machine._claims
-    claim = part.claim
-
-    def grant(command: Any, now_s: float, index: LogIndex) -> Any:
-        result = claim(command, now_s, index)
-        return ClaimGranted(result.claim) if hasattr(result, "claimant") else result
-
-    part.claim = grant
-
-
 def ignore_memory(machine: StateMachine) -> None:
     machine._claims.limit_bytes = 10**9
 
