--- a/tests/core/decisions/worlds.py
+++ b/bench/faults/worlds.py
@@ -1,7 +1,7 @@
 """A small organisation under faults, with checks after each step."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from marigolddoor_core.actions import Decision
@@ -17,6 +17,8 @@
     VmId,
 )
 from marigolddoor_core.maintenance import BudgetLedger, Maintenance, Rollout
+from marigolddoor_core.maintenance.budget import PoolLoss
+from marigolddoor_core.maintenance.waves import Candidate, WavePolicy
 from marigolddoor_core.placement import Placement
 from marigolddoor_core.questions.detection import Detection
 from marigolddoor_core.state.commands import (
@@ -49,12 +51,20 @@
 Leader = Callable[[], Sequence[Decision]]
 
 
-def real_leader() -> Sequence[Decision]:
-    """Return the decisions as the control process runs them."""
+class TakesAll:
+    """A wave without the guard of the budget."""
+
+    def choose(self, pool: PoolLoss, candidates: Iterable[Candidate]) -> list[VmId]:
+        """Return every candidate."""
+        return [candidate.vm for candidate in candidates]
+
+
+def real_leader(wave: WavePolicy | None = None) -> Sequence[Decision]:
+    """Return the decisions as the control process runs them, or with another `wave`."""
     ledger = BudgetLedger()
     return [
         Placement(),
-        Maintenance(ledger),
+        Maintenance(ledger, wave),
         Rollout(ledger),
         Capacity(ledger),
         Detection(ledger),
@@ -136,7 +146,7 @@
 
     def _serve(self) -> None:
         for service, offered in self.demand.at(self.fleet.now_s).items():
-            slots = sum(8.0 for vm in self.fleet.state.vms.values() if vm.pool == service)
+            slots = sum(8.0 for vm in self.fleet.state.vms.values() if vm.pool == PoolId(service))
             queue = self.queues[service]
             self.fleet.demand[service] = queue.step(self.fleet.now_s, offered, slots)
 
@@ -288,8 +298,8 @@
 }
 
 
-def run_faults(names: Sequence[str], seed: int, leader: Leader = real_leader) -> list[str]:
-    """Run the faults one after the other at drawn times; return what the checks found."""
+def run_world(names: Sequence[str], seed: int, leader: Leader = real_leader) -> World:
+    """Run the faults one after the other at drawn times; return the world at its end."""
     draw = random.Random(f"{seed}:{names}")
     world = World(leader)
     world.run(20)
@@ -301,7 +311,12 @@
         world.run(600)
     world.settle()
     world.check_end()
-    return world.problems
+    return world
+
+
+def run_faults(names: Sequence[str], seed: int, leader: Leader = real_leader) -> list[str]:
+    """Run the faults and return what the checks found."""
+    return run_world(names, seed, leader).problems
 
 
-__all__ = ["FAULTS", "World", "real_leader", "run_faults"]
+__all__ = ["FAULTS", "TakesAll", "World", "real_leader", "run_faults", "run_world"]
--- a/standins/src/marigolddoor_standins/virtual/checks.py
+++ b/standins/src/marigolddoor_standins/virtual/checks.py
@@ -45,10 +45,14 @@
 
 @dataclass
 class Checks:
-    """Watches a fleet; `problems` holds what was found."""
+    """Watches a fleet; `problems` holds what was found.
+
+    `takes` counts the decisions to take a VM out of service, each of which was checked.
+    """
 
     fleet: VirtualFleet
     problems: list[Problem] = field(default_factory=list)
+    takes: int = 0
 
     def __post_init__(self) -> None:
         self.fleet.on_propose = self._check_proposal
@@ -66,6 +70,10 @@
             if task not in self.fleet.state.tasks:
                 self._add(Promise.NOT_LOST, f"{task} is lost")
 
+    def count(self, promise: Promise) -> int:
+        """Return how often `promise` was found broken."""
+        return sum(problem.promise is promise for problem in self.problems)
+
     def check_finishes(self) -> None:
         """Check that each task that counts as finished really completed."""
         for task, record in self.fleet.state.tasks.items():
@@ -76,6 +84,7 @@
         """Check a command that takes a VM, against all that was taken before."""
         vm = _taken_vm(command)
         if vm is not None:
+            self.takes += 1
             self._check_budget(vm, fleet)
 
     def _check_commit(self, command: Command) -> None:
