--- a/packages/core/src/marigolddoor_core/membership/schedule.py
+++ b/packages/core/src/marigolddoor_core/membership/schedule.py
@@ -7,8 +7,8 @@
 # The rate at which a holder stays within the control limits of a node: 1.4% of a core and 29 KB/s.
 MAX_ANNOUNCEMENTS_PER_S = 16
 MIN_INTERVAL_S = 1.0
-# Task leases of 45 s are renewed with announcements, so two have to fit into a lease. A process that
-# takes over the targets of another one exceeds the limit of processor time instead.
+# Task leases of 45 s are renewed with announcements, so two have to fit into a lease. A process
+# that takes over the targets of another one exceeds the limit of processor time instead.
 MAX_INTERVAL_S = 21.0
 # A target that comes this much too early keeps its place, so that one that announces itself all the
 # time takes at most two places a second.
