Use one HTTP listener in the entry process as well

Cause: listening, the shared configuration and the safe cancellation stood twice. Conclusion: a fix for hypercorn's cancellation is needed in one place only.

--- a/packages/entry/src/marigolddoor_entry/process.py
+++ b/packages/entry/src/marigolddoor_entry/process.py
@@ -8,8 +8,6 @@
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 from loguru import logger
 from marigolddoor_core.admission import FloorAdmission, PeerDemands, PoolSlots, divide_slots
 from marigolddoor_core.ids import LogIndex, PoolId, ProcessId, Revision
@@ -19,8 +17,9 @@
 from marigolddoor_core.routing.policies import TargetView
 from marigolddoor_core.state.objects import Change
 from marigolddoor_core.targets import TargetState
+from marigolddoor_wire.http_listener import bound_address, http_config, listen, serve_http
 from marigolddoor_wire.messages import ReportDemand, ServiceDemand, ShareReport
-from marigolddoor_wire.peers import Address, parse_address
+from marigolddoor_wire.peers import Address
 
 from marigolddoor_entry.application import Application, ListenerKind
 from marigolddoor_entry.callers import CallersService
@@ -36,7 +35,6 @@
 REPORT_INTERVAL_S = 1.0
 SUSPECT_INTERVAL_S = 0.25
 KEEP_ALIVE_S = 75.0
-BACKLOG = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +131,8 @@
           OSError: an address can't be used.
         """
         settings = self.settings
-        callers_socket = _listen(settings.callers)
-        targets_socket = _listen(settings.targets) if settings.targets else None
+        callers_socket = listen(settings.callers)
+        targets_socket = listen(settings.targets) if settings.targets else None
         async with anyio.create_task_group() as group:
             callers = self._callers(group)
             kind = ListenerKind.CALLERS if targets_socket else ListenerKind.BOTH
@@ -145,9 +143,11 @@
                 group.start_soon(self._exchange_demand)
                 group.start_soon(self._report_demand)
                 group.start_soon(self._suspect)
-                bound = _address(callers_socket)
+                bound = bound_address(callers_socket)
                 task_status.started(
-                    BoundAddresses(bound, _address(targets_socket) if targets_socket else bound)
+                    BoundAddresses(
+                        bound, bound_address(targets_socket) if targets_socket else bound
+                    )
                 )
                 logger.info("entry: serving callers on {}", bound)
                 await self.stop_requested.wait()
@@ -191,24 +191,11 @@
             clock=self.clock,
             metrics_page=self.ports.metrics_page,
         )
-        config = _hypercorn_config(listener, self.settings.stop_timeout_s)
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._close_when_cancelled, config)
-            # hypercorn fails if it is cancelled while it closes connections.
-            with anyio.CancelScope(shield=True):
-                await serve(
-                    application, config, shutdown_trigger=self.close_listeners.wait, mode="asgi"
-                )
-            group.cancel_scope.cancel()
-
-    async def _close_when_cancelled(self, config: Config) -> None:
-        """Close the listener without waiting for requests if the process is cancelled."""
-        try:
-            await anyio.sleep_forever()
-        finally:
-            if not self.close_listeners.is_set():
-                config.graceful_timeout = 0.0
-                self.close_listeners.set()
+        config = http_config(self.settings.stop_timeout_s, KEEP_ALIVE_S)
+        config.keep_alive_max_requests = 1_000_000
+        # A full queue would block the connection's reader and hide a caller that hangs up.
+        config.max_app_queue_size = 0
+        await serve_http(application, listener, config, self.close_listeners.wait)
 
     def _is_ready(self) -> bool:
         return bool(self.catalogue.services) and not self.stop_requested.is_set()
@@ -271,34 +258,3 @@
             await anyio.sleep(SUSPECT_INTERVAL_S)
             if self.ports.holder.suspect(Instant(self.clock())):
                 self.targets_changed()
-
-
-def _listen(address: Address) -> socket.socket:
-    host, port = parse_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
-    # Accepted connections inherit it: an answer must not wait for the delayed acknowledgement.
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    listener.setblocking(False)
-    return listener
-
-
-def _address(listener: socket.socket) -> Address:
-    host, port = listener.getsockname()[:2]
-    return Address(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
-
-
-def _hypercorn_config(listener: socket.socket, stop_timeout_s: float) -> Config:
-    config = Config()
-    # hypercorn takes over the file descriptor and closes it.
-    config.bind = [f"fd://{listener.detach()}"]
-    config.accesslog = None
-    config.errorlog = None
-    config.backlog = BACKLOG
-    config.graceful_timeout = stop_timeout_s
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.keep_alive_max_requests = 1_000_000
-    # A full queue would block the connection's reader and hide a caller that hangs up.
-    config.max_app_queue_size = 0
-    config.include_server_header = False
-    return config
