--- a/packages/control/src/marigolddoor_control/operators/__init__.py
+++ b/packages/control/src/marigolddoor_control/operators/__init__.py
@@ -2,7 +2,7 @@
 
 from marigolddoor_control.operators.application import OperatorsApplication
 from marigolddoor_control.operators.listener import ListenerTls, serve_operators
-from marigolddoor_control.operators.peer_timelines import PeerTimelines, answer_fetch
+from marigolddoor_control.operators.peer_timelines import PeerTimelines
 from marigolddoor_control.operators.service import OperatorService
 from marigolddoor_control.operators.tokens import TokenFileError, Tokens, parse_tokens
 
@@ -13,7 +13,6 @@
     "PeerTimelines",
     "TokenFileError",
     "Tokens",
-    "answer_fetch",
     "parse_tokens",
     "serve_operators",
 ]
--- a/packages/control/src/marigolddoor_control/operators/peer_timelines.py
+++ b/packages/control/src/marigolddoor_control/operators/peer_timelines.py
@@ -18,7 +18,7 @@
 from marigolddoor_wire.messages import FetchTimeline, FetchTimelineReply
 from marigolddoor_wire.peers import Address
 
-__all__ = ["PeerCaller", "PeerTimelines", "answer_fetch"]
+__all__ = ["PeerCaller", "PeerTimelines"]
 
 # A process that takes longer is listed as missing: one paused process must not hide the others.
 FETCH_TIMEOUT_S = 2.0
@@ -91,13 +91,3 @@
         if reply.time is not None:
             self.recorder.observe(reply.time, self.clock_ms())
         return reply.timeline
-
-
-def answer_fetch(
-    recorder: Recorder, message: FetchTimeline, physical_ms: int
-) -> FetchTimelineReply:
-    """Return the reply of the process that `recorder` belongs to."""
-    if message.time is not None:
-        recorder.observe(message.time, physical_ms)
-    part = recorder.fetch(message.wanted, message.after_sequence, message.limit)
-    return FetchTimelineReply(part, recorder.last)
--- a/packages/control/src/marigolddoor_control/requests.py
+++ b/packages/control/src/marigolddoor_control/requests.py
@@ -22,11 +22,11 @@
     WatchReply,
 )
 from marigolddoor_wire.peers import PeerPool
+from marigolddoor_wire.timeline_fetch import answer_fetch
 
 from marigolddoor_control.agreement import HANDLED_MESSAGES, Agreement
 from marigolddoor_control.leadership import Leadership
 from marigolddoor_control.manager import Manager
-from marigolddoor_control.operators.peer_timelines import answer_fetch
 from marigolddoor_control.watches import WatchService
 
 __all__ = ["ControlRequests"]
--- a/packages/entry/src/marigolddoor_entry/runtime.py
+++ b/packages/entry/src/marigolddoor_entry/runtime.py
@@ -22,7 +22,6 @@
     Acknowledgement,
     ErrorKind,
     FetchTimeline,
-    FetchTimelineReply,
     ReadClaim,
     ReadClaimReply,
     ReportDemand,
@@ -31,6 +30,7 @@
     WatchReply,
 )
 from marigolddoor_wire.peers import Address, PeerPool, PeerServer
+from marigolddoor_wire.timeline_fetch import answer_fetch
 
 from marigolddoor_entry.control_link import ControlLink
 from marigolddoor_entry.data_centre import DataCentre
@@ -99,17 +99,19 @@
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
-        self.key = key
-        self.server_tls = server_tls
-        self.client_tls = client_tls
-        self.rng = rng
         self.clock = time.monotonic
         self.time = AgreedTimeEstimate(self.clock)
         self.recorder = Recorder(settings.entry.process, settings.timeline_capacity)
         self.metrics = Metrics()
-        self.process: EntryProcess | None = None
-        self.data_centre: DataCentre | None = None
-        self.link: ControlLink | None = None
+        self.pool = PeerPool(key, client_tls)
+        self.server = PeerServer(key, self._handle, server_tls)
+        self.link = ControlLink(
+            self.pool, settings.control, settings.entry.process, settings.entry.data_centre
+        )
+        self.data_centre = DataCentre(
+            self.link, self.pool, settings.peers, self._targets_changed, self.clock
+        )
+        self.process = EntryProcess(settings.entry, self._ports(), rng)
         self.address = Address("")
 
     async def run(
@@ -123,58 +125,42 @@
         Raises:
           OSError: an address can't be used.
         """
-        settings = self.settings
-        async with PeerPool(self.key, self.client_tls) as pool, anyio.create_task_group() as group:
-            link = ControlLink(
-                pool, settings.control, settings.entry.process, settings.entry.data_centre
-            )
-            data_centre = DataCentre(link, pool, settings.peers, self._targets_changed, self.clock)
-            self.link = link
-            self.data_centre = data_centre
-            process = EntryProcess(
-                settings.entry,
-                EntryPorts(
-                    link,
-                    data_centre,
-                    data_centre,
-                    self,
-                    self.time.read,
-                    self._report_demand,
-                    data_centre.exchange_demand,
-                    data_centre.report_dispatch,
-                    self.metrics.observe,
-                    self.metrics.page,
-                    self._record_request,
-                ),
-                self.rng,
-            )
-            self.process = process
-            server = PeerServer(self.key, self._handle, self.server_tls)
-            self.address = await group.start(server.run, settings.peer)
-            data_centre.address = self.address
-            group.start_soon(data_centre.run)
-            group.start_soon(link.watch, lambda: process.revision, self._apply)
+        async with self.pool, anyio.create_task_group() as group:
+            self.address = await group.start(self.server.run, self.settings.peer)
+            self.data_centre.address = self.address
+            group.start_soon(self.data_centre.run)
+            group.start_soon(self.link.watch, lambda: self.process.revision, self._apply)
             self._record(EventKind.PROCESS_STARTED, Subject())
-            await self._serve(process, stopping, task_status)
+            await self._serve(stopping, task_status)
             group.cancel_scope.cancel()
 
-    async def _serve(
-        self,
-        process: EntryProcess,
-        stopping: anyio.Event,
-        task_status: TaskStatus[EntryAddresses],
-    ) -> None:
+    def _ports(self) -> EntryPorts:
+        return EntryPorts(
+            self.link,
+            self.data_centre,
+            self.data_centre,
+            self,
+            self.time.read,
+            self._report_demand,
+            self.data_centre.exchange_demand,
+            self.data_centre.report_dispatch,
+            self.metrics.observe,
+            self.metrics.page,
+            self._record_request,
+        )
+
+    async def _serve(self, stopping: anyio.Event, task_status: TaskStatus[EntryAddresses]) -> None:
         async with anyio.create_task_group() as serving:
 
             async def run_process(*, task_status: TaskStatus[BoundAddresses]) -> None:
-                await process.run(task_status=task_status)
+                await self.process.run(task_status=task_status)
                 serving.cancel_scope.cancel()
 
             bound = await serving.start(run_process)
             task_status.started(EntryAddresses(bound.callers, bound.targets, self.address))
             await stopping.wait()
             self._record(EventKind.PROCESS_STOPPING, Subject())
-            process.request_stop()
+            self.process.request_stop()
             await anyio.sleep_forever()
 
     async def read_claim(
@@ -185,7 +171,6 @@
         Raises:
           NoQuorumError: the group can't be read now.
         """
-        assert self.link is not None
         try:
             reply = await self.link.call(ReadClaim(service, key))
         except MarigolddoorError as error:
@@ -194,7 +179,6 @@
         return reply.claim
 
     def _apply(self, reply: WatchReply) -> None:
-        assert self.process is not None and self.data_centre is not None
         before = self.process.revision
         self.process.apply_changes(reply.index, reply.changes, reply.snapshot)
         self.data_centre.members.assignments.services = {
@@ -206,11 +190,9 @@
             self._record(EventKind.REVISION_IN_FORCE, Subject(revision=revision))
 
     def _targets_changed(self) -> None:
-        if self.process is not None:
-            self.process.targets_changed()
+        self.process.targets_changed()
 
     async def _handle(self, message: Any) -> Any:
-        assert self.data_centre is not None and self.process is not None
         reply = await self.data_centre.handle(message)
         if reply is not None:
             return reply
@@ -218,12 +200,10 @@
             self.process.receive_share(message)
             return Acknowledgement()
         if isinstance(message, FetchTimeline):
-            part = self.recorder.fetch(message.wanted, message.after_sequence, message.limit)
-            return FetchTimelineReply(part, self.recorder.last)
+            return answer_fetch(self.recorder, message, _wall_ms())
         raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
 
     async def _report_demand(self, report: ReportDemand) -> None:
-        assert self.link is not None and self.process is not None
         message = replace(report, in_force=self.process.revision, address=self.address)
         try:
             reply = await self.link.call(message)
@@ -241,7 +221,11 @@
             # The text of a refusal is its code; other texts have no bound.
             reason = text if kind is EventKind.REQUEST_REFUSED else ""
             self.metrics.counters.add(counter, Labels(subject.service or "", reason=reason))
-        return self.recorder.record(kind, time.time_ns() // 1_000_000, subject, text, cause)
+        return self.recorder.record(kind, _wall_ms(), subject, text, cause)
 
     def _record(self, kind: EventKind, subject: Subject) -> None:
-        self.recorder.record(kind, time.time_ns() // 1_000_000, subject)
+        self.recorder.record(kind, _wall_ms(), subject)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/tests/control/operators/test_peer_timelines.py
+++ b/tests/control/operators/test_peer_timelines.py
@@ -5,12 +5,13 @@
 
 import anyio
 import testtools
-from marigolddoor_control.operators import PeerTimelines, answer_fetch
+from marigolddoor_control.operators import PeerTimelines
 from marigolddoor_core.ids import ProcessId
 from marigolddoor_core.operations import TimelinePosition
 from marigolddoor_core.timeline import EventKind, HybridTime, Recorder, Subject, TimelineFilter
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError
 from marigolddoor_wire.peers import Address
+from marigolddoor_wire.timeline_fetch import answer_fetch
 
 FIRST, SECOND = Address("127.0.0.1:1"), Address("127.0.0.1:2")
 ALL = TimelineFilter()
