Split the driver of the replica from the requests to the group

Change: ReplicaDriver runs the loop and the files; Agreement answers requests on it. Examples of an answer name a choice that questions offer. Conclusion: a newcomer reads the loop and the requests apart.

--- a/packages/control/src/marigolddoor_control/agreement.py
+++ b/packages/control/src/marigolddoor_control/agreement.py
@@ -1,37 +1,13 @@
-"""Runs a replica of the consensus group over peer links and a data folder.
+"""Requests to the consensus group: commands, linearizable reads and joining."""
 
-Everything happens in one task that waits for messages, proposals or the replica's next deadline.
-Each step handles all that arrived, so that many proposals share one append and one sync.
-"""
-
-import random
-import time
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
-from anyio.abc import TaskGroup, TaskStatus
-from loguru import logger
-from marigolddoor_core.consensus import (
-    ChangeRefusedError,
-    Entry,
-    Member,
-    NotLeaderError,
-    Output,
-    ReadId,
-    Replica,
-    ReplicatedMachine,
-    Timing,
-)
-from marigolddoor_core.consensus.messages import Message
-from marigolddoor_core.consensus.stored import StoredState
-from marigolddoor_core.ids import LogIndex, ReplicaId
-from marigolddoor_core.instants import Instant
+from marigolddoor_core.consensus import ReadId
+from marigolddoor_core.ids import LogIndex
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 from marigolddoor_core.state.commands import Command
 from marigolddoor_core.state.results import Result
-from marigolddoor_storage import ReplicaStore, StorageError
 from marigolddoor_wire.agreement import (
     AskMembership,
     Join,
@@ -40,16 +16,13 @@
     ReadBarrier,
     ReadBarrierReply,
 )
-from marigolddoor_wire.codec import decode, encode
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
 from marigolddoor_wire.messages import Acknowledgement, ErrorKind, Propose, ProposeReply
-from marigolddoor_wire.peers import Address, PeerPool
+from marigolddoor_wire.peers import Address
 
-from marigolddoor_control.agreed_clock import AgreedClock
-from marigolddoor_control.joining import PEER_ERRORS, establish_identity
-from marigolddoor_control.peer_outbox import PeerOutbox
-from marigolddoor_control.proposals import Proposal, Proposals, ProposalState
-from marigolddoor_control.snapshot_parts import join, split
+from marigolddoor_control.joining import PEER_ERRORS
+from marigolddoor_control.proposals import Proposal, ProposalState
+from marigolddoor_control.replica_driver import AgreementSettings, PendingRead, ReplicaDriver
 
 __all__ = ["HANDLED_MESSAGES", "Agreement", "AgreementSettings"]
 
@@ -61,111 +34,14 @@
 RETRY_S = 0.1
 # The leader answers within this share of the time that is left, so that its answer is not missed.
 FORWARDED_TIME_SHARE = 0.9
-# A replica that belongs to no group asks its peers this often.
-JOIN_INTERVAL_S = 0.5
-# A snapshot is synced after each part of this size, because the loop waits for a sync.
-SYNC_BYTES = 1024 * 1024
-# A replica that hears from no leader for this long may have been removed, and asks to join again.
-ABANDONED_AFTER_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class AgreementSettings:
-    """Settings of one replica.
+class Agreement(ReplicaDriver):
+    """Answers requests on the replica of this process, or passes them to the leader.
 
-    `peers` are the addresses of the other control processes. A snapshot is taken when the log
-    since the last one has `snapshot_after_bytes`, or the size of that snapshot if it is larger.
-    Up to `keep_bytes` of older entries stay for peers that are a little behind.
+    It implements `marigolddoor_core.ports.Proposer`.
     """
 
-    name: str
-    address: Address
-    peers: tuple[Address, ...] = ()
-    wanted_voters: int = 3
-    timing: Timing = field(default_factory=Timing)
-    snapshot_after_bytes: int = 64 * 1024
-    keep_bytes: int = 256 * 1024
-
-
-@dataclass(slots=True)
-class _Read:
-    """A linearizable read that waits for its index."""
-
-    done: anyio.Event
-    index: LogIndex | None = None
-
-
-class Agreement:
-    """The replica of this process. It implements `marigolddoor_core.ports.Proposer`."""
-
-    def __init__(
-        self,
-        settings: AgreementSettings,
-        store: ReplicaStore,
-        machine: ReplicatedMachine,
-        pool: PeerPool,
-        rng: random.Random,
-        wall: Callable[[], float] = time.time,
-        clock: Callable[[], float] = anyio.current_time,
-    ) -> None:
-        self.settings = settings
-        self.store = store
-        self.machine = machine
-        self.pool = pool
-        self.rng = rng
-        self.clock = clock
-        self.agreed = AgreedClock(wall)
-        self.replica: Replica | None = None
-        self.replica_id = ReplicaId("")
-        self.failure: StorageError | None = None
-        self.applied_index = LogIndex(0)
-        self.proposals = Proposals()
-        self.reads: dict[ReadId, _Read] = {}
-        self.new_reads: list[ReadId] = []
-        self.inbox: list[tuple[ReplicaId, Message]] = []
-        self.joining: dict[ReplicaId, Member] = {}
-        self.addresses: dict[ReplicaId, Address] = {}
-        self.outboxes: dict[Address, PeerOutbox] = {}
-        self.group: TaskGroup | None = None
-        self.wake = anyio.Event()
-        self.applied = anyio.Event()
-        self.role_changed = anyio.Event()
-        self.known_role: tuple[Any, ...] = ()
-        self.received_state: bytes | None = None
-        self.unsnapshotted_bytes = 0
-        self.joining_scope = anyio.CancelScope()
-        self.is_taking_snapshot = False
-        self.is_stopping = False
-        self.stopped = anyio.Event()
-
-    # What the other parts of the control process see.
-
-    @property
-    def is_leader(self) -> bool:
-        """Return whether this replica leads and nobody else can. Check it before each action."""
-        replica = self.replica
-        return replica is not None and replica.accepts_commands and replica.has_lease(self._now())
-
-    @property
-    def leader(self) -> Address | None:
-        """Return the address of the leader, as far as it is known."""
-        replica = self.replica
-        if replica is None or replica.leader is None:
-            return None
-        member = replica.configuration.member(replica.leader)
-        if member is not None:
-            return Address(member.address)
-        return self.addresses.get(replica.leader)
-
-    def agreed_time(self) -> float:
-        """Return the agreed time in seconds; on a follower, that of the last applied command."""
-        return self.agreed.read() if self.is_leader else self.agreed.last_s
-
-    async def wait_applied(self, index: LogIndex) -> None:
-        """Wait until the state includes the entry at `index`."""
-        while self.applied_index < index:
-            await self.applied.wait()
-
     async def propose(self, command: Command, timeout_s: float = 5.0) -> Result:
         """Return the result of `command` after it is committed and applied here or at the leader.
 
@@ -232,285 +108,6 @@
             return await self._answer_join(message)
         raise RemoteError(ErrorKind.UNKNOWN_MESSAGE, type(message).__name__)
 
-    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Run the replica until `stop`. `task_status` is reported once its folder is open.
-
-        A replica with an empty folder opens it after its peers have answered.
-
-        Raises:
-          StorageError: the data folder can't be opened. A later failure stops the replica, which
-            then neither votes nor acknowledges; it is in `failure`.
-        """
-        settings = self.settings
-        try:
-            with self.joining_scope:
-                identity = await establish_identity(
-                    self.store, settings.name, settings.address, settings.peers, self.pool, self.rng
-                )
-                self.replica_id = identity.replica
-            if self.is_stopping:
-                task_status.started()
-                return
-            self._open()
-            async with anyio.create_task_group() as group:
-                self.group = group
-                self._step()
-                task_status.started()
-                group.start_soon(self._ask_to_join)
-                await self._run_replica()
-                group.cancel_scope.cancel()
-        finally:
-            self.store.close()
-            self.stopped.set()
-
-    async def stop(self, timeout_s: float = 2.0) -> None:
-        """Hand the leadership over, finish what was accepted, and stop."""
-        replica = self.replica
-        with anyio.move_on_after(timeout_s):
-            if replica is not None and replica.is_leader:
-                replica.transfer(self._now())
-                self.wake.set()
-                while replica.is_leader and len(replica.configuration.voters) > 1:
-                    await self.role_changed.wait()
-            while self.proposals.appended:
-                await self.applied.wait()
-        self.is_stopping = True
-        self.joining_scope.cancel()
-        self.wake.set()
-        await self.stopped.wait()
-
-    # The loop.
-
-    def _now(self) -> Instant:
-        return Instant(self.clock())
-
-    def _open(self) -> None:
-        restart = self.store.open()
-        recovered = restart.recovered
-        if recovered.snapshot is not None and restart.state is not None:
-            self._restore(recovered.snapshot.index, restart.state)
-        self.unsnapshotted_bytes = sum(len(entry.command) for entry in recovered.entries)
-        self.replica = Replica(
-            self.replica_id, recovered, self.rng, self._now(), self.settings.timing
-        )
-        logger.info(
-            "agreement: {} starts with {} entries after index {}",
-            self.replica_id,
-            len(recovered.entries),
-            recovered.base_index,
-        )
-
-    async def _run_replica(self) -> None:
-        replica = self._replica()
-        while not self.is_stopping:
-            with anyio.move_on_after(replica.next_deadline() - self.clock()):
-                await self.wake.wait()
-            # Whatever arrived in this turn of the loop joins the same batch.
-            await anyio.lowlevel.checkpoint()
-            self.wake = anyio.Event()
-            self._step()
-
-    def _step(self) -> None:
-        replica = self._replica()
-        inbox, self.inbox = self.inbox, []
-        for sender, message in inbox:
-            replica.receive(sender, message, self._now())
-        replica.tick(self._now())
-        self._drain()
-        self._change_membership()
-        self._append_proposals()
-        reads, self.new_reads = self.new_reads, []
-        for read in reads:
-            replica.read(read, self._now())
-        self._drain()
-        self._snapshot_if_due()
-        self._announce_role()
-
-    def _drain(self) -> None:
-        """Carry out what the replica asks for, until it asks for nothing more."""
-        replica = self._replica()
-        while True:
-            output = replica.take_output()
-            if output.is_empty():
-                return
-            self._send(output)
-            if output.writes and not self._write(output):
-                return
-            if output.restore is not None:
-                assert self.received_state is not None
-                self._restore(output.restore.index, self.received_state)
-                self.received_state = None
-                self.unsnapshotted_bytes = 0
-            self._apply(output.committed)
-            for outcome in output.reads:
-                read = self.reads.pop(outcome.read, None)
-                if read is not None:
-                    read.index = outcome.index
-                    read.done.set()
-
-    def _write(self, output: Output) -> bool:
-        try:
-            state = self.store.perform(write.action for write in output.writes)
-        except StorageError as error:
-            self._fail(error)
-            return False
-        self.received_state = state or self.received_state
-        self._replica().wrote(output.writes[-1].number, self._now())
-        return True
-
-    def _fail(self, error: StorageError) -> None:
-        logger.error("agreement: {} stops voting: {}", self.replica_id, error)
-        self.failure = error
-        self._replica().write_failed()
-        for proposal in self.proposals.take_waiting():
-            proposal.end(ProposalState.REPLACED)
-        self.proposals.skipped(LogIndex(2**63))
-        for read in self.reads.values():
-            read.done.set()
-        self.reads.clear()
-
-    def _send(self, output: Output) -> None:
-        for outgoing in output.messages:
-            self._post(outgoing.recipient, outgoing.message)
-        for chunk in output.chunks:
-            message = chunk.message
-            try:
-                data = self.store.read_chunk(message.snapshot, message.offset, chunk.length)
-            except StorageError as error:
-                logger.error("agreement: a snapshot can't be read: {}", error)
-                continue
-            if data is not None:
-                self._post(chunk.recipient, replace(message, data=data))
-
-    def _post(self, recipient: ReplicaId, message: Message) -> None:
-        member = self._replica().configuration.member(recipient)
-        address = self.addresses.get(recipient) if member is None else Address(member.address)
-        if address is None or self.group is None:
-            return
-        outbox = self.outboxes.get(address)
-        if outbox is None:
-            outbox = self.outboxes[address] = PeerOutbox(self.pool, address)
-            self.group.start_soon(outbox.run)
-        outbox.put(PeerMessage(self.replica_id, recipient, self.settings.address, message))
-
-    def _apply(self, entries: list[Entry]) -> None:
-        for entry in entries:
-            if entry.index <= self.applied_index:
-                continue
-            proposal = self.proposals.committed(entry.index, entry.term)
-            if entry.command:
-                command = decode(entry.command) if proposal is None else proposal.command
-                result = self.machine.apply(entry.index, command)
-                self.agreed.observe(command.time_s)
-                self.unsnapshotted_bytes += len(entry.command)
-                if proposal is not None:
-                    proposal.end(ProposalState.APPLIED, result)
-            self.applied_index = entry.index
-        if entries:
-            self._wake_watchers()
-
-    def _restore(self, index: LogIndex, state: bytes) -> None:
-        stored: StoredState = decode(state)
-        self.machine.restore(join(decode(part) for part in stored.parts))
-        self.agreed.observe(stored.time_s)
-        self.applied_index = index
-        self.proposals.skipped(index)
-        self._wake_watchers()
-
-    def _wake_watchers(self) -> None:
-        self.applied.set()
-        self.applied = anyio.Event()
-
-    def _append_proposals(self) -> None:
-        replica = self._replica()
-        if not replica.accepts_commands:
-            # The callers go to the leader instead.
-            for proposal in self.proposals.take_waiting():
-                proposal.end(ProposalState.REPLACED)
-            return
-        if not replica.has_lease(self._now()):
-            # What is appended without a quorum ends as unknown; what waits is refused as not run.
-            return
-        waiting = self.proposals.take_waiting()
-        if not waiting:
-            return
-        for proposal in waiting:
-            proposal.command = replace(proposal.command, time_s=self.agreed.stamp())
-        first = replica.propose([encode(p.command) for p in waiting], self._now())
-        for position, proposal in enumerate(waiting):
-            self.proposals.append(LogIndex(first + position), replica.term, proposal)
-
-    def _change_membership(self) -> None:
-        replica = self._replica()
-        if not replica.is_leader:
-            self.joining.clear()
-            return
-        joining = tuple(self.joining.values())
-        planned = replica.planned_change(joining, self.settings.wanted_voters, self._now())
-        if planned is None:
-            return
-        try:
-            replica.change(planned, self._now())
-        except (ChangeRefusedError, NotLeaderError) as error:
-            logger.debug("agreement: no change now: {}", error)
-            return
-        self.joining.pop(planned.member.replica, None)
-        logger.info("agreement: {} {}", planned.kind.value, planned.member.replica)
-
-    def _snapshot_if_due(self) -> None:
-        replica = self._replica()
-        snapshot = replica.snapshot
-        size = 0 if snapshot is None else snapshot.size_bytes
-        is_due = self.unsnapshotted_bytes >= max(self.settings.snapshot_after_bytes, size)
-        if is_due and not self.is_taking_snapshot and self.failure is None:
-            assert self.group is not None
-            self.is_taking_snapshot = True
-            self.group.start_soon(self.take_snapshot)
-
-    async def take_snapshot(self) -> None:
-        """Store the state as it is now and compact the log, without holding up the loop."""
-        replica = self._replica()
-        index, time_s = self.applied_index, self.agreed.last_s
-        term, configuration = replica.term_at(index), replica.configuration_at(index)
-        self.is_taking_snapshot = True
-        self.unsnapshotted_bytes = 0
-        try:
-            parts = []
-            for part in split(self.machine.snapshot()):
-                parts.append(encode(part))
-                await anyio.lowlevel.checkpoint()
-            state = encode(StoredState(time_s, tuple(parts)))
-            writer = self.store.begin_snapshot(index, term, configuration, state)
-            for offset in range(0, len(state), SYNC_BYTES):
-                self.store.add_to_snapshot(writer, state[offset : offset + SYNC_BYTES])
-                await anyio.lowlevel.checkpoint()
-            if self.store.finish_snapshot(writer):
-                replica.snapshot_taken(writer.meta, self.settings.keep_bytes)
-                self._drain()
-        except StorageError as error:
-            self._fail(error)
-        finally:
-            self.is_taking_snapshot = False
-
-    def _announce_role(self) -> None:
-        replica = self._replica()
-        role = (replica.role, replica.term, replica.leader, replica.accepts_commands, self.failure)
-        if role != self.known_role:
-            self.known_role = role
-            self.role_changed.set()
-            self.role_changed = anyio.Event()
-            logger.debug("agreement: {} is {} in term {}", self.replica_id, *role[:2])
-
-    def _replica(self) -> Replica:
-        assert self.replica is not None, "run opens the replica first"
-        return self.replica
-
-    # Requests.
-
-    async def _wait_role(self, timeout_s: float) -> None:
-        with anyio.move_on_after(timeout_s):
-            await self.role_changed.wait()
-
     async def _propose_here(self, command: Command, timeout_s: float) -> Result | None:
         """Return the result; None if the command was not accepted or certainly has no effect."""
         if len(self.proposals.waiting) >= MAX_WAITING_PROPOSALS:
@@ -551,7 +148,7 @@
 
     async def _read_here(self, timeout_s: float) -> LogIndex | None:
         number = ReadId(self.rng.getrandbits(63))
-        read = self.reads[number] = _Read(anyio.Event())
+        read = self.reads[number] = PendingRead(anyio.Event())
         self.new_reads.append(number)
         self.wake.set()
         try:
@@ -604,26 +201,6 @@
             await self.pool.post(self.leader, message)
         return Acknowledgement()
 
-    async def _ask_to_join(self) -> None:
-        """Ask the peers to be added, whenever there was no leader for a while."""
-        member = Member(self.replica_id, self.settings.address)
-        while self.settings.peers:
-            if self._is_outside():
-                for peer in self.settings.peers:
-                    await self.pool.post(peer, Join(member))
-                await anyio.sleep(JOIN_INTERVAL_S)
-            else:
-                await self._wait_role(ABANDONED_AFTER_S)
-
-    def _is_outside(self) -> bool:
-        """Return whether the group does not list this replica, or may have removed it."""
-        replica = self._replica()
-        if replica.is_leader:
-            return False
-        if self.clock() - replica.leader_contact > ABANDONED_AFTER_S:
-            return True
-        return replica.leader is None and not replica.is_voter
-
     def _take(self, message: PeerMessage) -> None:
         if message.recipient != self.replica_id or self.replica is None:
             return
--- a/packages/operator/src/marigolddoor_operator/arguments.py
+++ b/packages/operator/src/marigolddoor_operator/arguments.py
@@ -100,7 +100,7 @@
         commands,
         "answer",
         "answer a question with one of its choices",
-        "marigolddoor answer q17 replace",
+        "marigolddoor answer q17 reboot",
     )
     answer.add_argument("question", metavar="QUESTION", help="the id of the question")
     answer.add_argument("choice", metavar="CHOICE", help="the name of a choice")
