Keep the budgets of the capacity bench below its pools

Cause: the state machine refuses a budget that is not below the size of its pool; the bench declared 4 for learnt pools of 2 and ended with an error. Conclusion: a merge has to run the bench as well.

--- a/bench/measure_capacity.py
+++ b/bench/measure_capacity.py
@@ -6,6 +6,7 @@
 from marigolddoor_core.capacity import Capacity, FollowBursts, OwnPeakSizing, SharedBufferSizing
 from marigolddoor_core.capacity.moves import Move, MovePolicy, PoolState
 from marigolddoor_core.capacity.sizing import Sizing
+from marigolddoor_core.declaration import Pool
 from marigolddoor_core.ids import PoolId, ServiceId
 from marigolddoor_core.maintenance import BudgetLedger
 from marigolddoor_core.state.commands import BeginMove
@@ -72,9 +73,7 @@
 
 def start(sizes: Mapping[PoolId, int], sizing: Sizing, policy: MovePolicy | None) -> Run:
     """Return a fleet with pools of these sizes."""
-    declared = organisation(
-        [pool(name, sizes[PoolId(name)], 1, 4, name == SPARE) for name in POOLS]
-    )
+    declared = organisation([_pool(name, sizes[PoolId(name)]) for name in POOLS])
     capacity = Capacity(BudgetLedger(), sizing, policy)
     fleet = VirtualFleet(VirtualState(declared), lambda: [capacity])
     for name in POOLS:
@@ -82,6 +81,11 @@
     return Run(fleet, capacity, {ServiceId(name): FluidQueue() for name in POOLS})
 
 
+def _pool(name: str, size: int) -> Pool:
+    # A budget must be smaller than its pool; a large one lets the baseline move as it likes.
+    return pool(name, size, 1, min(4, size - 1), name == SPARE)
+
+
 def learnt_sizes(sizing: Sizing) -> Mapping[PoolId, int]:
     """Return the sizes that a sizing asks for after it saw the demand without shortage."""
     run = start({PoolId(name): 12 for name in POOLS}, sizing, NoMoves())
