Find the example by its folder, not by a customer's name

Cause: five Python files named a customer in a path. Change: example_organisation lists the folder examples. Result: names of customers in Python files: 5 before, 0 after. Conclusion: none needed.

--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -10,7 +10,7 @@
 
 import anyio
 from marigolddoor_standins.announcer import Announcers
-from marigolddoor_standins.folders import SystemFolder
+from marigolddoor_standins.folders import SystemFolder, example_organisation
 from marigolddoor_standins.operators import Operators
 from marigolddoor_standins.processes import DaemonProcesses
 from marigolddoor_standins.relay import Relay
@@ -19,7 +19,7 @@
 from bench.rows import Goal, GoalKind, Row
 
 ROOT = Path(__file__).resolve().parent.parent
-EXAMPLE = ROOT / "examples" / "tidewater" / "organisation.toml"
+EXAMPLE = example_organisation(ROOT)
 TARGETS = 320
 # The longest interval between announcements is 20 s, so the load is steady after one.
 SETTLE_S = 25.0
--- a/bench/measure_rollout.py
+++ b/bench/measure_rollout.py
@@ -14,14 +14,14 @@
 
 import anyio
 import httpx
-from marigolddoor_standins.folders import SystemFolder
+from marigolddoor_standins.folders import SystemFolder, example_organisation
 from marigolddoor_standins.operators import Operators
 from marigolddoor_standins.processes import DaemonProcesses
 
 from bench.rows import Goal, GoalKind, Row
 
 ROOT = Path(__file__).resolve().parent.parent
-EXAMPLE = ROOT / "examples" / "tidewater" / "organisation.toml"
+EXAMPLE = example_organisation(ROOT)
 REVISIONS = 20
 ENTRIES = 6
 MAX_ROLLOUT_S = 1.0
--- a/standins/src/marigolddoor_standins/folders.py
+++ b/standins/src/marigolddoor_standins/folders.py
@@ -6,13 +6,18 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = ["ProcessFiles", "SystemFolder", "free_ports"]
+__all__ = ["ProcessFiles", "SystemFolder", "example_organisation", "free_ports"]
 
 TOKEN = "operator-token-of-a-local-system"
 OPERATOR = "ann"
 HOST = "127.0.0.1"
 
 
+def example_organisation(root: Path) -> Path:
+    """Return the organisation file of the last example below the project folder `root`."""
+    return sorted((root / "examples").glob("*/organisation.toml"))[-1]
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free just now; they are below the range of outgoing connections.
 
--- a/tests/daemon/test_partitions.py
+++ b/tests/daemon/test_partitions.py
@@ -16,7 +16,7 @@
 from marigolddoor_daemon.roles import run_roles
 from marigolddoor_daemon.settings import load_settings
 from marigolddoor_entry import runtime as entry_runtime
-from marigolddoor_standins.folders import ProcessFiles, SystemFolder
+from marigolddoor_standins.folders import ProcessFiles, SystemFolder, example_organisation
 from marigolddoor_standins.ledger import Ledger
 from marigolddoor_standins.operators import Operators
 from marigolddoor_standins.target import Target, TargetSettings
@@ -24,7 +24,7 @@
 from marigolddoor_wire.peers import Address, PeerPool
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-EXAMPLE = ROOT / "examples" / "tidewater" / "organisation.toml"
+EXAMPLE = example_organisation(ROOT)
 TARGETS = 15
 TEST_TIMEOUT_S = 90.0
 # The data centre of the process that is being started in this context.
--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -9,14 +9,14 @@
 import anyio
 import httpx
 import testtools
-from marigolddoor_standins.folders import ProcessFiles, SystemFolder
+from marigolddoor_standins.folders import ProcessFiles, SystemFolder, example_organisation
 from marigolddoor_standins.ledger import Ledger
 from marigolddoor_standins.operators import Operators
 from marigolddoor_standins.processes import DaemonProcesses
 from marigolddoor_standins.target import Target, TargetSettings
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-EXAMPLE = ROOT / "examples" / "tidewater" / "organisation.toml"
+EXAMPLE = example_organisation(ROOT)
 TARGETS = 15
 # Far above what any step takes on a busy machine; a step that hangs fails here.
 TEST_TIMEOUT_S = 90.0
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -24,13 +24,13 @@
 from marigolddoor_daemon.settings import load_settings
 from marigolddoor_operator.arguments import build_parser
 from marigolddoor_operator.commands import Surroundings, run_command
-from marigolddoor_standins.folders import SystemFolder
+from marigolddoor_standins.folders import SystemFolder, example_organisation
 from marigolddoor_standins.ledger import Ledger
 from marigolddoor_standins.platform import Platform
 from marigolddoor_standins.target import Target, TargetSettings
 
 ROOT = Path(__file__).resolve().parent.parent
-EXAMPLE = ROOT / "examples" / "tidewater"
+EXAMPLE = example_organisation(ROOT).parent
 # A larger budget than the example's makes the wave short enough for a demo.
 BUDGET_VMS = 2
 TARGETS = 30
