Test a restart after 1,000 changes on real processes

Cause: only 5 changes were made before the restart of the real processes. Change: 1,000 declarations over the operators' HTTP, then every replica and an entry process are killed and started again.

--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -21,6 +21,7 @@
 # Far above what any step takes on a busy machine; a step that hangs fails here.
 TEST_TIMEOUT_S = 90.0
 SLOW_WORK_S = 1.5
+CHANGES = 1_000
 
 
 @dataclass
@@ -167,6 +168,21 @@
     case.assertEqual(1, system.ledger.requests["kept"])
 
 
+async def restart_after_many_changes(case: "FaultTest", system: System) -> None:
+    """Replicas and an entry process that restart after 1,000 changes have every one of them."""
+    base = (await system.operators.leader_status())["revision"]
+    for number in range(CHANGES):
+        parameters = {"support_floor": 1 + number % 4}
+        applied = await system.operators.apply(EXAMPLE, base + number, parameters=parameters)
+        case.assertEqual(200, applied.status_code, applied.text)
+    entry = system.folder.entries[0]
+    for files in [*system.folder.controls, entry]:
+        await system.processes.kill(files.name)
+    await system.start([*system.folder.controls, entry])
+    await system.wait_revision(base + CHANGES)
+    case.assertEqual(base + CHANGES, (await system.operators.leader_status())["revision"])
+
+
 async def stop_an_entry_process(case: "FaultTest", system: System) -> None:
     """A planned stop cuts off no request in flight, and the targets go on elsewhere."""
     for target in system.targets:
@@ -250,6 +266,7 @@
     pause_the_leader,
     lose_the_quorum,
     restart_everything,
+    restart_after_many_changes,
     stop_an_entry_process,
     operators_race,
     a_target_leaves,
