Test an entry process that restarts in a cut-off data centre

Cause: serving inside a cut was tested only with processes that stayed up. Change: one case stops and starts the entry process of the cut-off data centre.

--- a/tests/daemon/test_partitions.py
+++ b/tests/daemon/test_partitions.py
@@ -12,6 +12,7 @@
 import anyio
 import httpx
 import testtools
+from anyio.abc import TaskGroup
 from marigolddoor_control import process as control_process
 from marigolddoor_daemon.roles import run_roles
 from marigolddoor_daemon.settings import load_settings
@@ -75,11 +76,15 @@
     """Each side of a cut does what it can, and says the truth about the rest."""
 
     scenarios = [
-        (f"{services} in {name}", {"cut": cut, "service": services, "during": during})
-        for name, cut, services, during in [
-            ("the cut-off data centre", 0, "support", "answered"),
-            ("the cut-off data centre", 0, "orders", "not-run"),
-            ("the other side", 1, "orders", "answered"),
+        (
+            f"{service} in {name}",
+            {"cut": cut, "service": service, "during": during, "restarts": restarts},
+        )
+        for name, cut, service, during, restarts in [
+            ("the cut-off data centre", 0, "support", "answered", False),
+            ("the cut-off data centre after a restart", 0, "support", "answered", True),
+            ("the cut-off data centre", 0, "orders", "not-run", False),
+            ("the other side", 1, "orders", "answered", False),
         ]
     ]
 
@@ -96,7 +101,8 @@
             network.data_centre_of[Address(files.peer)] = files.data_centre
         ledger = Ledger()
         operators = Operators(folder.operators)
-        stopping = anyio.Event()
+        self.stops: dict[str, anyio.Event] = {}
+        self.ends: dict[str, anyio.Event] = {}
         with anyio.fail_after(TEST_TIMEOUT_S):
             async with (
                 httpx.AsyncClient() as client,
@@ -104,18 +110,42 @@
                 anyio.create_task_group() as group,
             ):
                 for files in [*folder.controls, *folder.entries]:
-                    STARTING_IN.set(files.data_centre)
-                    group.start_soon(run_roles, load_settings(files.settings), stopping)
+                    self.start(group, files)
                 await operators.leader_status()
                 (await operators.apply(EXAMPLE, 0)).raise_for_status()
                 for number in range(TARGETS):
                     await targets.start(Target(_settings(folder, number), ledger).run)
                 while (await operators.leader_status())["ready"] < TARGETS:
                     await anyio.sleep(0.1)
-                await self.check(folder, network, ledger, operators, client)
-                stopping.set()
+                await self.check(folder, network, ledger, operators, client, group)
+                for stop in self.stops.values():
+                    stop.set()
                 targets.cancel_scope.cancel()
 
+    def start(self, group: TaskGroup, files: ProcessFiles) -> None:
+        """Start a process in its data centre."""
+        STARTING_IN.set(files.data_centre)
+        stop = self.stops[files.name] = anyio.Event()
+        end = self.ends[files.name] = anyio.Event()
+
+        async def run() -> None:
+            await run_roles(load_settings(files.settings), stop)
+            end.set()
+
+        group.start_soon(run)
+
+    async def restart(self, group: TaskGroup, files: ProcessFiles, client: Any) -> None:
+        """Stop a process and start it again; wait until it listens."""
+        self.stops[files.name].set()
+        await self.ends[files.name].wait()
+        self.start(group, files)
+        while True:
+            try:
+                await client.get(f"http://{files.callers}/healthz")
+                return
+            except httpx.TransportError:
+                await anyio.sleep(0.05)
+
     async def check(
         self,
         folder: SystemFolder,
@@ -123,6 +153,7 @@
         ledger: Ledger,
         operators: Operators,
         client: httpx.AsyncClient,
+        group: TaskGroup,
     ) -> None:
         entry = folder.entries[self.cut]
         before = await self.send(client, entry, "before")
@@ -135,6 +166,8 @@
         inside = next(one for one in folder.entries if one.data_centre == cut_off)
         outside = next(one for one in folder.entries if one.data_centre != cut_off)
         entry = inside if self.cut == 0 else outside
+        if self.restarts:
+            await self.restart(group, entry, client)
         with anyio.fail_after(TEST_TIMEOUT_S):
             while (outcome := await self.send(client, entry, "during")) != self.during:
                 self.assertEqual("not-run", outcome)
