Move bodies and outcomes of claims out of the callers' service

Change: bodies.py reads bodies, claim_outcomes.py turns claims into replies. Conclusion: what is left is one request's way through the process.

--- a/packages/entry/src/marigolddoor_entry/application.py
+++ b/packages/entry/src/marigolddoor_entry/application.py
@@ -13,7 +13,8 @@
 from marigolddoor_core.requests.outcomes import OUTCOMES_PATH
 from marigolddoor_core.requests.refusals import OutcomeUnknownError, RequestError
 
-from marigolddoor_entry.callers import CallersService, read_body
+from marigolddoor_entry.bodies import read_body
+from marigolddoor_entry.callers import CallersService
 from marigolddoor_entry.json_forms import JsonFormError, announcement_from_json, to_json
 from marigolddoor_entry.ports import Holder
 from marigolddoor_entry.replies import Reply, error_reply, json_reply, text_reply
--- a/packages/entry/src/marigolddoor_entry/callers.py
+++ b/packages/entry/src/marigolddoor_entry/callers.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,8 +19,6 @@
 from marigolddoor_core.requests.contract import MAX_BODY_BYTES, CallerRequest, parse_request
 from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.requests.refusals import (
-    BodyTooLargeError,
-    ClaimMemoryFullError,
     ClientDisconnectedError,
     DeadlineExpiredError,
     KeyReusedError,
@@ -34,11 +32,12 @@
 )
 from marigolddoor_core.requests.retries import AttemptEnd, RetryBudget, may_retry
 from marigolddoor_core.routing.policies import RoutingPolicy
-from marigolddoor_core.state.commands import KeptAnswer
 from marigolddoor_core.state.results import ClaimFinished, ClaimPending, Result
 from marigolddoor_core.timeline import EventKind
 
-from marigolddoor_entry.claimant import FAILED_CONTENT_TYPE, Claimant
+from marigolddoor_entry.bodies import Receive, read_body
+from marigolddoor_entry.claim_outcomes import claim_reply, kept_answer_of
+from marigolddoor_entry.claimant import Claimant
 from marigolddoor_entry.demand import DemandMeter
 from marigolddoor_entry.dispatcher import Dispatcher, Forwarded
 from marigolddoor_entry.ports import EntryPorts
@@ -48,11 +47,7 @@
 
 __all__ = ["CallersService"]
 
-Receive = Callable[[], Awaitable[Any]]
 
-# A body that is too large is read and dropped up to this size, so that the caller, who sends before
-# it reads, gets the refusal instead of a broken connection.
-MAX_DROPPED_BYTES = 16 * MAX_BODY_BYTES
 # The bodies of all requests in progress, so that a flood of large ones can't take all memory.
 MAX_BODIES_BYTES = 64 * MAX_BODY_BYTES
 # A claimed request may go on this long after its caller's deadline; its answer is kept.
@@ -204,7 +199,7 @@
         except NoQuorumError:
             error = NoQuorumForClaimError("the claims can't be read", NO_TARGET_RETRY_S)
             return claim_outcome_reply(Outcome.UNKNOWN, 503, {"error": error.code})
-        return _claim_reply(found)
+        return claim_reply(found)
 
     def wake(self, tickets: "list[Ticket] | tuple[Ticket, ...] | Any") -> None:
         """Wake the requests whose tickets have started or were refused."""
@@ -269,7 +264,7 @@
             if step is not ClaimNextStep.WAIT or not exchange.may_have_run:
                 exchange.events.add(EventKind.CLAIM_REFUSED, type(result).__name__)
             if step is not ClaimNextStep.WAIT:
-                return _kept(step, result)
+                return kept_answer_of(step, result)
             exchange.may_have_run = exchange.may_have_run or self._may_run(key, result)
             remaining_s = exchange.request.deadline - self._now()
             if remaining_s <= wait_s:
@@ -457,74 +452,5 @@
             tried |= {dispatch.vm}
 
 
-async def read_body(receive: Receive, timeout_s: float, max_bytes: int = MAX_BODY_BYTES) -> bytes:
-    """Return the whole body of a request.
-
-    Raises:
-      BodyTooLargeError: it is larger than `max_bytes`.
-      ClientDisconnectedError: the connection was closed first.
-      DeadlineExpiredError: it took longer than `timeout_s`.
-    """
-    parts: list[bytes] = []
-    size = 0
-    with anyio.move_on_after(timeout_s):
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise ClientDisconnectedError("the caller closed the connection")
-            part = message.get("body", b"")
-            size += len(part)
-            if size <= max_bytes:
-                parts.append(part)
-            elif size > MAX_DROPPED_BYTES:
-                break
-            if not message.get("more_body", False):
-                break
-        if size > max_bytes:
-            raise BodyTooLargeError(f"the body must be at most {max_bytes} bytes")
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-    raise DeadlineExpiredError("the body did not arrive before the deadline")
-
-
 def _again(ticket: Ticket) -> Ticket:
     return Ticket(ticket.service, ticket.team, ticket.priority, ticket.deadline, ticket.offered)
-
-
-def _kept(step: ClaimNextStep, result: Result) -> TargetAnswer:
-    if step is ClaimNextStep.REFUSE_BODY:
-        raise KeyReusedError("the key belongs to a request with another body")
-    if step is ClaimNextStep.REFUSE_FULL:
-        raise ClaimMemoryFullError("no memory is left for claims", NO_TARGET_RETRY_S)
-    assert isinstance(result, ClaimFinished)
-    kept = result.answer
-    if kept is None:
-        raise OutcomeUnknownError("the outcome of the first request is not known")
-    if kept.content_type == FAILED_CONTENT_TYPE:
-        raise RunFailedError("the first request with this key ran and failed")
-    if kept.body is None:
-        raise OutcomeUnknownError("the answer was too large to be kept; its status is at Location")
-    headers: list[tuple[bytes, bytes]] = []
-    if kept.content_type:
-        headers.append((b"content-type", kept.content_type.encode("latin-1")))
-    return TargetAnswer(kept.status, tuple(headers), kept.body)
-
-
-def _claim_reply(found: ClaimPending | ClaimFinished | None) -> Reply:
-    if found is None:
-        return claim_outcome_reply(Outcome.UNKNOWN, 404, {"claim": "none is kept"})
-    if isinstance(found, ClaimPending):
-        return claim_outcome_reply(Outcome.UNKNOWN, 200, {"claim": "pending"})
-    if found.answer is None:
-        return claim_outcome_reply(Outcome.UNKNOWN, 200, {"claim": "finished"})
-    return _answer_outcome(found.answer)
-
-
-def _answer_outcome(answer: KeptAnswer) -> Reply:
-    if answer.content_type == FAILED_CONTENT_TYPE:
-        return claim_outcome_reply(Outcome.FAILED, 200, {"claim": "finished"})
-    fields: dict[str, str | int] = {
-        "claim": "finished",
-        "status": answer.status,
-        "request_digest": answer.body_digest.hex(),
-    }
-    return claim_outcome_reply(Outcome.ANSWERED, 200, fields)
