Test a leaving target with two entry processes in its data centre

Cause: the test had one entry process a data centre, which holds every target of it, so the push of a leave to the other process was not covered. Change: nine processes; both entry processes serve the target before it leaves.

--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -237,15 +237,26 @@
 
 
 async def a_target_leaves(case: "FaultTest", system: System) -> None:
-    """A leaving target gets no new request on any entry process after 2 s."""
+    """A leaving target gets no new request on any entry process of its data centre after 2 s."""
     leaving = next(t for t in system.targets if t.assignment.pool == "support")
+    entries = [
+        number
+        for number, entry in enumerate(system.folder.entries)
+        if entry.data_centre == leaving.settings.data_centre
+    ]
+    case.assertEqual(2, len(entries))
+    # The process that does not hold the target serves it as well, so it has to be told.
+    for entry in entries:
+        served = leaving.served
+        while leaving.served == served:
+            await system.send(entry, "support", "before")
     leaving.leaving = True
     leaving.changed()
     await anyio.sleep(2.0)
-    served_before = leaving.served
+    served = leaving.served
     for number in range(30):
-        await system.send(number % len(system.folder.entries), "support", f"leave-{number}")
-    case.assertEqual(served_before, leaving.served)
+        await system.send(entries[number % 2], "support", f"leave-{number}", deadline_s=0.5)
+    case.assertEqual(served, leaving.served)
 
 
 async def an_operator_asks_for_a_request(case: "FaultTest", system: System) -> None:
@@ -275,16 +286,19 @@
 
 
 class FaultTest(testtools.TestCase):
-    """Each fault on a running system of six processes."""
+    """Each fault on a running system of six processes, or nine with two entry processes each."""
 
-    scenarios = [(fault.__name__, {"fault": fault}) for fault in FAULTS]
+    scenarios = [
+        (fault.__name__, {"fault": fault, "entries": 2 if fault is a_target_leaves else 1})
+        for fault in FAULTS
+    ]
 
     def test_fault(self) -> None:
         with tempfile.TemporaryDirectory() as name:
             anyio.run(self.run_system, Path(name))
 
     async def run_system(self, path: Path) -> None:
-        folder = SystemFolder(path, data_centres=3, entries=1, log_level="error")
+        folder = SystemFolder(path, data_centres=3, entries=self.entries, log_level="error")
         ledger = Ledger()
         with anyio.fail_after(TEST_TIMEOUT_S):
             async with (
