--- a/bench/measure_placement.py
+++ b/bench/measure_placement.py
@@ -31,6 +31,7 @@
 # Each hop takes one step: an order, a commit, a report and the round that an event calls. The
 # shortest time between two rounds is 50 ms.
 STEP_S = 0.05
+CONTROL_CPU_SHARE = 0.014
 WORKERS = 16
 BATCH = 200
 BATCH_S = 120.0
@@ -158,14 +159,14 @@
     delta_us = (large.quiet_with_delta_s - small.quiet_with_delta_s) / workers * 1e6
     waiting_us = (more.placing_s - large.placing_s) / (4_000 - 250) * 1e6
     region_ms = region_round_s() * 1e3
-    # A round is due every second, so at the size of a region it has to take less.
+    # A node may spend 1.4% of a core on control, and a round is due every second.
     return [
         Row(
             "leader_round_ms_region",
             region_ms,
             "ms of processor time",
             region_ms,
-            Goal(GoalKind.AT_MOST, 1_000.0),
+            Goal(GoalKind.AT_MOST, CONTROL_CPU_SHARE * 1e3),
         ),
         Row(
             "urgent_start_seconds_p99",
@@ -179,7 +180,7 @@
             delta_us,
             "us of processor time",
             quiet_us,
-            Goal(GoalKind.AT_MOST, 1e6 / TARGET_WORKERS),
+            Goal(GoalKind.AT_MOST, CONTROL_CPU_SHARE * 1e6 / TARGET_WORKERS),
         ),
         Row(
             "placement_round_us_per_waiting_task",
