Carry out waves of upkeep, empty draining executors and order work by worth

Change: core.dispatch.upkeep, evacuation and worth_order; a claimed run of an ended job is stopped; a hold whose ends can't be recorded ends quietly.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,36 +1,46 @@
-"""Installs the libraries and the workspace's packages into `target/deps`.
+"""Puts the libraries and the workspace's packages into `target/deps`.
 
-The libraries are installed once for each constraints file; our own packages every time.
+The libraries are installed once for each constraints file; our own packages are copied every time.
 """
 
 import hashlib
+import shutil
 import subprocess
 import sys
 from pathlib import Path
 
 LIBRARIES = ["anyio", "h11", "hypercorn", "httpx", "thrift", "loguru", "hdrhistogram"]
-PACKAGES = ["core", "wire", "storage", "entry", "control"]
-BUILD_TOOLS = ["setuptools", "wheel"]
+SOURCES = [
+    *(f"packages/{name}/src" for name in ("core", "wire", "storage", "entry", "control")),
+    "platform/src",
+]
+TARGET = Path("target/deps")
+STAMP = Path("target/libraries")
 
 
-def install(*arguments: str) -> None:
-    """Run pip for the target folder."""
-    command = [sys.executable, "-m", "pip", "install", "-q", "--target", "target/deps", "-U"]
-    subprocess.run([*command, *arguments], check=True)
-
-
-def main() -> None:
-    """Build everything that the roles need."""
+def install_libraries() -> None:
+    """Install the libraries at the versions of the constraints file."""
     constraints = Path("constraints.txt")
-    stamp = Path("target/libraries")
-    digest = hashlib.sha256(constraints.read_bytes() + repr(LIBRARIES).encode()).hexdigest()
-    if not stamp.exists() or stamp.read_text() != digest:
-        install("-c", str(constraints), *LIBRARIES)
-        stamp.parent.mkdir(exist_ok=True)
-        stamp.write_text(digest)
-    own = [f"./packages/{name}" for name in PACKAGES] + ["./platform"]
-    install("--no-deps", *own)
+    wanted = constraints.read_bytes() + repr(LIBRARIES).encode()
+    digest = hashlib.sha256(wanted).hexdigest()
+    if STAMP.exists() and STAMP.read_text() == digest:
+        return
+    shutil.rmtree(TARGET, ignore_errors=True)
+    command = [sys.executable, "-m", "pip", "install", "-q", "--target", str(TARGET)]
+    subprocess.run([*command, "-c", str(constraints), *LIBRARIES], check=True)
+    STAMP.write_text(digest)
+
+
+def copy_packages() -> None:
+    """Copy our own packages, so that no file of an earlier build stays."""
+    for source in SOURCES:
+        for package in Path(source).iterdir():
+            if (package / "__init__.py").exists():
+                target = TARGET / package.name
+                shutil.rmtree(target, ignore_errors=True)
+                shutil.copytree(package, target, ignore=shutil.ignore_patterns("__pycache__"))
 
 
 if __name__ == "__main__":
-    main()
+    install_libraries()
+    copy_packages()
--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -13,6 +13,8 @@
 from marigolddoor_control.fleet.ports import (
     ExecutorCalls,
     HoldRequest,
+    MachineCalls,
+    MachineOutcome,
     NoAnswerError,
     StartOutcome,
     StartRequest,
@@ -25,6 +27,7 @@
     Order,
     StartOrder,
     StopOrder,
+    UpkeepOrder,
 )
 from marigolddoor_core.ids import FencingToken
 from marigolddoor_core.instants import Instant
@@ -41,6 +44,8 @@
 RETRY_S = 0.15
 # After this many unanswered starts the run is stopped, so that it can be placed elsewhere.
 START_ATTEMPTS = 2
+# The platform bounds its calls to some dozens a second for all processes.
+MACHINE_RETRY_S = 0.5
 # Timers of decisions (due times, leases that are over) are looked at this often.
 TIMER_INTERVAL_S = 0.25
 # A proposal ends when another leader takes over, so this only bounds a group without a quorum.
@@ -73,6 +78,7 @@
         table: JobTable,
         agreement: Agreement,
         calls: ExecutorCalls,
+        machines: MachineCalls,
         lease_timing: LeaseTiming,
         token: FencingToken,
         clock: Callable[[], float],
@@ -80,6 +86,7 @@
         self.table = table
         self.agreement = agreement
         self.calls = calls
+        self.machines = machines
         self.token = token
         self.clock = clock
         self.dispatch = Dispatch(table, lease_timing, self._now())
@@ -190,6 +197,8 @@
             await self._start(order)
         elif isinstance(order, StopOrder):
             await self._stop(order)
+        elif isinstance(order, UpkeepOrder):
+            await self._begin_upkeep(order)
 
     async def _start(self, order: StartOrder) -> None:
         executor = order.executor
@@ -249,6 +258,33 @@
                 return
             await anyio.sleep(RETRY_S)
 
+    async def _begin_upkeep(self, order: UpkeepOrder) -> None:
+        """Hand a machine over; repeat it until the platform says what became of it."""
+        while True:
+            upkeep = self.dispatch.upkeeps.get(order.wave)
+            if upkeep is None:
+                return
+            outcome = None
+            if self.agreement.is_leader:
+                try:
+                    outcome = await self.machines.begin_upkeep(
+                        order.machine, order.wave, self.token
+                    )
+                except NoAnswerError as error:
+                    logger.info("fleet: upkeep of {} unanswered: {}", order.machine, error)
+            if outcome is MachineOutcome.DONE:
+                logger.info("fleet: upkeep of {} in wave {}", order.machine, order.wave)
+                upkeep.handed_over(order.machine, self._now())
+                return
+            if outcome is MachineOutcome.UNKNOWN_MACHINE:
+                logger.warning("fleet: wave {}: no machine {}", order.wave, order.machine)
+                upkeep.gone(order.machine)
+                return
+            if outcome is MachineOutcome.BUSY:
+                logger.info("fleet: upkeep of {}: the platform is busy with it", order.machine)
+                upkeep.busy(order.machine)
+            await anyio.sleep(MACHINE_RETRY_S)
+
     def watch(self, executor: Executor) -> None:
         """Hold an executor that has just reported."""
         assert self.group is not None
@@ -287,7 +323,11 @@
             self.dispatch.held(executor, sent_at, report, self._now())
             last = max((finished.number for finished in report.finished), default=0)
             if last > executor.seen:
-                await self.flush()
+                try:
+                    await self.flush()
+                except (NotRecordedError, RecordingUnknownError):
+                    # The leadership ends; the next leader is told the same ends.
+                    return
                 executor.seen = last
             elif self.dispatch.changes or self.dispatch.orders or self.dispatch.is_planning_due:
                 self.wake.set()
--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -12,7 +12,7 @@
 from loguru import logger
 from marigolddoor_control.agreement import HANDLED_MESSAGES, Agreement, AgreementSettings
 from marigolddoor_control.fleet.leadership import FleetLeadership
-from marigolddoor_control.fleet.ports import ExecutorCalls
+from marigolddoor_control.fleet.ports import ExecutorCalls, MachineCalls
 from marigolddoor_control.fleet.service import FleetService, NotLeadingError
 from marigolddoor_control.process import GROUP_TIMING
 from marigolddoor_core.consensus import Timing
@@ -59,11 +59,13 @@
         key: SharedKey,
         reader: DocumentReader,
         calls: ExecutorCalls,
+        machines: MachineCalls,
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
         self.key = key
         self.calls = calls
+        self.machines = machines
         self.rng = rng if rng is not None else random.Random()
         self.clock = time.monotonic
         self.table = JobTable(reader)
@@ -133,6 +135,7 @@
                 self.table,
                 agreement,
                 self.calls,
+                self.machines,
                 LeaseTiming(self.settings.longest_lease_s),
                 FencingToken(replica.term),
                 self.clock,
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -11,7 +11,7 @@
     RunningTask,
 )
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
-from marigolddoor_core.dispatch.orders import Order, PaceOrder, StartOrder, StopOrder
+from marigolddoor_core.dispatch.orders import Order, PaceOrder, StartOrder, StopOrder, UpkeepOrder
 from marigolddoor_core.dispatch.planner import ArrivalOrder, Placer, StepOrder
 
 __all__ = [
@@ -32,4 +32,5 @@
     "StartOrder",
     "StepOrder",
     "StopOrder",
+    "UpkeepOrder",
 ]
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -7,8 +7,10 @@
 from collections.abc import Iterable
 
 from marigolddoor_core.dispatch.durations import DurationEstimates
+from marigolddoor_core.dispatch.evacuation import doomed_runs, movable_runs
 from marigolddoor_core.dispatch.executors import (
     Executor,
+    ExecutorState,
     FinishedRun,
     Heartbeat,
     HoldReport,
@@ -16,8 +18,10 @@
 )
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
 from marigolddoor_core.dispatch.orders import Order, StartOrder, StopOrder
-from marigolddoor_core.dispatch.planner import ArrivalOrder, Placer, StepOrder
+from marigolddoor_core.dispatch.planner import Placer, StepOrder
 from marigolddoor_core.dispatch.ready import ReadySteps
+from marigolddoor_core.dispatch.upkeep import Upkeep
+from marigolddoor_core.dispatch.worth_order import WorthOrder
 from marigolddoor_core.ids import (
     ExecutorId,
     ExecutorLife,
@@ -25,6 +29,7 @@
     RunNumber,
     ServiceId,
     TaskName,
+    WaveId,
 )
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
@@ -36,6 +41,7 @@
     QueueSettings,
     RunEnd,
     TaskRecord,
+    WaveRecord,
 )
 
 __all__ = ["Dispatch"]
@@ -75,9 +81,10 @@
         self.lease_timing = lease_timing
         self.now = now
         self.began_at = now
-        self.order: StepOrder = order or ArrivalOrder()
-        self.placer = Placer()
         self.durations = DurationEstimates()
+        self.worth = WorthOrder(self.queue_of, self.durations)
+        self.order: StepOrder = order or self.worth
+        self.placer = Placer()
         self.executors: dict[ExecutorLife, Executor] = {}
         self.current: dict[ExecutorId, Executor] = {}
         self.by_address: dict[str, Executor] = {}
@@ -86,6 +93,7 @@
         # Runs on executors that have not reported to this leader yet.
         self.unclaimed: dict[ExecutorLife, dict[TaskName, TaskRecord]] = {}
         self.ready = ReadySteps(self.service_of)
+        self.upkeeps: dict[WaveId, Upkeep] = {}
         self.changes: list[JobChange] = []
         self.orders: list[Order] = []
         self.is_planning_due = True
@@ -98,6 +106,9 @@
                 self.unclaimed.setdefault(task.life, {})[task.name] = task
             if job.phase is JobPhase.ACTIVE:
                 self.ready.add_job(job, self.table.time_s)
+        for wave in self.table.waves.values():
+            if not wave.is_finished:
+                self.wave_opened(wave)
 
     # What the configuration says.
 
@@ -156,6 +167,8 @@
             # The former leader's order is not carried out after the first call of this one, so the
             # first answer tells whether the run is there.
             executor.take(task, now).confirmed_at = now
+            if task.step.job.phase is not JobPhase.ACTIVE:
+                self._order_stop(executor, task)
         self._end_former_lives(heartbeat)
         return executor
 
@@ -286,11 +299,42 @@
         self.now = now
         self.ready.add_due(time_s)
         changes, self.changes = self.changes, []
+        changes += self._plan_upkeep(now)
+        self._empty_draining(now)
         if not changes or self.is_planning_due:
             # Ends free room only once they are recorded, so placements follow in the next batch.
             changes += self._plan(now, time_s)
         return changes
 
+    def _plan_upkeep(self, now: Instant) -> list[JobChange]:
+        changes: list[JobChange] = []
+        for wave, upkeep in list(self.upkeeps.items()):
+            planned, leaving = upkeep.plan(self.by_machine, self.executors.values(), now)
+            changes += planned
+            for executor in leaving:
+                for placed in movable_runs(executor, self.executors, now):
+                    self._order_stop(executor, placed.task)
+            for machine, executor in self.by_machine.items():
+                if machine in upkeep.machines:
+                    executor.is_cordoned = upkeep.is_emptying(machine)
+            if upkeep.wave.is_finished:
+                del self.upkeeps[wave]
+        return changes
+
+    def _empty_draining(self, now: Instant) -> None:
+        for executor in self.executors.values():
+            if executor.heartbeat.state is not ExecutorState.DRAINING or not executor.runs:
+                continue
+            expected_s = {
+                name: self.durations.expected_s(
+                    placed.task.step.job.queue, placed.task.step.spec.estimated_s
+                )
+                for name, placed in executor.runs.items()
+            }
+            doomed = doomed_runs(executor, expected_s, now)
+            for placed in doomed + movable_runs(executor, self.executors, now):
+                self._order_stop(executor, placed.task)
+
     def _plan(self, now: Instant, time_s: float) -> list[JobChange]:
         self.is_planning_due = False
         placements: list[JobChange] = []
@@ -306,6 +350,7 @@
     def job_accepted(self, job: JobRecord) -> None:
         """Index the steps of a new job."""
         self.ready.add_job(job, self.table.time_s)
+        self.worth.learn(job)
         self.is_planning_due = True
 
     def run_placed(self, task: TaskRecord) -> None:
@@ -346,6 +391,16 @@
             placed.is_stopping = True
             self.orders.append(StopOrder(executor, task.name, task.run))
 
+    def wave_opened(self, wave: WaveRecord) -> None:
+        """Begin a wave, or go on with one that an earlier leader began."""
+        upkeep = self.upkeeps[wave.wave] = Upkeep(wave, self.now)
+        for machine in wave.begun:
+            self.orders.append(upkeep.begun(machine, self.now))
+
+    def upkeep_begun(self, wave: WaveRecord, machine: MachineId) -> None:
+        """Order the upkeep that was recorded."""
+        self.orders.append(self.upkeeps[wave.wave].begun(machine, self.now))
+
     def configuration_changed(self) -> None:
         """Serve the queues as the new configuration says."""
         self.ready.regroup()
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -150,6 +150,12 @@
         """Return which life this is."""
         return self.heartbeat.life
 
+    @property
+    def load(self) -> float:
+        """Return the share of the cores that is taken."""
+        capacity = self.heartbeat.capacity.cpu_milli
+        return 1.0 - self.free_cpu / capacity if capacity else 1.0
+
     def accepts_work(self, now: Instant) -> bool:
         """Return whether new tasks may be placed here."""
         return (
--- a/packages/core/src/marigolddoor_core/dispatch/orders.py
+++ b/packages/core/src/marigolddoor_core/dispatch/orders.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from marigolddoor_core.dispatch.executors import Executor
-from marigolddoor_core.ids import RunNumber, TaskName
+from marigolddoor_core.ids import MachineId, RunNumber, TaskName, WaveId
 
-__all__ = ["Order", "PaceOrder", "StartOrder", "StopOrder"]
+__all__ = ["Order", "PaceOrder", "StartOrder", "StopOrder", "UpkeepOrder"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,4 +38,12 @@
     percent: int
 
 
-Order = StartOrder | StopOrder | PaceOrder
+@dataclass(frozen=True, slots=True)
+class UpkeepOrder:
+    """Hand a machine to the platform for its upkeep; what was handed over stays so."""
+
+    wave: WaveId
+    machine: MachineId
+
+
+Order = StartOrder | StopOrder | PaceOrder | UpkeepOrder
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -8,7 +8,7 @@
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import PlaceRun, StepRecord, TaskPhase, TaskRecord
 
-__all__ = ["ArrivalOrder", "Placer", "StepOrder"]
+__all__ = ["ArrivalOrder", "Placer", "StepOrder", "has_destination"]
 
 
 class StepOrder(Protocol):
@@ -69,6 +69,18 @@
     return not label or label in executor.heartbeat.labels
 
 
+def has_destination(step: StepRecord, executors: Sequence[Executor], now: Instant) -> bool:
+    """Return whether one of the executors could take one more task of a step now."""
+    limit = step.spec.spread_limit
+    return any(
+        executor.accepts_work(now)
+        and is_suitable(executor, step)
+        and executor.has_room(step)
+        and not (limit and executor.count_of(step) >= limit)
+        for executor in executors
+    )
+
+
 def _choose(task: TaskRecord, executors: Sequence[Executor]) -> Executor | None:
     step = task.step
     limit = step.spec.spread_limit
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Protocol
 
-from marigolddoor_core.ids import JobId, LogIndex, RunNumber, WaveId
+from marigolddoor_core.ids import JobId, LogIndex, MachineId, RunNumber, WaveId
 from marigolddoor_core.jobs.changes import (
     AcceptJob,
     BeginUpkeep,
@@ -69,6 +69,14 @@
         """A job was completed or cancelled, or it failed."""
         ...
 
+    def wave_opened(self, wave: WaveRecord) -> None:
+        """A wave of upkeep was opened."""
+        ...
+
+    def upkeep_begun(self, wave: WaveRecord, machine: MachineId) -> None:
+        """The upkeep of a machine was recorded; the platform is to be told."""
+        ...
+
     def configuration_changed(self) -> None:
         """Another configuration is in force."""
         ...
@@ -124,14 +132,13 @@
         elif isinstance(change, StoreConfiguration):
             self._store_configuration(change)
         elif isinstance(change, OpenWave):
-            if change.wave not in self.waves:
-                self.waves[change.wave] = WaveRecord(
-                    change.wave, change.machines, self.time_s, change.duration_s, change.max_count
-                )
+            self._open_wave(change)
         elif isinstance(change, BeginUpkeep):
             wave = self.waves.get(change.wave)
             if wave is not None:
                 wave.begun[change.machine] = None
+                if self.observer is not None:
+                    self.observer.upkeep_begun(wave, change.machine)
         elif isinstance(change, FinishWave):
             wave = self.waves.get(change.wave)
             if wave is not None:
@@ -226,6 +233,15 @@
         if self.observer is not None:
             self.observer.configuration_changed()
 
+    def _open_wave(self, change: OpenWave) -> None:
+        if change.wave in self.waves:
+            return
+        wave = self.waves[change.wave] = WaveRecord(
+            change.wave, change.machines, self.time_s, change.duration_s, change.max_count
+        )
+        if self.observer is not None:
+            self.observer.wave_opened(wave)
+
     def _remove_old(self) -> None:
         while self.ended:
             job, ended_s = next(iter(self.ended.items()))
--- /dev/null
+++ b/tests/core/dispatch/fakes.py
@@ -0,0 +1,117 @@
+"""A dispatch over a table, with executors that answer as a test says."""
+
+from marigolddoor_core.dispatch import (
+    Dispatch,
+    Executor,
+    ExecutorState,
+    FinishedRun,
+    Heartbeat,
+    HoldReport,
+    LeaseTiming,
+    RunningTask,
+)
+from marigolddoor_core.ids import (
+    DataCentreId,
+    ExecutorId,
+    MachineId,
+    RackId,
+    RunNumber,
+    ServiceId,
+    TaskName,
+)
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.jobs import JobChange, TaskSize
+
+from tests.core.jobs.fakes import SERVICE, Log
+
+LEASE_S = 6.0
+
+
+def heartbeat(
+    number: int = 1,
+    born_ms: int = 100,
+    sequence: int = 1,
+    state: ExecutorState = ExecutorState.READY,
+    service: ServiceId = SERVICE,
+    address: str = "",
+    cpu: int = 4000,
+    rack: str = "r1",
+    machine: str = "",
+    remaining_s: float = 0.0,
+    labels: tuple[str, ...] = ("a",),
+) -> Heartbeat:
+    return Heartbeat(
+        ExecutorId(f"i-{number}"),
+        born_ms,
+        sequence,
+        service,
+        address or f"10.0.0.{number}:80",
+        DataCentreId("east"),
+        MachineId(machine or f"m-{number}"),
+        state,
+        TaskSize(cpu, 8000),
+        labels,
+        RackId(rack),
+        5000,
+        remaining_s,
+    )
+
+
+def running(task: str, run: int = 1, percent: int = 50, load: float | None = None) -> RunningTask:
+    return RunningTask(TaskName(task), RunNumber(run), "", percent, load)
+
+
+def finished(number: int, task: str, outcome: str = "done", run: int = 1) -> FinishedRun:
+    return FinishedRun(number, TaskName(task), RunNumber(run), outcome, "")
+
+
+class Fleet:
+    """One leadership. Time is in seconds and moves by `at`."""
+
+    def __init__(self, log: Log | None = None) -> None:
+        self.log = log or Log()
+        self.now = Instant(100.0)
+        self.dispatch = Dispatch(self.log.table, LeaseTiming(LEASE_S), self.now)
+        self.log.table.observer = self.dispatch
+
+    def at(self, seconds: float) -> "Fleet":
+        """Move to `seconds` after the beginning."""
+        self.now = Instant(100.0 + seconds)
+        return self
+
+    def executor(self, number: int = 1, **fields: object) -> Executor:
+        """Let an executor report and answer its first hold."""
+        executor = self.dispatch.heard(heartbeat(number, **fields), self.now)  # type: ignore[arg-type]
+        assert executor is not None
+        self.hold(executor)
+        return executor
+
+    def hold(
+        self,
+        executor: Executor,
+        *running_tasks: RunningTask,
+        ends: tuple[FinishedRun, ...] = (),
+        sent_s_ago: float = 0.0,
+    ) -> None:
+        """Let an executor list what runs and what ended."""
+        clock_ms = int(5000 + (self.now - 100.0) * 1000)
+        report = HoldReport(clock_ms, running_tasks, ends)
+        self.dispatch.held(executor, Instant(self.now - sent_s_ago), report, self.now)
+
+    def step(self, *changes: JobChange) -> list[JobChange]:
+        """Record changes and what the dispatch decides, until it decides nothing more."""
+        if changes:
+            self.log.apply(*changes)
+        recorded: list[JobChange] = list(changes)
+        for _ in range(10):
+            decided = self.dispatch.take_changes(self.now, self.log.table.time_s)
+            if not decided:
+                break
+            self.log.apply(*decided)
+            recorded += decided
+        return recorded
+
+    def take_orders(self) -> list[object]:
+        """Return the orders to send, and forget them."""
+        orders, self.dispatch.orders = self.dispatch.orders, []
+        return list(orders)
--- /dev/null
+++ b/tests/core/dispatch/test_dispatch.py
@@ -0,0 +1,220 @@
+"""Guards against runs that are lost too early, twice at a time or never."""
+
+import testtools
+from marigolddoor_core.dispatch import Executor, ExecutorState, StartOrder, StopOrder
+from marigolddoor_core.ids import ExecutorLife, JobId
+from marigolddoor_core.jobs import CancelJob, EndRun, JobPhase, PlaceRun, RunEnd
+
+from tests.core.dispatch.fakes import Fleet, finished, heartbeat, running
+from tests.core.jobs.fakes import Log, accept, end, place
+
+ONE = {"count": 1}
+
+
+def lost(changes: list[object]) -> list[str]:
+    return [
+        change.task
+        for change in changes
+        if isinstance(change, EndRun) and change.end is RunEnd.LOST
+    ]
+
+
+class StartedRun(testtools.TestCase):
+    """A fleet with one executor on which one task was started."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet()
+        self.executor: Executor = self.fleet.executor()
+        self.fleet.step(accept("j", ONE))
+        orders = self.fleet.take_orders()
+        assert len(orders) == 1 and isinstance(orders[0], StartOrder)
+        self.start = orders[0]
+
+
+class MissingRunTest(StartedRun):
+    """A run that an executor does not list is lost only if the list is later than the run."""
+
+    scenarios = [
+        ("not confirmed yet", {"confirmed_s": None, "sent_s": 1.0, "is_lost": False}),
+        ("list asked for before", {"confirmed_s": 1.0, "sent_s": 0.5, "is_lost": False}),
+        ("list asked for afterwards", {"confirmed_s": 1.0, "sent_s": 1.5, "is_lost": True}),
+    ]
+
+    def test_missing(self) -> None:
+        if self.confirmed_s is not None:
+            self.fleet.dispatch.started(self.start, self.fleet.at(self.confirmed_s).now)
+        self.fleet.at(2.0).hold(self.executor, sent_s_ago=2.0 - self.sent_s)
+        changes = self.fleet.dispatch.changes
+        self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(changes))
+
+
+class EndedLifeTest(StartedRun):
+    """The end of an executor's life ends its runs; what only looks like it does not."""
+
+    scenarios = [
+        ("a later life", {"fields": {"born_ms": 200}, "is_lost": True}),
+        ("a late heartbeat of an earlier life", {"fields": {"born_ms": 50}, "is_lost": False}),
+        ("the next heartbeat", {"fields": {"sequence": 2}, "is_lost": False}),
+        (
+            "another executor at its address",
+            {"fields": {"number": 2, "born_ms": 200, "address": "10.0.0.1:80"}, "is_lost": True},
+        ),
+        (
+            "a late heartbeat from its address",
+            {"fields": {"number": 2, "born_ms": 50, "address": "10.0.0.1:80"}, "is_lost": False},
+        ),
+        (
+            "another executor of its machine",
+            {"fields": {"number": 2, "born_ms": 200, "machine": "m-1"}, "is_lost": True},
+        ),
+    ]
+
+    def test_heartbeat(self) -> None:
+        self.fleet.at(1.0).dispatch.heard(heartbeat(**self.fields), self.fleet.now)
+        self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(self.fleet.dispatch.changes))
+
+
+class SilentExecutorTest(StartedRun):
+    """Runs of an executor that answers nothing end with the last lease, not before."""
+
+    scenarios = [
+        ("during the lease", {"after_s": 6.0, "is_lost": False}),
+        ("after the lease on the slowest clock", {"after_s": 6.5, "is_lost": True}),
+    ]
+
+    def test_silence(self) -> None:
+        self.executor.lease.extend(self.fleet.now)
+        self.fleet.dispatch.expire(self.fleet.at(self.after_s).now)
+        self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(self.fleet.dispatch.changes))
+
+
+class TakeOverTest(testtools.TestCase):
+    """A new leader finds the runs of the former one, and repeats none that may still run."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = Log()
+        self.log.apply(accept("j", ONE), place("j.0.0.0", life="i-1/100"))
+        self.fleet = Fleet(self.log)
+
+    def test_run_goes_on(self) -> None:
+        executor = self.fleet.dispatch.heard(heartbeat(), self.fleet.now)
+        assert executor is not None
+        self.fleet.at(0.1).hold(executor, running("j.0.0.0"))
+        self.assertEqual([], self.fleet.step())
+        self.assertEqual({"j.0.0.0"}, set(executor.runs))
+
+    def test_end_is_recorded(self) -> None:
+        executor = self.fleet.dispatch.heard(heartbeat(), self.fleet.now)
+        assert executor is not None
+        self.fleet.at(0.1).hold(executor, ends=(finished(1, "j.0.0.0"),))
+        self.fleet.step()
+        self.assertIs(JobPhase.COMPLETED, self.log.table.jobs[JobId("j")].phase)
+
+    def test_start_that_never_arrived(self) -> None:
+        executor = self.fleet.dispatch.heard(heartbeat(), self.fleet.now)
+        assert executor is not None
+        self.fleet.at(0.1).hold(executor)
+        changes = self.fleet.step()
+        self.assertEqual(["j.0.0.0"], lost(changes))
+        self.assertEqual([2], [change.run for change in changes if isinstance(change, PlaceRun)])
+
+    def test_unknown_executor(self) -> None:
+        """Nobody else may run the task while its executor may hold a lease of the old leader."""
+        self.fleet.executor(2)
+        self.fleet.dispatch.expire(self.fleet.at(6.0).now)
+        self.assertEqual([], self.fleet.step())
+        self.fleet.dispatch.expire(self.fleet.at(6.5).now)
+        self.assertEqual(["j.0.0.0"], lost(self.fleet.step()))
+
+
+class CancelledBeforeTakeOverTest(testtools.TestCase):
+    """A run of a job that was cancelled under an earlier leader is stopped by the next one.
+
+    Found on the standard day scale-1 of bw-ring: all control processes were killed right after the
+    cancel was acknowledged, and the run went on.
+    """
+
+    def test_stop(self) -> None:
+        log = Log()
+        log.apply(accept("j", ONE), place("j.0.0.0"), CancelJob(JobId("j")))
+        fleet = Fleet(log)
+        executor = fleet.dispatch.heard(heartbeat(), fleet.now)
+        assert executor is not None
+        fleet.at(0.1).hold(executor, running("j.0.0.0"))
+        orders = fleet.take_orders()
+        self.assertEqual(["j.0.0.0"], [getattr(order, "task", None) for order in orders])
+        self.assertTrue(all(isinstance(order, StopOrder) for order in orders))
+
+
+class StopTest(StartedRun):
+    """What belongs to no active job is stopped, once."""
+
+    def test_cancelled_job(self) -> None:
+        self.fleet.step(CancelJob(JobId("j")))
+        self.fleet.step(CancelJob(JobId("j")))
+        self.assertEqual(
+            [StopOrder(self.executor, self.start.task, self.start.run)], self.fleet.take_orders()
+        )
+
+    def test_unknown_run(self) -> None:
+        self.fleet.hold(self.executor, running("j.0.0.0"), running("other.0.0.0", 4))
+        orders = self.fleet.take_orders()
+        self.assertEqual(["other.0.0.0"], [order.task for order in orders])
+
+    def test_no_start_of_a_cancelled_job(self) -> None:
+        self.fleet.step(CancelJob(JobId("j")), end("j.0.0.0", RunEnd.STOPPED))
+        self.fleet.take_orders()
+        self.assertEqual([], self.fleet.step())
+
+
+class BadExecutorTest(testtools.TestCase):
+    """An executor on which tasks of several jobs fail gets no more work for a while."""
+
+    scenarios = [
+        ("one job fails", {"jobs": ["a", "a"], "accepts": True}),
+        ("two jobs fail", {"jobs": ["a", "b"], "accepts": False}),
+    ]
+
+    def test_failures(self) -> None:
+        fleet = Fleet()
+        executor = fleet.executor()
+        fleet.step(accept("a", {"count": 2}), accept("b", {"count": 2}))
+        ends = tuple(
+            finished(number, f"{job}.0.0.{number - 1}", "failed")
+            for number, job in enumerate(self.jobs, 1)
+        )
+        fleet.hold(executor, ends=ends)
+        self.assertEqual(self.accepts, executor.accepts_work(fleet.now))
+
+
+class DrainingTest(StartedRun):
+    """What can't end before a draining executor does is placed elsewhere in time."""
+
+    scenarios = [
+        ("ends in time", {"estimated_s": 1.0, "is_stopped": False}),
+        ("would be cut off", {"estimated_s": 9.0, "is_stopped": True}),
+    ]
+
+    def test_draining(self) -> None:
+        fleet = Fleet()
+        executor = fleet.executor()
+        fleet.step(accept("j", {"count": 1, "estimated_s": self.estimated_s}))
+        fleet.take_orders()
+        draining = heartbeat(sequence=2, state=ExecutorState.DRAINING, remaining_s=2.0)
+        fleet.at(0.1).dispatch.heard(draining, fleet.now)
+        fleet.step()
+        self.assertEqual(self.is_stopped, bool(fleet.take_orders()))
+        self.assertFalse(executor.accepts_work(fleet.now))
+
+
+class GoneBeforeStartTest(testtools.TestCase):
+    """A placement on an executor that ended meanwhile is lost, not started."""
+
+    def test_placement(self) -> None:
+        fleet = Fleet()
+        fleet.step(accept("j", ONE))
+        fleet.log.apply(place("j.0.0.0", life=ExecutorLife("i-9/1")))
+        self.assertEqual(["j.0.0.0"], lost(fleet.dispatch.changes))
+        self.assertEqual([], fleet.take_orders())
--- /dev/null
+++ b/tests/core/dispatch/test_upkeep.py
@@ -0,0 +1,109 @@
+"""Guards against upkeep that ends work, exceeds its count or is reported too early."""
+
+import testtools
+from marigolddoor_core.dispatch import StopOrder, UpkeepOrder
+from marigolddoor_core.ids import MachineId, WaveId
+from marigolddoor_core.jobs import BeginUpkeep, FinishWave, OpenWave
+
+from tests.core.dispatch.fakes import Fleet, running
+from tests.core.jobs.fakes import Log, accept
+
+WAVE = WaveId(1)
+
+
+def wave(*machines: str, max_count: int = 2) -> OpenWave:
+    return OpenWave(WAVE, tuple(MachineId(machine) for machine in machines), 20.0, max_count)
+
+
+def begun(changes: list[object]) -> list[str]:
+    return [change.machine for change in changes if isinstance(change, BeginUpkeep)]
+
+
+class CountTest(testtools.TestCase):
+    """Never more machines than the wave allows are in upkeep, nor a third of a service's."""
+
+    scenarios = [
+        ("one at a time", {"executors": 9, "max_count": 1, "at_once": 1}),
+        ("two at a time", {"executors": 9, "max_count": 2, "at_once": 2}),
+        ("a third of the service", {"executors": 6, "max_count": 6, "at_once": 2}),
+        ("a service of one", {"executors": 1, "max_count": 6, "at_once": 1}),
+    ]
+
+    def test_count(self) -> None:
+        fleet = Fleet()
+        for number in range(1, self.executors + 1):
+            fleet.executor(number)
+        machines = [f"m-{number}" for number in range(1, self.executors + 1)]
+        changes = fleet.step(wave(*machines, max_count=self.max_count))
+        self.assertEqual(self.at_once, len(begun(changes)))
+        orders = fleet.take_orders()
+        self.assertEqual(self.at_once, len(orders))
+        self.assertTrue(all(isinstance(order, UpkeepOrder) for order in orders))
+
+
+class CourseTest(testtools.TestCase):
+    """A wave is finished when every machine was handed over and has answered again."""
+
+    def test_course(self) -> None:
+        fleet = Fleet()
+        executor = fleet.executor()
+        fleet.step(wave("m-1"))
+        upkeep = fleet.dispatch.upkeeps[WAVE]
+        self.assertFalse(executor.accepts_work(fleet.now))
+        upkeep.handed_over(MachineId("m-1"), fleet.at(1.0).now)
+        self.assertEqual([], fleet.step())
+        fleet.at(3.0).executor(1, born_ms=200)
+        self.assertEqual([FinishWave(WAVE)], fleet.step())
+        self.assertTrue(fleet.log.table.waves[WAVE].is_finished)
+
+    def test_busy_machine_stays(self) -> None:
+        """The platform's refusal must not count as an upkeep."""
+        fleet = Fleet()
+        executor = fleet.executor()
+        fleet.step(wave("m-1"))
+        fleet.dispatch.upkeeps[WAVE].busy(MachineId("m-1"))
+        fleet.at(2.0).hold(executor)
+        self.assertEqual([], fleet.step())
+
+    def test_missing_machine(self) -> None:
+        fleet = Fleet()
+        fleet.step(wave("m-7"))
+        self.assertEqual([], begun(fleet.at(4.5).step()))
+        self.assertEqual(["m-7"], begun(fleet.at(9.0).step()))
+        fleet.dispatch.upkeeps[WAVE].gone(MachineId("m-7"))
+        self.assertEqual([FinishWave(WAVE)], fleet.step())
+
+
+class TakeOverTest(testtools.TestCase):
+    """A new leader repeats what was recorded, since the call may not have been made."""
+
+    def test_repeat(self) -> None:
+        log = Log()
+        log.apply(wave("m-1", "m-2"), BeginUpkeep(WAVE, MachineId("m-2")))
+        fleet = Fleet(log)
+        self.assertEqual([UpkeepOrder(WAVE, MachineId("m-2"))], fleet.take_orders())
+
+
+class LongRunningTest(testtools.TestCase):
+    """A serving task moves only while the others of its step serve, and only to somewhere."""
+
+    scenarios = [
+        ("others at work", {"percents": [100, 100], "executors": 3, "moves": True}),
+        ("another one starts", {"percents": [100, 40], "executors": 3, "moves": False}),
+        ("nowhere to go", {"percents": [100, 100], "executors": 2, "moves": False}),
+    ]
+
+    def test_move(self) -> None:
+        fleet = Fleet()
+        executors = [fleet.executor(number) for number in range(1, self.executors + 1)]
+        step = {"count": 2, "is_long_running": True, "spread_limit": 1, "allowed_misses": 1}
+        fleet.step(accept("j", step))
+        fleet.take_orders()
+        holders = [executor for executor in executors if executor.runs]
+        for executor, percent in zip(holders, self.percents, strict=True):
+            name = next(iter(executor.runs))
+            fleet.hold(executor, running(name, percent=percent))
+        fleet.step(wave(holders[0].heartbeat.machine))
+        orders = fleet.take_orders()
+        self.assertEqual([self.moves], [bool(orders)])
+        self.assertTrue(all(isinstance(order, StopOrder) for order in orders))
--- /dev/null
+++ b/tests/core/jobs/fakes.py
@@ -0,0 +1,109 @@
+"""A table of jobs with a reader of small test documents."""
+
+import json
+
+from marigolddoor_core.ids import (
+    ExecutorLife,
+    JobId,
+    LogIndex,
+    QueueName,
+    RunNumber,
+    ServiceId,
+    TaskName,
+)
+from marigolddoor_core.jobs import (
+    AcceptJob,
+    EndRun,
+    FleetConfiguration,
+    InvalidJobError,
+    JobChange,
+    JobSpec,
+    JobTable,
+    PlaceRun,
+    QueueSettings,
+    RecordChanges,
+    RunEnd,
+    ServiceSettings,
+    StepSpec,
+    TaskSize,
+)
+
+SERVICE = ServiceId("desk")
+QUEUE = QueueName("views")
+LIFE = ExecutorLife("i-1/100")
+
+
+class TestDocuments:
+    """Reads jobs and configurations that `document` and `configuration` wrote."""
+
+    def read_job(self, document: bytes) -> JobSpec:
+        fields = json.loads(document)
+        if "steps" not in fields:
+            raise InvalidJobError("no steps")
+        steps = []
+        for step in fields["steps"]:
+            cpu = step.pop("cpu", 1000)
+            memory = step.pop("memory", 100)
+            step["depends_on"] = tuple(step.get("depends_on", ()))
+            steps.append(StepSpec(size=TaskSize(cpu, memory), **step))
+        return JobSpec(
+            fields.get("payload", "p"),
+            tuple(steps),
+            fields.get("occurrences", 1),
+            "first_due_s" in fields,
+            fields.get("first_due_s", 0.0),
+            fields.get("interval_s", 0.0),
+        )
+
+    def read_configuration(self, document: bytes) -> FleetConfiguration:
+        fields = json.loads(document)
+        return FleetConfiguration(
+            fields["version"],
+            tuple(
+                QueueSettings(
+                    QueueName(name),
+                    "a.example",
+                    f"/{name}/",
+                    ServiceId(service),
+                    timeout_s=3.0,
+                    max_attempts=3,
+                    slack_factor=1.6,
+                    latency_target_s=0.6,
+                )
+                for name, service in fields["queues"].items()
+            ),
+            tuple(ServiceSettings(ServiceId(name)) for name in fields["services"]),
+        )
+
+
+def document(*steps: dict[str, object], **fields: object) -> bytes:
+    return json.dumps({"steps": list(steps), **fields}).encode()
+
+
+def configuration(version: int, **queues: str) -> bytes:
+    services = sorted(set(queues.values()))
+    return json.dumps({"version": version, "queues": queues, "services": services}).encode()
+
+
+def accept(job: str, *steps: dict[str, object], attempts: int = 3, **fields: object) -> AcceptJob:
+    return AcceptJob(JobId(job), QUEUE, SERVICE, attempts, document(*steps, **fields))
+
+
+def place(task: str, run: int = 1, life: str = LIFE) -> PlaceRun:
+    return PlaceRun(TaskName(task), RunNumber(run), ExecutorLife(life))
+
+
+def end(task: str, outcome: RunEnd = RunEnd.DONE, run: int = 1, checkpoint: str = "") -> EndRun:
+    return EndRun(TaskName(task), RunNumber(run), outcome, checkpoint)
+
+
+class Log:
+    """Applies changes to a table as a log would."""
+
+    def __init__(self) -> None:
+        self.table = JobTable(TestDocuments())
+        self.index = 0
+
+    def apply(self, *changes: JobChange, time_s: float = 0.0) -> None:
+        self.index += 1
+        self.table.apply(LogIndex(self.index), RecordChanges(changes, time_s))
--- /dev/null
+++ b/tests/core/jobs/test_table.py
@@ -0,0 +1,260 @@
+"""Guards against a job that runs twice, ends too early or is forgotten, on any replica."""
+
+import testtools
+from marigolddoor_core.ids import JobId, LogIndex, MachineId, WaveId
+from marigolddoor_core.jobs import (
+    BeginUpkeep,
+    CancelJob,
+    FinishWave,
+    JobPhase,
+    JobTable,
+    OpenWave,
+    RecordChanges,
+    RunEnd,
+    StoreConfiguration,
+    TaskPhase,
+)
+
+from tests.core.jobs.fakes import Log, TestDocuments, accept, configuration, end, place
+
+ONE = {"count": 1}
+TWO = {"count": 2}
+LASTING = {"count": 1, "is_long_running": True}
+GANG = {"count": 2, "is_gang": True}
+DONE, FAILED, LOST = RunEnd.DONE, RunEnd.FAILED, RunEnd.LOST
+
+
+class PhaseTest(testtools.TestCase):
+    """A job has the phase that its recorded runs justify, and no other."""
+
+    scenarios = [
+        ("accepted", {"steps": [ONE], "changes": [], "phase": JobPhase.ACTIVE}),
+        (
+            "one of two done",
+            {
+                "steps": [TWO],
+                "changes": [place("j.0.0.0"), end("j.0.0.0")],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+        (
+            "all done",
+            {
+                "steps": [TWO],
+                "changes": [
+                    place("j.0.0.0"),
+                    end("j.0.0.0"),
+                    place("j.0.0.1"),
+                    end("j.0.0.1"),
+                ],
+                "phase": JobPhase.COMPLETED,
+            },
+        ),
+        (
+            "second step open",
+            {
+                "steps": [ONE, {"count": 1, "depends_on": [0]}],
+                "changes": [place("j.0.0.0"), end("j.0.0.0")],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+        (
+            "end of a run that was never placed",
+            {"steps": [ONE], "changes": [end("j.0.0.0")], "phase": JobPhase.ACTIVE},
+        ),
+        (
+            "end of an earlier run",
+            {
+                "steps": [ONE],
+                "changes": [
+                    place("j.0.0.0"),
+                    end("j.0.0.0", LOST),
+                    place("j.0.0.0", 2),
+                    end("j.0.0.0", DONE, 1),
+                ],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+        (
+            "failed too often",
+            {
+                "steps": [ONE],
+                "changes": [
+                    change
+                    for run in (1, 2, 3)
+                    for change in (place("j.0.0.0", run), end("j.0.0.0", FAILED, run))
+                ],
+                "phase": JobPhase.FAILED,
+            },
+        ),
+        (
+            "lost often, failed twice",
+            {
+                "steps": [ONE],
+                "changes": [
+                    change
+                    for run, how in enumerate((FAILED, LOST, LOST, FAILED, LOST), 1)
+                    for change in (place("j.0.0.0", run), end("j.0.0.0", how, run))
+                ],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+        (
+            "long-running task that failed",
+            {
+                "steps": [LASTING],
+                "changes": [
+                    change
+                    for run in range(1, 9)
+                    for change in (place("j.0.0.0", run), end("j.0.0.0", FAILED, run))
+                ],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+        (
+            "long-running task that ended done",
+            {
+                "steps": [LASTING],
+                "changes": [place("j.0.0.0"), end("j.0.0.0")],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+        (
+            "a gang's end stands for all members",
+            {
+                "steps": [GANG],
+                "changes": [place("j.0.0.0"), place("j.0.0.1"), end("j.0.0.1")],
+                "phase": JobPhase.COMPLETED,
+            },
+        ),
+        (
+            "cancelled",
+            {
+                "steps": [ONE],
+                "changes": [place("j.0.0.0"), CancelJob(JobId("j")), end("j.0.0.0")],
+                "phase": JobPhase.CANCELED,
+            },
+        ),
+        (
+            "cancelled after its end",
+            {
+                "steps": [ONE],
+                "changes": [place("j.0.0.0"), end("j.0.0.0"), CancelJob(JobId("j"))],
+                "phase": JobPhase.COMPLETED,
+            },
+        ),
+        (
+            "one of two occurrences",
+            {
+                "steps": [ONE],
+                "changes": [place("j.0.0.0"), end("j.0.0.0")],
+                "fields": {"occurrences": 2, "first_due_s": 5.0, "interval_s": 1.0},
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
+    ]
+    fields: dict[str, object] = {}
+
+    def test_phase(self) -> None:
+        log = Log()
+        log.apply(accept("j", *self.steps, **self.fields))
+        for change in self.changes:
+            log.apply(change)
+        self.assertIs(self.phase, log.table.jobs[JobId("j")].phase)
+
+    def test_snapshot_keeps_everything(self) -> None:
+        """A replica that restores a snapshot must not forget a run, a failure or an end."""
+        log = Log()
+        log.apply(accept("j", *self.steps, **self.fields), time_s=7.0)
+        for change in self.changes:
+            log.apply(change)
+        copy = JobTable(TestDocuments())
+        copy.restore(log.table.snapshot())
+        self.assertEqual(log.table.snapshot(), copy.snapshot())
+        original, restored = log.table.jobs[JobId("j")], copy.jobs[JobId("j")]
+        self.assertEqual(original.done, restored.done)
+        self.assertEqual(
+            [task.name for task in original.placed_tasks()],
+            [task.name for task in restored.placed_tasks()],
+        )
+
+
+class PlacementTest(testtools.TestCase):
+    """A task that runs, ended done or belongs to an ended job can't be placed again."""
+
+    scenarios = [
+        ("waiting", {"before": [], "number": 1, "accepted": True}),
+        ("placed", {"before": [place("j.0.0.0")], "number": 2, "accepted": False}),
+        (
+            "after a loss",
+            {"before": [place("j.0.0.0"), end("j.0.0.0", LOST)], "number": 2, "accepted": True},
+        ),
+        (
+            "with the number of the lost run",
+            {"before": [place("j.0.0.0"), end("j.0.0.0", LOST)], "number": 1, "accepted": False},
+        ),
+        ("done", {"before": [place("j.0.0.0"), end("j.0.0.0")], "number": 2, "accepted": False}),
+        ("cancelled", {"before": [CancelJob(JobId("j"))], "number": 1, "accepted": False}),
+    ]
+
+    def test_placement(self) -> None:
+        log = Log()
+        log.apply(accept("j", {"count": 2}), *self.before)
+        log.apply(place("j.0.0.0", self.number, "i-2/5"))
+        task = log.table.task("j.0.0.0")
+        assert task is not None
+        is_there = task.phase is TaskPhase.PLACED and task.life == "i-2/5"
+        self.assertEqual(self.accepted, is_there)
+
+
+class ResentTest(testtools.TestCase):
+    """Something that is sent again changes nothing."""
+
+    def test_job(self) -> None:
+        log = Log()
+        log.apply(accept("j", ONE), place("j.0.0.0"))
+        log.apply(accept("j", TWO))
+        self.assertEqual(1, log.table.jobs[JobId("j")].spec.task_count)
+        self.assertTrue(log.table.jobs[JobId("j")].has_started)
+
+    def test_wave(self) -> None:
+        log = Log()
+        wave = OpenWave(WaveId(1), (MachineId("m"),), 20.0, 1)
+        log.apply(wave, BeginUpkeep(WaveId(1), MachineId("m")), FinishWave(WaveId(1)))
+        log.apply(wave)
+        self.assertTrue(log.table.waves[WaveId(1)].is_finished)
+
+
+class ConfigurationTest(testtools.TestCase):
+    """The highest version wins, in whatever order the versions come."""
+
+    scenarios = [
+        ("rising", {"versions": [3, 7], "in_force": 7}),
+        ("an older one comes late", {"versions": [7, 3], "in_force": 7}),
+        ("the same one again", {"versions": [7, 7], "in_force": 7}),
+    ]
+
+    def test_version(self) -> None:
+        log = Log()
+        for number, version in enumerate(self.versions):
+            written = configuration(version, **{f"q{number}": "desk"})
+            log.apply(StoreConfiguration(version, written))
+        self.assertEqual(self.in_force, log.table.version)
+        first = self.versions.index(self.in_force)
+        assert log.table.configuration is not None
+        self.assertEqual([f"q{first}"], list(log.table.configuration.by_name))
+
+
+class RetentionTest(testtools.TestCase):
+    """Ended jobs stay known for the promised time, and the table does not grow for ever."""
+
+    scenarios = [
+        ("within the promise", {"later_s": 125.0, "is_known": True}),
+        ("long after", {"later_s": 200.0, "is_known": False}),
+    ]
+
+    def test_retention(self) -> None:
+        log = Log()
+        log.apply(accept("j", ONE), place("j.0.0.0"), end("j.0.0.0"), time_s=1000.0)
+        log.table.apply(LogIndex(9), RecordChanges((), 1000.0 + self.later_s))
+        self.assertEqual(self.is_known, JobId("j") in log.table.jobs)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,53 @@
+"""Guards against settings files that are misread, or whose faults are not named."""
+
+import testtools
+from marigolddoor_platform.errors import InvalidSettingsError
+from marigolddoor_platform.settings import parse_settings
+
+LINES = {
+    "node-name": "core-a-1",
+    "ip": "10.1.0.12",
+    "zone": "a",
+    "listen.control": "10.1.0.12:8623",
+    "internal-port-range": "7060,7075",
+    "seeds": "10.1.0.12:8623,10.2.0.26:8623",
+    "bootstrap": "true",
+    "data-dir": "/data/x",
+    "bounds.hold-max-ms": "6000",
+    "bounds.grace-s": "6",
+    "some.new.field": "1=2",
+}
+
+
+def text(**changes: str | None) -> str:
+    lines = {**LINES, **{name.replace("__", "."): value for name, value in changes.items()}}
+    return "\n".join(f"{name}={value}" for name, value in lines.items() if value is not None)
+
+
+class FaultTest(testtools.TestCase):
+    """The error names the field that is missing or wrong."""
+
+    scenarios = [
+        ("no address", {"field": "ip", "value": None}),
+        ("no seeds", {"field": "seeds", "value": None}),
+        ("a seed without a port", {"field": "seeds", "value": "10.1.0.12"}),
+        ("a lease that is no number", {"field": "bounds.hold-max-ms", "value": "long"}),
+        ("a listener without a port", {"field": "listen.control", "value": "10.1.0.12"}),
+    ]
+
+    def test_fault(self) -> None:
+        broken = text(**{self.field: self.value})
+        error = self.assertRaises(InvalidSettingsError, parse_settings, broken)
+        self.assertIn(self.field, str(error))
+
+
+class ReadTest(testtools.TestCase):
+    """The fields that a process uses."""
+
+    def test_control(self) -> None:
+        settings = parse_settings(text())
+        self.assertEqual("10.1.0.12:7060", settings.peer)
+        self.assertEqual(("10.1.0.12:7060", "10.2.0.26:7060"), settings.seeds)
+        self.assertEqual((6.0, 8623), (settings.longest_lease_s, settings.control_port))
+        self.assertTrue(settings.is_first_start)
+        self.assertIsNone(settings.callers)
