--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -24,6 +24,7 @@
     Dispatch,
     Executor,
     LeaseTiming,
+    MoveOrder,
     Order,
     StartOrder,
     StopOrder,
@@ -46,6 +47,8 @@
 START_ATTEMPTS = 2
 # The platform bounds its calls to some dozens a second for all processes.
 MACHINE_RETRY_S = 0.5
+# Machines that somebody else moved, or that are new, are found after this long at most.
+LIST_INTERVAL_S = 5.0
 # Timers of decisions (due times, leases that are over) are looked at this often.
 TIMER_INTERVAL_S = 0.25
 # A proposal ends when another leader takes over, so this only bounds a group without a quorum.
@@ -80,6 +83,7 @@
         calls: ExecutorCalls,
         machines: MachineCalls,
         lease_timing: LeaseTiming,
+        machine_lease_s: float,
         token: FencingToken,
         clock: Callable[[], float],
     ) -> None:
@@ -89,7 +93,7 @@
         self.machines = machines
         self.token = token
         self.clock = clock
-        self.dispatch = Dispatch(table, lease_timing, self._now())
+        self.dispatch = Dispatch(table, lease_timing, self._now(), machine_lease_s)
         self.group: TaskGroup | None = None
         self.wake = anyio.Event()
         self.submitted: list[JobChange] = []
@@ -111,6 +115,7 @@
         try:
             async with anyio.create_task_group() as group:
                 self.group = group
+                group.start_soon(self._list_machines)
                 await self._record_batches()
                 group.cancel_scope.cancel()
         finally:
@@ -199,6 +204,8 @@
             await self._stop(order)
         elif isinstance(order, UpkeepOrder):
             await self._begin_upkeep(order)
+        elif isinstance(order, MoveOrder):
+            await self._move(order)
 
     async def _start(self, order: StartOrder) -> None:
         executor = order.executor
@@ -258,8 +265,50 @@
                 return
             await anyio.sleep(RETRY_S)
 
+    async def _list_machines(self) -> None:
+        """Read the platform's list of machines now and then."""
+        while True:
+            configuration = self.table.configuration
+            if configuration is not None and self.agreement.is_leader:
+                try:
+                    machines = await self.machines.list_machines()
+                except NoAnswerError as error:
+                    logger.info("fleet: the list of machines can't be read: {}", error)
+                else:
+                    self.dispatch.room.listed(machines, configuration)
+                    await anyio.sleep(LIST_INTERVAL_S)
+                    continue
+            await anyio.sleep(MACHINE_RETRY_S)
+
+    async def _move(self, order: MoveOrder) -> None:
+        """Move a machine; what is not answered is repeated until the planner gives up."""
+        move, room = order.move, self.dispatch.room
+        while self.agreement.is_leader and move.machine in room.ordered:
+            try:
+                outcome = await self.machines.move(move.machine, move.target, self.token)
+            except NoAnswerError as error:
+                logger.info("fleet: move of {} unanswered: {}", move.machine, error)
+                await anyio.sleep(MACHINE_RETRY_S)
+                continue
+            logger.info(
+                "fleet: move of {} from {} to {}: {}",
+                move.machine,
+                move.source,
+                move.target,
+                outcome.value,
+            )
+            if outcome is MachineOutcome.DONE:
+                self.dispatch.moved(move, self._now())
+                self.wake.set()
+                return
+            if outcome is not MachineOutcome.THROTTLED:
+                room.failed(move)
+                return
+            await anyio.sleep(MACHINE_RETRY_S)
+
     async def _begin_upkeep(self, order: UpkeepOrder) -> None:
         """Hand a machine over; repeat it until the platform says what became of it."""
+        await anyio.sleep(max(0.0, self.dispatch.machine_orders_from - self._now()))
         while True:
             upkeep = self.dispatch.upkeeps.get(order.wave)
             if upkeep is None:
--- a/packages/control/src/marigolddoor_control/fleet/ports.py
+++ b/packages/control/src/marigolddoor_control/fleet/ports.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
-from marigolddoor_core.dispatch import Executor, HoldReport
+from marigolddoor_core.dispatch import Executor, HoldReport, MachineView
 from marigolddoor_core.errors import MarigolddoorError
 from marigolddoor_core.ids import FencingToken, MachineId, RunNumber, ServiceId, TaskName, WaveId
 
@@ -133,3 +133,7 @@
     ) -> MachineOutcome:
         """Move a machine to the pool of a service; everything on it ends at once."""
         ...
+
+    async def list_machines(self) -> list[MachineView]:
+        """Return all machines."""
+        ...
--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -38,7 +38,8 @@
     """What a control process reads once, at its start.
 
     `founders` are the peer addresses that form the group together if it starts for the first time.
-    `longest_lease_s` is the longest lease that executors grant.
+    `longest_lease_s` is the longest lease that executors grant. For `machine_lease_s` after an
+    election the platform may still carry out orders of the former leader for machines.
     """
 
     name: str
@@ -46,6 +47,7 @@
     peers: tuple[Address, ...]
     data_folder: Path
     longest_lease_s: float
+    machine_lease_s: float
     founders: tuple[Address, ...] = ()
     timing: Timing = GROUP_TIMING
 
@@ -137,6 +139,7 @@
                 self.calls,
                 self.machines,
                 LeaseTiming(self.settings.longest_lease_s),
+                self.settings.machine_lease_s,
                 FencingToken(replica.term),
                 self.clock,
             )
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -11,8 +11,16 @@
     RunningTask,
 )
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
-from marigolddoor_core.dispatch.orders import Order, PaceOrder, StartOrder, StopOrder, UpkeepOrder
+from marigolddoor_core.dispatch.orders import (
+    MoveOrder,
+    Order,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    UpkeepOrder,
+)
 from marigolddoor_core.dispatch.planner import ArrivalOrder, Placer, StepOrder
+from marigolddoor_core.dispatch.room import MachineState, MachineView, Move
 
 __all__ = [
     "ArrivalOrder",
@@ -24,6 +32,10 @@
     "Heartbeat",
     "HoldReport",
     "LeaseTiming",
+    "MachineState",
+    "MachineView",
+    "Move",
+    "MoveOrder",
     "Order",
     "PaceOrder",
     "PlacedRun",
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -17,9 +17,11 @@
     PlacedRun,
 )
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
-from marigolddoor_core.dispatch.orders import Order, StartOrder, StopOrder
+from marigolddoor_core.dispatch.orders import MoveOrder, Order, StartOrder, StopOrder
+from marigolddoor_core.dispatch.outstanding import OutstandingWork
 from marigolddoor_core.dispatch.planner import Placer, StepOrder
 from marigolddoor_core.dispatch.ready import ReadySteps
+from marigolddoor_core.dispatch.room import Move, RoomPlanner
 from marigolddoor_core.dispatch.upkeep import Upkeep
 from marigolddoor_core.dispatch.worth_order import WorthOrder
 from marigolddoor_core.ids import (
@@ -50,6 +52,8 @@
 # each time up to the limit, until one of its tasks ends well.
 FIRST_BLOCK_S = 0.5
 LONGEST_BLOCK_S = 8.0
+# Moves are looked at this often; demand that rises is seen within this time.
+ROOM_INTERVAL_S = 0.2
 # Failed tasks of this many jobs in a row point to the executor rather than to the jobs.
 SUSPICIOUS_JOBS = 2
 
@@ -75,12 +79,14 @@
         table: JobTable,
         lease_timing: LeaseTiming,
         now: Instant,
+        machine_lease_s: float = 0.0,
         order: StepOrder | None = None,
     ) -> None:
         self.table = table
         self.lease_timing = lease_timing
         self.now = now
         self.began_at = now
+        self.machine_orders_from = Instant(now + machine_lease_s)
         self.durations = DurationEstimates()
         self.worth = WorthOrder(self.queue_of, self.durations)
         self.order: StepOrder = order or self.worth
@@ -93,6 +99,9 @@
         # Runs on executors that have not reported to this leader yet.
         self.unclaimed: dict[ExecutorLife, dict[TaskName, TaskRecord]] = {}
         self.ready = ReadySteps(self.service_of)
+        self.work = OutstandingWork(self.worth.expected_s)
+        self.room = RoomPlanner(self.work, self._is_in_upkeep)
+        self.room_planned_at = now
         self.upkeeps: dict[WaveId, Upkeep] = {}
         self.changes: list[JobChange] = []
         self.orders: list[Order] = []
@@ -106,6 +115,7 @@
                 self.unclaimed.setdefault(task.life, {})[task.name] = task
             if job.phase is JobPhase.ACTIVE:
                 self.ready.add_job(job, self.table.time_s)
+                self.work.accepted(job, self.service_of(job), self.now)
         for wave in self.table.waves.values():
             if not wave.is_finished:
                 self.wave_opened(wave)
@@ -301,6 +311,9 @@
         changes, self.changes = self.changes, []
         changes += self._plan_upkeep(now)
         self._empty_draining(now)
+        self._plan_room(now)
+        for machine, executor in self.by_machine.items():
+            executor.is_cordoned = self.room.is_leaving(machine) or self._is_emptying(machine)
         if not changes or self.is_planning_due:
             # Ends free room only once they are recorded, so placements follow in the next batch.
             changes += self._plan(now, time_s)
@@ -314,13 +327,48 @@
             for executor in leaving:
                 for placed in movable_runs(executor, self.executors, now):
                     self._order_stop(executor, placed.task)
-            for machine, executor in self.by_machine.items():
-                if machine in upkeep.machines:
-                    executor.is_cordoned = upkeep.is_emptying(machine)
             if upkeep.wave.is_finished:
                 del self.upkeeps[wave]
         return changes
 
+    def _is_in_upkeep(self, machine: MachineId) -> bool:
+        return any(upkeep.is_in_upkeep(machine) for upkeep in self.upkeeps.values())
+
+    def _is_emptying(self, machine: MachineId) -> bool:
+        return any(upkeep.is_emptying(machine) for upkeep in self.upkeeps.values())
+
+    def _plan_room(self, now: Instant) -> None:
+        configuration = self.table.configuration
+        is_due = now - self.room_planned_at >= ROOM_INTERVAL_S
+        # The former leader's orders for machines must not alternate with those of this one.
+        if configuration is None or not is_due or now < self.machine_orders_from:
+            return
+        self.room_planned_at = now
+        moves = self.room.plan(self.by_machine, configuration, self._floors(), now)
+        self.orders += [MoveOrder(move) for move in moves]
+
+    def _floors(self) -> dict[ServiceId, int]:
+        """Return the machines that each service needs for its long-running steps to be spread."""
+        floors: dict[ServiceId, int] = {}
+        for executor in self.executors.values():
+            service = executor.heartbeat.service
+            for placed in executor.runs.values():
+                spec = placed.task.step.spec
+                if spec.is_long_running and spec.spread_limit:
+                    machines = -(-spec.count // spec.spread_limit)
+                    floors[service] = max(floors.get(service, 0), machines)
+        if self.upkeeps:
+            # A task that leaves a machine before its upkeep needs another one to go to.
+            floors = {service: count + 1 for service, count in floors.items()}
+        return floors
+
+    def moved(self, move: Move, now: Instant) -> None:
+        """Take the platform's word that a machine moves; nothing runs there any more."""
+        self.room.confirmed(move, now)
+        executor = self.by_machine.get(move.machine)
+        if executor is not None and executor.heartbeat.service == move.source:
+            self.life_over(executor, now)
+
     def _empty_draining(self, now: Instant) -> None:
         for executor in self.executors.values():
             if executor.heartbeat.state is not ExecutorState.DRAINING or not executor.runs:
@@ -351,6 +399,7 @@
         """Index the steps of a new job."""
         self.ready.add_job(job, self.table.time_s)
         self.worth.learn(job)
+        self.work.accepted(job, self.service_of(job), self.now)
         self.is_planning_due = True
 
     def run_placed(self, task: TaskRecord) -> None:
@@ -372,6 +421,8 @@
         if executor is not None:
             executor.release(task)
         step = task.step
+        if end is RunEnd.DONE:
+            self.work.task_done(task)
         if step.is_done:
             self.ready.add_followers(step, self.table.time_s)
         else:
@@ -380,6 +431,7 @@
 
     def job_ended(self, job: JobRecord) -> None:
         """Stop what still runs of a cancelled or failed job."""
+        self.work.job_ended(job)
         for task in job.placed_tasks():
             executor = None if task.life is None else self.executors.get(task.life)
             if executor is not None:
--- a/packages/core/src/marigolddoor_core/dispatch/orders.py
+++ b/packages/core/src/marigolddoor_core/dispatch/orders.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 from marigolddoor_core.dispatch.executors import Executor
+from marigolddoor_core.dispatch.room import Move
 from marigolddoor_core.ids import MachineId, RunNumber, TaskName, WaveId
 
-__all__ = ["Order", "PaceOrder", "StartOrder", "StopOrder", "UpkeepOrder"]
+__all__ = ["MoveOrder", "Order", "PaceOrder", "StartOrder", "StopOrder", "UpkeepOrder"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,4 +47,11 @@
     machine: MachineId
 
 
-Order = StartOrder | StopOrder | PaceOrder | UpkeepOrder
+@dataclass(frozen=True, slots=True)
+class MoveOrder:
+    """Move a machine to another service. It runs nothing."""
+
+    move: Move
+
+
+Order = StartOrder | StopOrder | PaceOrder | UpkeepOrder | MoveOrder
--- a/packages/core/src/marigolddoor_core/dispatch/upkeep.py
+++ b/packages/core/src/marigolddoor_core/dispatch/upkeep.py
@@ -64,6 +64,11 @@
         state = self.machines.get(machine)
         return state is not None and state.step in (UpkeepStep.EMPTYING, UpkeepStep.BEGUN)
 
+    def is_in_upkeep(self, machine: MachineId) -> bool:
+        """Return whether a machine must not be moved because of this wave."""
+        state = self.machines.get(machine)
+        return state is not None and state.step not in (UpkeepStep.DUE, UpkeepStep.BACK)
+
     def begun(self, machine: MachineId, now: Instant) -> UpkeepOrder:
         """Return the order for a machine whose upkeep was recorded."""
         state = self.machines[machine]
--- a/packages/core/src/marigolddoor_core/dispatch/worth_order.py
+++ b/packages/core/src/marigolddoor_core/dispatch/worth_order.py
@@ -1,8 +1,8 @@
 """The order of work under overload: what is worth most for the cores that it still needs.
 
-Answers queues that ask for several times their pool's room for some seconds. In arrival order, or
-by the earliest deadline, a backlog makes every job late in turn. Here jobs that can't be in time any
-more wait behind those that can, and among these the ones with the most worth for the rest of their
+Answers queues that ask for several times their pool's room for some seconds. In arrival order or
+by the earliest deadline, a backlog makes every job late in turn. Here jobs that can no longer be in
+time wait behind those that can, and among these the ones with the most worth for the rest of their
 work go first, which favours jobs that have begun.
 """
 
@@ -27,8 +27,8 @@
 class JobOutlook:
     """What is left of a job.
 
-    `work` is in core-seconds, `chain_s` the longest chain of its remaining steps, `slack_s` the time
-    that is left beyond it.
+    `work` is in core-seconds, `chain_s` the longest chain of its remaining steps, `slack_s` the
+    time that is left beyond it.
     """
 
     work: float
--- /dev/null
+++ b/tests/core/dispatch/test_room.py
@@ -0,0 +1,129 @@
+"""Guards against machines that move under work, to and fro, or against the demand."""
+
+import testtools
+from marigolddoor_core.dispatch import MachineState, MachineView, Move, MoveOrder
+from marigolddoor_core.ids import JobId, MachineId, ServiceId
+from marigolddoor_core.jobs import CancelJob, StoreConfiguration
+
+from tests.core.dispatch.fakes import Fleet
+from tests.core.jobs.fakes import Log, accept
+
+SPARE = ServiceId("spare")
+OTHER = ServiceId("other")
+
+
+# Two services and a standby one.
+CONFIGURATION = (
+    b'{"version":1,"queues":{"views":"desk","others":"other"},'
+    b'"services":["desk","other","spare"],"standby":["spare"]}'
+)
+
+
+def fleet_with(desk: int, other: int = 0, standby: int = 0) -> Fleet:
+    log = Log()
+    log.apply(StoreConfiguration(1, CONFIGURATION))
+    fleet = Fleet(log)
+    for number in range(1, desk + 1):
+        fleet.executor(number)
+    for number in range(51, 51 + other):
+        fleet.executor(number, service=OTHER)
+    assert log.table.configuration is not None
+    fleet.dispatch.room.listed(
+        [
+            MachineView(MachineId(f"s-{number}"), SPARE, MachineState.UP, 4000)
+            for number in range(standby)
+        ],
+        log.table.configuration,
+    )
+    return fleet
+
+
+def moves(fleet: Fleet) -> list[Move]:
+    return [order.move for order in fleet.take_orders() if isinstance(order, MoveOrder)]
+
+
+class FetchTest(testtools.TestCase):
+    """Machines follow the work that waits, and no more of them than it needs."""
+
+    scenarios = [
+        ("no work", {"tasks": 0, "standby": 3, "fetched": 0}),
+        ("fits", {"tasks": 2, "standby": 3, "fetched": 0}),
+        ("twice the room", {"tasks": 9, "standby": 3, "fetched": 1}),
+        ("a flood", {"tasks": 90, "standby": 3, "fetched": 3}),
+        ("a flood without standby", {"tasks": 90, "standby": 0, "fetched": 0}),
+    ]
+
+    def test_fetch(self) -> None:
+        fleet = fleet_with(1, standby=self.standby)
+        if self.tasks:
+            fleet.step(accept("j", {"count": self.tasks, "estimated_s": 1.0}))
+        fleet.at(0.3).step()
+        fetched = moves(fleet)
+        self.assertEqual(self.fetched, len(fetched))
+        self.assertTrue(all(move.target == "desk" for move in fetched))
+        self.assertEqual([], moves(fleet.at(0.6)) if fleet.at(0.6).step() else [])
+
+
+class HandOverTest(testtools.TestCase):
+    """A new leader gives no order for machines while those of the former one may be under way."""
+
+    scenarios = [
+        ("too early", {"at_s": 2.9, "is_ordered": False}),
+        ("afterwards", {"at_s": 3.1, "is_ordered": True}),
+    ]
+
+    def test_hand_over(self) -> None:
+        fleet = fleet_with(1, standby=1)
+        fleet.dispatch.machine_orders_from = fleet.at(3.0).now
+        fleet.at(0.0).step(accept("j", {"count": 90, "estimated_s": 1.0}))
+        fleet.at(self.at_s).step()
+        self.assertEqual(self.is_ordered, bool(moves(fleet)))
+
+
+class ReleaseTest(testtools.TestCase):
+    """A machine leaves once it runs nothing and was superfluous for a while, not before."""
+
+    def test_release(self) -> None:
+        fleet = fleet_with(4)
+        for tenth in range(0, 40, 2):
+            for executor in fleet.dispatch.executors.values():
+                fleet.at(tenth / 10).hold(executor)
+            fleet.step()
+        gone = moves(fleet)
+        self.assertTrue(gone)
+        self.assertTrue(all(move.target == SPARE for move in gone))
+
+    def test_patience(self) -> None:
+        fleet = fleet_with(4)
+        fleet.at(0.3).step()
+        fleet.at(1.0).step()
+        self.assertEqual([], moves(fleet))
+
+    def test_busy_machine_stays(self) -> None:
+        """A machine that runs a long-running task is never chosen."""
+        fleet = fleet_with(2)
+        fleet.step(accept("j", {"count": 2, "is_long_running": True, "spread_limit": 1}))
+        fleet.take_orders()
+        for tenth in range(3, 40, 2):
+            fleet.at(tenth / 10)
+            fleet.dispatch.take_changes(fleet.now, 0.0)
+        self.assertEqual([], moves(fleet))
+
+    def test_returning_demand_keeps_the_machine(self) -> None:
+        fleet = fleet_with(2)
+        fleet.step(accept("a", {"count": 1, "estimated_s": 1.0}))
+        for tenth in range(3, 22, 2):
+            fleet.at(tenth / 10)
+            fleet.dispatch.take_changes(fleet.now, 0.0)
+        retiring = set(fleet.dispatch.room.retiring) | set(fleet.dispatch.room.ordered)
+        self.assertTrue(retiring)
+
+
+class CancelledDemandTest(testtools.TestCase):
+    """Cancelled work asks for no machine."""
+
+    def test_cancelled(self) -> None:
+        fleet = fleet_with(1, standby=3)
+        fleet.step(accept("j", {"count": 90, "estimated_s": 1.0}), CancelJob(JobId("j")))
+        fleet.at(2.0).step()
+        self.assertEqual([], moves(fleet))
--- a/tests/core/jobs/fakes.py
+++ b/tests/core/jobs/fakes.py
@@ -72,7 +72,10 @@
                 )
                 for name, service in fields["queues"].items()
             ),
-            tuple(ServiceSettings(ServiceId(name)) for name in fields["services"]),
+            tuple(
+                ServiceSettings(ServiceId(name), standby=name in fields.get("standby", ()))
+                for name in fields["services"]
+            ),
         )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -14,6 +14,7 @@
     "bootstrap": "true",
     "data-dir": "/data/x",
     "bounds.hold-max-ms": "6000",
+    "bounds.lease-ms": "3000",
     "bounds.grace-s": "6",
     "some.new.field": "1=2",
 }
