Ask for room by the work and the chain of the open jobs

Ruled out: shorter windows of arrivals (1.0 s instead of 1.5 s) alone. Change: an open job needs work / chain cores; all superfluous machines retire together.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -115,7 +115,7 @@
                 self.unclaimed.setdefault(task.life, {})[task.name] = task
             if job.phase is JobPhase.ACTIVE:
                 self.ready.add_job(job, self.table.time_s)
-                self.work.accepted(job, self.service_of(job), self.now)
+                self.work.accepted(job, self.service_of(job))
         for wave in self.table.waves.values():
             if not wave.is_finished:
                 self.wave_opened(wave)
@@ -399,7 +399,7 @@
         """Index the steps of a new job."""
         self.ready.add_job(job, self.table.time_s)
         self.worth.learn(job)
-        self.work.accepted(job, self.service_of(job), self.now)
+        self.work.accepted(job, self.service_of(job))
         self.is_planning_due = True
 
     def run_placed(self, task: TaskRecord) -> None:
@@ -421,8 +421,6 @@
         if executor is not None:
             executor.release(task)
         step = task.step
-        if end is RunEnd.DONE:
-            self.work.task_done(task)
         if step.is_done:
             self.ready.add_followers(step, self.table.time_s)
         else:
@@ -431,7 +429,7 @@
 
     def job_ended(self, job: JobRecord) -> None:
         """Stop what still runs of a cancelled or failed job."""
-        self.work.job_ended(job)
+        self.work.ended(job.job)
         for task in job.placed_tasks():
             executor = None if task.life is None else self.executors.get(task.life)
             if executor is not None:
--- a/packages/core/src/marigolddoor_core/dispatch/room.py
+++ b/packages/core/src/marigolddoor_core/dispatch/room.py
@@ -17,8 +17,6 @@
 
 __all__ = ["MachineState", "MachineView", "Move", "RoomPlanner"]
 
-# Outstanding work should be done within this time: jobs have some 1.4 s beyond their chain.
-CLEARING_S = 1.5
 # Cores are never packed perfectly; above this share tasks of a few cores wait for a gap.
 FULL_SHARE = 0.9
 # A machine stays for this long after it became superfluous. Two moves cost as much as 2.3 s in a
@@ -139,7 +137,7 @@
         short: list[tuple[float, ServiceId]] = []
         spares: dict[ServiceId, float] = {}
         for service, pool in pools.items():
-            needed = self.needed_cores(service, pool, now)
+            needed = self.needed_cores(service, pool)
             spare = self._supply(service, pool) * FULL_SHARE - needed
             if spare < 0:
                 spare += self._keep_retiring(pool, -spare)
@@ -158,7 +156,7 @@
             moves += self._send_home(pools, standby, now)
         return moves
 
-    def needed_cores(self, service: ServiceId, pool: Iterable[Executor], now: Instant) -> float:
+    def needed_cores(self, service: ServiceId, pool: Iterable[Executor]) -> float:
         """Return the cores that a service needs now."""
         lasting = sum(
             placed.task.step.spec.size.cpu_milli
@@ -166,8 +164,7 @@
             for placed in executor.runs.values()
             if placed.task.step.spec.is_long_running and not placed.task.step.spec.is_filler
         )
-        clearing = self.work.remaining.get(service, 0.0) / CLEARING_S
-        return lasting / 1000 + max(clearing, self.work.arrival_rate(service, now))
+        return lasting / 1000 + self.work.needed.get(service, 0.0)
 
     def _supply(self, service: ServiceId, pool: Iterable[Executor]) -> float:
         cpu = sum(
@@ -225,16 +222,21 @@
         floors: Mapping[ServiceId, int],
         now: Instant,
     ) -> None:
-        """Choose a machine that the service does not need, once that has lasted for a while."""
+        """Choose machines that the service does not need, once that has lasted for a while."""
         staying = [e for e in pool if e.heartbeat.machine not in self.retiring]
         free = [executor for executor in staying if not _is_pinned(executor)]
-        leaver = min(free, key=lambda executor: executor.load, default=None)
-        if leaver is None or len(staying) <= floors.get(service, 0):
-            return
-        if spare < leaver.heartbeat.capacity.cpu_milli / 1000 * FULL_SHARE:
+        free.sort(key=lambda executor: executor.load)
+        most = len(staying) - floors.get(service, 0)
+        leavers = []
+        for executor in free[: max(0, most)]:
+            spare -= executor.heartbeat.capacity.cpu_milli / 1000 * FULL_SHARE
+            if spare < 0:
+                break
+            leavers.append(executor)
+        if not leavers:
             self.spare_since.pop(service, None)
         elif now - self.spare_since.setdefault(service, now) >= PATIENCE_S:
-            self.retiring.add(leaver.heartbeat.machine)
+            self.retiring.update(executor.heartbeat.machine for executor in leavers)
 
     def _fetch(
         self,
