--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -26,6 +26,7 @@
     LeaseTiming,
     MoveOrder,
     Order,
+    PaceOrder,
     StartOrder,
     StopOrder,
     UpkeepOrder,
@@ -33,12 +34,20 @@
 from marigolddoor_core.ids import FencingToken
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import JobChange, JobTable, RecordChanges
+from marigolddoor_core.metrics import CounterKind, Counters, Labels
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 
 __all__ = ["FleetLeadership", "NotRecordedError", "RecordingUnknownError"]
 
-# An executor answers a hold after this long if nothing ends.
-HOLD_WAIT_S = 1.5
+# An idle executor answers a hold after this long, a busy one earlier, so that a dead one is noticed
+# while its jobs can still be in time elsewhere.
+IDLE_HOLD_WAIT_S = 1.5
+BUSY_HOLD_WAIT_S = 0.8
+# Where fillers work beside tasks that serve users, their latency is looked at this often.
+SHARED_HOLD_WAIT_S = 0.5
+# The pace of a filler that may or may not have taken an order. No order says this, so the next
+# report leads to another one.
+UNKNOWN_PACE = 99
 # An executor answers other calls in a few ms. Three round trips over a lossy link fit in.
 CALL_TIMEOUT_S = 0.8
 # A call that failed is repeated after this long.
@@ -65,6 +74,13 @@
     """The change may have been recorded."""
 
 
+def _hold_wait_s(executor: Executor) -> float:
+    """Return how long an executor may keep a hold waiting."""
+    if executor.is_shared:
+        return SHARED_HOLD_WAIT_S
+    return BUSY_HOLD_WAIT_S if executor.runs else IDLE_HOLD_WAIT_S
+
+
 class _Batch:
     """A batch of changes that is recorded together."""
 
@@ -86,14 +102,16 @@
         machine_lease_s: float,
         token: FencingToken,
         clock: Callable[[], float],
+        counters: Counters,
     ) -> None:
         self.table = table
         self.agreement = agreement
         self.calls = calls
         self.machines = machines
         self.token = token
+        self.counters = counters
         self.clock = clock
-        self.dispatch = Dispatch(table, lease_timing, self._now(), machine_lease_s)
+        self.dispatch = Dispatch(table, lease_timing, self._now(), machine_lease_s, counters)
         self.group: TaskGroup | None = None
         self.wake = anyio.Event()
         self.submitted: list[JobChange] = []
@@ -116,6 +134,8 @@
             async with anyio.create_task_group() as group:
                 self.group = group
                 group.start_soon(self._list_machines)
+                for executor in list(self.dispatch.executors.values()):
+                    self.watch(executor)
                 await self._record_batches()
                 group.cancel_scope.cancel()
         finally:
@@ -191,6 +211,9 @@
             self.wake.set()
         return True
 
+    def _count_unanswered(self, order: str) -> None:
+        self.counters.add(CounterKind.ORDERS_UNANSWERED, Labels(reason=order))
+
     def _carry_out(self) -> None:
         orders, self.dispatch.orders = self.dispatch.orders, []
         assert self.group is not None
@@ -202,6 +225,8 @@
             await self._start(order)
         elif isinstance(order, StopOrder):
             await self._stop(order)
+        elif isinstance(order, PaceOrder):
+            await self._pace(order)
         elif isinstance(order, UpkeepOrder):
             await self._begin_upkeep(order)
         elif isinstance(order, MoveOrder):
@@ -229,6 +254,7 @@
                 self._life_over(executor, "another life answered")
                 return
             except NoAnswerError as error:
+                self._count_unanswered("start")
                 logger.info(
                     "fleet: start of {} run {} unanswered: {}", order.task, order.run, error
                 )
@@ -256,6 +282,7 @@
                     self._life_over(executor, "another life answered")
                     return
                 except NoAnswerError as error:
+                    self._count_unanswered("stop")
                     logger.info("fleet: stop of {} unanswered: {}", order.task, error)
                 else:
                     self.dispatch.stop_confirmed(executor, order.task, order.run, self._now())
@@ -265,6 +292,25 @@
                 return
             await anyio.sleep(RETRY_S)
 
+    async def _pace(self, order: PaceOrder) -> None:
+        """Set the pace of a filler. One that gets no answer is set again with the next report."""
+        try:
+            await self.calls.pace(order.executor, order.task, order.run, order.percent, self.token)
+        except (NoAnswerError, WrongLifeError) as error:
+            self._count_unanswered("pace")
+            logger.info("fleet: pace of {} unanswered: {}", order.task, error)
+            placed = order.executor.runs.get(order.task)
+            if placed is not None and placed.run == order.run:
+                placed.pace = UNKNOWN_PACE
+        else:
+            logger.info(
+                "fleet: {} run {} on {} works at {} %",
+                order.task,
+                order.run,
+                order.executor.life,
+                order.percent,
+            )
+
     async def _list_machines(self) -> None:
         """Read the platform's list of machines now and then."""
         while True:
@@ -287,6 +333,7 @@
             try:
                 outcome = await self.machines.move(move.machine, move.target, self.token)
             except NoAnswerError as error:
+                self._count_unanswered("move")
                 logger.info("fleet: move of {} unanswered: {}", move.machine, error)
                 await anyio.sleep(MACHINE_RETRY_S)
                 continue
@@ -320,6 +367,7 @@
                         order.machine, order.wave, self.token
                     )
                 except NoAnswerError as error:
+                    self._count_unanswered("upkeep")
                     logger.info("fleet: upkeep of {} unanswered: {}", order.machine, error)
             if outcome is MachineOutcome.DONE:
                 logger.info("fleet: upkeep of {} in wave {}", order.machine, order.wave)
@@ -365,7 +413,10 @@
                 break
             except NoAnswerError as error:
                 if not executor.is_over:
+                    self._count_unanswered("hold")
                     logger.info("fleet: hold of {} unanswered: {}", executor.life, error)
+                    self.dispatch.unanswered(executor, sent_at)
+                    self.wake.set()
                 await anyio.sleep(RETRY_S)
                 continue
             is_first = not executor.lease.is_known
@@ -380,7 +431,7 @@
                 executor.seen = last
             elif self.dispatch.changes or self.dispatch.orders or self.dispatch.is_planning_due:
                 self.wake.set()
-            wait_s = 0.0 if is_first else HOLD_WAIT_S
+            wait_s = 0.0 if is_first else _hold_wait_s(executor)
         await self.calls.forget(executor)
 
     def _life_over(self, executor: Executor, reason: str) -> None:
--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -14,11 +14,12 @@
 from marigolddoor_control.fleet.leadership import FleetLeadership
 from marigolddoor_control.fleet.ports import ExecutorCalls, MachineCalls
 from marigolddoor_control.fleet.service import FleetService, NotLeadingError
-from marigolddoor_control.process import GROUP_TIMING
+from marigolddoor_control.group_timing import FLEET_TIMING
 from marigolddoor_core.consensus import Timing
 from marigolddoor_core.dispatch import LeaseTiming
 from marigolddoor_core.ids import FencingToken
 from marigolddoor_core.jobs import DocumentReader, JobTable
+from marigolddoor_core.metrics import CounterKind, Counters, Labels, Sample, family_text
 from marigolddoor_core.ports import NoQuorumError
 from marigolddoor_core.queue_calls import QueueCall
 from marigolddoor_storage import ReplicaStore
@@ -33,6 +34,14 @@
 BARRIER_TIMEOUT_S = 2.0
 
 
+def boot_time() -> float:
+    """Return a steady time in seconds that also counts while the VM is suspended.
+
+    A leader that wakes up must not take its lease for valid.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass(frozen=True, slots=True)
 class FleetProcessSettings:
     """What a control process reads once, at its start.
@@ -49,7 +58,7 @@
     longest_lease_s: float
     machine_lease_s: float
     founders: tuple[Address, ...] = ()
-    timing: Timing = GROUP_TIMING
+    timing: Timing = FLEET_TIMING
 
 
 class FleetProcess:
@@ -69,8 +78,9 @@
         self.calls = calls
         self.machines = machines
         self.rng = rng if rng is not None else random.Random()
-        self.clock = time.monotonic
+        self.clock = boot_time
         self.table = JobTable(reader)
+        self.counters = Counters()
         self.service: FleetService | None = None
         self.agreement: Agreement | None = None
 
@@ -103,6 +113,7 @@
                 self.table,
                 pool,
                 self.rng,
+                clock=self.clock,
             )
             self.service = FleetService(self.table, agreement)
             address = await group.start(PeerServer(self.key, self._handle).run, settings.peer)
@@ -116,6 +127,25 @@
             group.cancel_scope.cancel()
         logger.info("fleet: control process {} stopped", settings.name)
 
+    def metrics_page(self) -> str:
+        """Return counters and the sizes of what this process holds, as text."""
+        leadership = None if self.service is None else self.service.leadership
+        gauges = [
+            (
+                "open_jobs",
+                "Jobs that have not ended.",
+                len(self.table.jobs) - len(self.table.ended),
+            ),
+            ("known_jobs", "Jobs that are kept.", len(self.table.jobs)),
+            ("configuration_version", "The configuration in force.", self.table.version),
+            ("is_leading", "Whether this process leads the fleet.", int(leadership is not None)),
+            ("executors", "Executors that are enrolled.", len(self.table.executors)),
+        ]
+        return self.counters.page() + "".join(
+            family_text(f"marigolddoor_{name}", text, "gauge", [Sample(Labels(), value)])
+            for name, text, value in gauges
+        )
+
     async def _lead(self) -> None:
         """Run a leadership for each term in which this replica leads."""
         assert self.agreement is not None and self.service is not None
@@ -142,7 +172,9 @@
                 self.settings.machine_lease_s,
                 FencingToken(replica.term),
                 self.clock,
+                self.counters,
             )
+            self.counters.add(CounterKind.FAILOVERS)
             self.service.leadership = leadership
             try:
                 await leadership.run()
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -121,12 +121,24 @@
         if known is not None:
             return QueueReply(QueueOutcome.ANSWERED)
         try:
-            self.table.reader.read_job(call.document)
+            spec = self.table.reader.read_job(call.document)
         except InvalidJobError as error:
             logger.info("fleet: job {} is invalid: {}", job, error)
             return QueueReply(QueueOutcome.INVALID, detail=str(error))
         change = AcceptJob(job, queue.name, queue.service, queue.max_attempts, call.document)
-        return await self._record(leadership, change)
+        reply = await self._record(leadership, change)
+        logger.info(
+            "fleet: job {} in {} for {}, configuration {}: {}, {} tasks, {} steps, chain {:.1f} s",
+            job,
+            queue.name,
+            queue.service,
+            configuration.version,
+            reply.outcome.value,
+            spec.task_count,
+            len(spec.steps),
+            spec.chain_s(),
+        )
+        return reply
 
     def _known(self, call: QueueCall) -> JobRecord | None:
         if call.method is QueueMethod.SUBMIT:
@@ -159,11 +171,13 @@
 
     # Executors.
 
-    def heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Take an executor's report of itself.
+    async def heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take an executor's report of itself. That it drains is recorded before this returns.
 
         Raises:
           NotLeadingError: another process has to be told.
+          NotRecordedError: it was not recorded that the executor drains.
+          RecordingUnknownError: it may have been recorded.
         """
         leadership = self._leading()
         known = leadership.dispatch.executors.get(heartbeat.life)
@@ -175,6 +189,7 @@
             logger.info(
                 "fleet: {} drains, {:.1f} s are left", heartbeat.life, heartbeat.remaining_s
             )
+            await leadership.flush()
         leadership.wake.set()
 
     def deregister(self, executor: ExecutorId) -> None:
--- a/packages/control/src/marigolddoor_control/process.py
+++ b/packages/control/src/marigolddoor_control/process.py
@@ -27,6 +27,7 @@
 
 from marigolddoor_control.agreement import Agreement, AgreementSettings
 from marigolddoor_control.counting_recorder import CountingRecorder
+from marigolddoor_control.group_timing import GROUP_TIMING
 from marigolddoor_control.leadership import Leadership
 from marigolddoor_control.manager import Manager
 from marigolddoor_control.operators import (
@@ -48,11 +49,6 @@
 
 MAX_HTTP_CONNECTIONS = 64
 ASK_TIMEOUT_S = 1.0
-# The leader of an idle group took 2.3% of a core with heartbeats every 100 ms, and 1.3% with these;
-# a node may spend 1.4%. A lost leader is still replaced in less than 2 s.
-GROUP_TIMING = Timing(
-    heartbeat_s=0.25, election_min_s=0.9, election_max_s=1.4, lease_s=0.81, quorum_lost_s=1.8
-)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -17,8 +17,9 @@
     PlacedRun,
 )
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
-from marigolddoor_core.dispatch.orders import MoveOrder, Order, StartOrder, StopOrder
+from marigolddoor_core.dispatch.orders import MoveOrder, Order, PaceOrder, StartOrder, StopOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
+from marigolddoor_core.dispatch.pacing import plan_pace
 from marigolddoor_core.dispatch.planner import Placer, StepOrder
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.dispatch.room import Move, RoomPlanner
@@ -35,7 +36,9 @@
 )
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
+    DropExecutor,
     EndRun,
+    EnrolExecutor,
     JobChange,
     JobPhase,
     JobRecord,
@@ -45,6 +48,7 @@
     TaskRecord,
     WaveRecord,
 )
+from marigolddoor_core.metrics import CounterKind, Counters, Labels
 
 __all__ = ["Dispatch"]
 
@@ -80,11 +84,13 @@
         lease_timing: LeaseTiming,
         now: Instant,
         machine_lease_s: float = 0.0,
+        counters: Counters | None = None,
         order: StepOrder | None = None,
     ) -> None:
         self.table = table
         self.lease_timing = lease_timing
         self.now = now
+        self.counters = counters or Counters()
         self.began_at = now
         self.machine_orders_from = Instant(now + machine_lease_s)
         self.durations = DurationEstimates()
@@ -116,6 +122,10 @@
             if job.phase is JobPhase.ACTIVE:
                 self.ready.add_job(job, self.table.time_s)
                 self.work.accepted(job, self.service_of(job))
+        for enrolled in sorted(self.table.executors.values(), key=lambda known: known.born_ms):
+            self.heard(Heartbeat.of_enrolment(enrolled), self.now)
+        # These are recorded already.
+        self.changes = [change for change in self.changes if not isinstance(change, EnrolExecutor)]
         for wave in self.table.waves.values():
             if not wave.is_finished:
                 self.wave_opened(wave)
@@ -150,6 +160,7 @@
             if heartbeat.sequence > known.heartbeat.sequence:
                 if known.heartbeat.state != heartbeat.state:
                     self.is_planning_due = True
+                    self.changes.append(EnrolExecutor(heartbeat.enrolment()))
                 known.heartbeat = heartbeat
             known.heard_at = now
             return None
@@ -168,6 +179,7 @@
             if former is not None:
                 self.life_over(former, now)
         executor = Executor(heartbeat, ExecutorLease(self.lease_timing, self.began_at), now)
+        self.changes.append(EnrolExecutor(heartbeat.enrolment()))
         self.executors[heartbeat.life] = executor
         self.current[heartbeat.executor] = executor
         self.by_address[heartbeat.address] = executor
@@ -195,6 +207,7 @@
         if executor.contact_at is None or now - executor.contact_at > 1.0:
             self.is_planning_due = True
         executor.contact_at = now
+        executor.silent_since = None
         executor.lease.observe(report.clock_ms, now)
         listed: set[TaskName] = set()
         for finished in report.finished:
@@ -213,12 +226,27 @@
                 placed.confirmed_at = now
             placed.percent = running.percent
             placed.load = running.load
+        for placed, percent in plan_pace(executor, now):
+            placed.pace = percent
+            self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
         for name, placed in list(executor.runs.items()):
             # The answer was made after the run was known there, and does not name it.
             is_missing = placed.confirmed_at is not None and placed.confirmed_at < sent_at
             if is_missing and name not in listed:
                 self._end(placed.task, RunEnd.LOST)
 
+    def unanswered(self, executor: Executor, sent_at: Instant) -> None:
+        """Take note that a renewal that was sent at `sent_at` got no answer.
+
+        The executor may go on with what it runs, so only tasks of which copies may run are placed
+        elsewhere before its lease is over.
+        """
+        if executor.silent_since is None:
+            executor.silent_since = sent_at
+        self._lose(
+            placed.task for placed in executor.runs.values() if placed.task.step.spec.is_speculative
+        )
+
     def _stop_unknown(self, executor: Executor, name: TaskName, run: RunNumber) -> None:
         """Stop a run that the table does not place there, such as one of an ended job."""
         task = self.table.task(name)
@@ -272,6 +300,7 @@
         executor.is_over = True
         heartbeat = executor.heartbeat
         del self.executors[executor.life]
+        self.changes.append(DropExecutor(executor.life))
         if self.current.get(heartbeat.executor) is executor:
             del self.current[heartbeat.executor]
         if self.by_address.get(heartbeat.address) is executor:
@@ -362,9 +391,13 @@
             floors = {service: count + 1 for service, count in floors.items()}
         return floors
 
+    def _count(self, kind: CounterKind, job: JobRecord, outcome: str) -> None:
+        self.counters.add(kind, Labels(service=self.service_of(job), outcome=outcome))
+
     def moved(self, move: Move, now: Instant) -> None:
         """Take the platform's word that a machine moves; nothing runs there any more."""
         self.room.confirmed(move, now)
+        self.counters.add(CounterKind.MOVES, Labels(pool=move.target))
         executor = self.by_machine.get(move.machine)
         if executor is not None and executor.heartbeat.service == move.source:
             self.life_over(executor, now)
@@ -397,6 +430,7 @@
 
     def job_accepted(self, job: JobRecord) -> None:
         """Index the steps of a new job."""
+        self._count(CounterKind.JOBS, job, "accepted")
         self.ready.add_job(job, self.table.time_s)
         self.worth.learn(job)
         self.work.accepted(job, self.service_of(job))
@@ -421,6 +455,7 @@
         if executor is not None:
             executor.release(task)
         step = task.step
+        self._count(CounterKind.RUNS, step.job, end.value)
         if step.is_done:
             self.ready.add_followers(step, self.table.time_s)
         else:
@@ -429,6 +464,7 @@
 
     def job_ended(self, job: JobRecord) -> None:
         """Stop what still runs of a cancelled or failed job."""
+        self._count(CounterKind.JOBS, job, job.phase.value)
         self.work.ended(job.job)
         for task in job.placed_tasks():
             executor = None if task.life is None else self.executors.get(task.life)
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -15,7 +15,7 @@
     TaskName,
 )
 from marigolddoor_core.instants import Instant
-from marigolddoor_core.jobs import StepRecord, TaskRecord, TaskSize
+from marigolddoor_core.jobs import EnrolledExecutor, StepRecord, TaskRecord, TaskSize
 
 __all__ = [
     "Executor",
@@ -28,7 +28,7 @@
 ]
 
 # An executor that answered no call for this long gets no new task. A waiting call takes 1.5 s.
-CONTACT_S = 2.6
+CONTACT_S = 2.0
 
 
 class ExecutorState(Enum):
@@ -66,6 +66,41 @@
         """Return the life of the executor that this heartbeat belongs to."""
         return ExecutorLife(f"{self.executor}/{self.born_ms}")
 
+    def enrolment(self) -> EnrolledExecutor:
+        """Return what is recorded of this life."""
+        return EnrolledExecutor(
+            self.executor,
+            self.born_ms,
+            self.service,
+            self.address,
+            self.data_centre,
+            self.machine,
+            self.rack,
+            self.labels,
+            self.capacity.cpu_milli,
+            self.capacity.memory_mb,
+            self.capacity.accelerators,
+            self.state is ExecutorState.DRAINING,
+        )
+
+    @classmethod
+    def of_enrolment(cls, enrolled: EnrolledExecutor) -> "Heartbeat":
+        """Return a heartbeat that is older than any that the executor sent."""
+        return cls(
+            enrolled.executor,
+            enrolled.born_ms,
+            -1,
+            enrolled.service,
+            enrolled.address,
+            enrolled.data_centre,
+            enrolled.machine,
+            ExecutorState.DRAINING if enrolled.is_draining else ExecutorState.READY,
+            TaskSize(enrolled.cpu_milli, enrolled.memory_mb, enrolled.accelerators),
+            enrolled.labels,
+            enrolled.rack,
+            0,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class RunningTask:
@@ -107,10 +142,19 @@
     """A run that was placed on an executor.
 
     `confirmed_at` is when the executor first said that it knows the run. `is_stopping` is set once
-    a stop was ordered.
+    a stop was ordered. `pace` is the share of its speed at which it works, in percent.
     """
 
-    __slots__ = ("confirmed_at", "is_stopping", "load", "percent", "placed_at", "run", "task")
+    __slots__ = (
+        "confirmed_at",
+        "is_stopping",
+        "load",
+        "pace",
+        "percent",
+        "placed_at",
+        "run",
+        "task",
+    )
 
     def __init__(self, task: TaskRecord, now: Instant) -> None:
         self.task = task
@@ -120,6 +164,7 @@
         self.is_stopping = False
         self.percent = 0
         self.load: float | None = None
+        self.pace = 100
 
 
 class Executor:
@@ -133,8 +178,11 @@
         self.lease = lease
         self.heard_at = now
         self.contact_at: Instant | None = None
+        # When the first of the calls was sent that got no answer since the last contact.
+        self.silent_since: Instant | None = None
         self.blocked_until = Instant(0.0)
         self.block_s = 0.0
+        self.paced_at = now
         self.is_cordoned = False
         self.is_over = False
         self.runs: dict[TaskName, PlacedRun] = {}
@@ -156,6 +204,14 @@
         capacity = self.heartbeat.capacity.cpu_milli
         return 1.0 - self.free_cpu / capacity if capacity else 1.0
 
+    @property
+    def is_shared(self) -> bool:
+        """Return whether fillers work beside tasks that serve users."""
+        specs = [placed.task.step.spec for placed in self.runs.values()]
+        return any(spec.is_filler for spec in specs) and any(
+            spec.latency_target_ms for spec in specs
+        )
+
     def accepts_work(self, now: Instant) -> bool:
         """Return whether new tasks may be placed here."""
         return (
@@ -163,6 +219,7 @@
             and not self.is_cordoned
             and self.heartbeat.state is ExecutorState.READY
             and self.contact_at is not None
+            and self.silent_since is None
             and now - self.contact_at <= CONTACT_S
             and now >= self.blocked_until
         )
--- a/packages/core/src/marigolddoor_core/jobs/__init__.py
+++ b/packages/core/src/marigolddoor_core/jobs/__init__.py
@@ -5,7 +5,9 @@
     BeginUpkeep,
     CancelJob,
     ChangesRecorded,
+    DropExecutor,
     EndRun,
+    EnrolExecutor,
     FinishWave,
     JobChange,
     OpenWave,
@@ -19,6 +21,7 @@
     QueueSettings,
     ServiceSettings,
 )
+from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, RunEnd, TaskPhase
 from marigolddoor_core.jobs.records import JobRecord, StepRecord, TaskRecord
 from marigolddoor_core.jobs.specs import (
@@ -38,7 +41,10 @@
     "CancelJob",
     "ChangesRecorded",
     "DocumentReader",
+    "DropExecutor",
     "EndRun",
+    "EnrolExecutor",
+    "EnrolledExecutor",
     "FinishWave",
     "FleetConfiguration",
     "InvalidConfigurationError",
--- a/packages/core/src/marigolddoor_core/jobs/changes.py
+++ b/packages/core/src/marigolddoor_core/jobs/changes.py
@@ -16,6 +16,7 @@
     TaskName,
     WaveId,
 )
+from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import RunEnd
 
 __all__ = [
@@ -23,7 +24,9 @@
     "BeginUpkeep",
     "CancelJob",
     "ChangesRecorded",
+    "DropExecutor",
     "EndRun",
+    "EnrolExecutor",
     "FinishWave",
     "JobChange",
     "OpenWave",
@@ -70,6 +73,20 @@
     checkpoint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class EnrolExecutor:
+    """An executor reported a new life, or that it drains."""
+
+    executor: EnrolledExecutor
+
+
+@dataclass(frozen=True, slots=True)
+class DropExecutor:
+    """A life of an executor is over."""
+
+    life: ExecutorLife
+
+
 @dataclass(frozen=True, slots=True)
 class StoreConfiguration:
     """Put a configuration into force, unless the one in force has the same or a higher version."""
@@ -108,6 +125,8 @@
     | CancelJob
     | PlaceRun
     | EndRun
+    | EnrolExecutor
+    | DropExecutor
     | StoreConfiguration
     | OpenWave
     | BeginUpkeep
--- a/packages/core/src/marigolddoor_core/jobs/stored.py
+++ b/packages/core/src/marigolddoor_core/jobs/stored.py
@@ -12,6 +12,7 @@
     TaskName,
     WaveId,
 )
+from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, TaskPhase
 
 __all__ = ["JobTableSnapshot", "StoredJob", "StoredTask", "StoredWave"]
@@ -67,3 +68,4 @@
     document: bytes
     jobs: tuple[StoredJob, ...]
     waves: tuple[StoredWave, ...]
+    executors: tuple[EnrolledExecutor, ...] = ()
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -2,13 +2,15 @@
 
 from typing import Any, Protocol
 
-from marigolddoor_core.ids import JobId, LogIndex, MachineId, RunNumber, WaveId
+from marigolddoor_core.ids import ExecutorLife, JobId, LogIndex, MachineId, RunNumber, WaveId
 from marigolddoor_core.jobs.changes import (
     AcceptJob,
     BeginUpkeep,
     CancelJob,
     ChangesRecorded,
+    DropExecutor,
     EndRun,
+    EnrolExecutor,
     FinishWave,
     JobChange,
     OpenWave,
@@ -17,6 +19,7 @@
     StoreConfiguration,
 )
 from marigolddoor_core.jobs.configuration import FleetConfiguration
+from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, RunEnd, TaskPhase
 from marigolddoor_core.jobs.records import JobRecord, StepRecord, TaskRecord
 from marigolddoor_core.jobs.specs import InvalidJobError, JobSpec, parse_task_name
@@ -92,6 +95,7 @@
         # Ended jobs in the order of their ends, for the removal of old ones.
         self.ended: dict[JobId, float] = {}
         self.waves: dict[WaveId, WaveRecord] = {}
+        self.executors: dict[ExecutorLife, EnrolledExecutor] = {}
         self.configuration: FleetConfiguration | None = None
         self.document = b""
         self.observer: TableObserver | None = None
@@ -129,6 +133,10 @@
             job = self.jobs.get(change.job)
             if job is not None and job.phase is JobPhase.ACTIVE:
                 self._end_job(job, JobPhase.CANCELED)
+        elif isinstance(change, EnrolExecutor):
+            self.executors[change.executor.life] = change.executor
+        elif isinstance(change, DropExecutor):
+            self.executors.pop(change.life, None)
         elif isinstance(change, StoreConfiguration):
             self._store_configuration(change)
         elif isinstance(change, OpenWave):
@@ -271,6 +279,7 @@
                 )
                 for wave in self.waves.values()
             ),
+            tuple(self.executors.values()),
         )
 
     def restore(self, snapshot: Any) -> None:
@@ -292,6 +301,7 @@
             wave.begun = dict.fromkeys(stored.begun)
             wave.is_finished = stored.is_finished
             self.waves[stored.wave] = wave
+        self.executors = {executor.life: executor for executor in snapshot.executors}
 
     def _restored_job(self, stored: StoredJob) -> JobRecord:
         job = JobRecord(
--- a/packages/core/src/marigolddoor_core/metrics.py
+++ b/packages/core/src/marigolddoor_core/metrics.py
@@ -25,6 +25,10 @@
     MOVES = "moves"
     QUESTIONS = "questions"
     FAILOVERS = "failovers"
+    JOBS = "jobs"
+    RUNS = "runs"
+    ORDERS_UNANSWERED = "orders_unanswered"
+    LOG_LINES_LEFT_OUT = "log_lines_left_out"
 
 
 _HELP = {
@@ -32,6 +36,10 @@
     CounterKind.RETRIES: "Requests that were sent to another target.",
     CounterKind.MOVES: "VMs that began a move between pools.",
     CounterKind.QUESTIONS: "Questions that were opened.",
+    CounterKind.JOBS: "Submitted jobs by what became of them.",
+    CounterKind.RUNS: "Runs of tasks by how they ended.",
+    CounterKind.ORDERS_UNANSWERED: "Orders to executors and the platform without an answer.",
+    CounterKind.LOG_LINES_LEFT_OUT: "Log lines that were left out to bound the log.",
     CounterKind.FAILOVERS: "Changes of the leader, or of the control process that is used.",
 }
 
--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -4,11 +4,15 @@
 
 import anyio
 from loguru import logger
+from marigolddoor_core.ids import ServiceId
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
+from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
 from marigolddoor_wire.peers import Address, PeerPool
 from marigolddoor_wire.queue_messages import AskQueue, NotLeading, QueueAnswer
 
+from marigolddoor_entry.metrics import Metrics
+
 __all__ = ["QueueGateway"]
 
 # The leader answers within some 30 ms; a commit under load takes a few hundred.
@@ -19,6 +23,16 @@
 NO_LEADER_RETRY_S = 1.0
 # The gateway counts as connected for this long after the leader's last answer.
 CONNECTED_S = 2.5
+# What callers are told about whether their request ran.
+OUTCOMES = {
+    QueueOutcome.ANSWERED: Outcome.ANSWERED,
+    QueueOutcome.NO_QUEUE: Outcome.ANSWERED,
+    QueueOutcome.NO_JOB: Outcome.ANSWERED,
+    QueueOutcome.INVALID: Outcome.NOT_RUN,
+    QueueOutcome.REFUSED: Outcome.NOT_RUN,
+    QueueOutcome.UNAVAILABLE: Outcome.NOT_RUN,
+    QueueOutcome.UNKNOWN: Outcome.UNKNOWN,
+}
 
 
 class QueueGateway:
@@ -41,6 +55,7 @@
         self.leader: Address | None = None
         self.next_index = 0
         self.answered_at: float | None = None
+        self.metrics = Metrics()
 
     @property
     def is_connected(self) -> bool:
@@ -48,7 +63,30 @@
         return self.answered_at is not None and self.clock() - self.answered_at < CONNECTED_S
 
     async def call(self, call: QueueCall, timeout_s: float) -> QueueReply:
-        """Return the leader's reply.
+        """Return the leader's reply and record how long it took.
+
+        What is not answered well is logged with the job's path, the time spent and the leader.
+        """
+        began = self.clock()
+        reply = await self._call(call, timeout_s)
+        took_s = self.clock() - began
+        self.metrics.observe(ServiceId(call.method.value), OUTCOMES[reply.outcome], took_s)
+        if OUTCOMES[reply.outcome] is not Outcome.ANSWERED:
+            logger.info(
+                "entry: {} {}{}: {} after {:.0f} ms of {:.0f}, leader {}, last answer {:.1f} s ago",
+                call.method.value,
+                call.host,
+                call.path,
+                reply.outcome.value,
+                took_s * 1000,
+                timeout_s * 1000,
+                self.leader,
+                -1.0 if self.answered_at is None else self.clock() - self.answered_at,
+            )
+        return reply
+
+    async def _call(self, call: QueueCall, timeout_s: float) -> QueueReply:
+        """Ask until the caller's time is over.
 
         A submission may be repeated, since a job is accepted once. If the last try may have reached
         a leader, the outcome is `UNKNOWN`, else `UNAVAILABLE`, after which nothing runs.
@@ -89,7 +127,7 @@
     async def probe(self) -> None:
         """Find the leader if it did not answer lately."""
         if not self.is_connected:
-            await self.call(QueueCall(QueueMethod.READ, "", ""), ATTEMPT_TIMEOUT_S)
+            await self._call(QueueCall(QueueMethod.READ, "", ""), ATTEMPT_TIMEOUT_S)
 
     def _next_known(self) -> Address:
         self.next_index += 1
--- a/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
@@ -397,6 +397,351 @@
         return not (self == other)
 
 
+class EnrolledExecutor(object):
+    """
+    Attributes:
+     - executor
+     - born_ms
+     - service_id
+     - address
+     - data_centre
+     - machine
+     - rack
+     - labels
+     - cpu_milli
+     - memory_mb
+     - accelerators
+     - is_draining
+
+    """
+
+    __slots__ = (
+        'executor',
+        'born_ms',
+        'service_id',
+        'address',
+        'data_centre',
+        'machine',
+        'rack',
+        'labels',
+        'cpu_milli',
+        'memory_mb',
+        'accelerators',
+        'is_draining',
+    )
+
+
+    def __init__(self, executor=None, born_ms=None, service_id=None, address=None, data_centre=None, machine=None, rack=None, labels=None, cpu_milli=None, memory_mb=None, accelerators=None, is_draining=None,):
+        self.executor = executor
+        self.born_ms = born_ms
+        self.service_id = service_id
+        self.address = address
+        self.data_centre = data_centre
+        self.machine = machine
+        self.rack = rack
+        self.labels = labels
+        self.cpu_milli = cpu_milli
+        self.memory_mb = memory_mb
+        self.accelerators = accelerators
+        self.is_draining = is_draining
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.executor = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.machine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.rack = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.labels = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.cpu_milli = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.memory_mb = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.accelerators = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.is_draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EnrolledExecutor')
+        if self.executor is not None:
+            oprot.writeFieldBegin('executor', TType.STRING, 1)
+            oprot.writeString(self.executor.encode('utf-8') if sys.version_info[0] == 2 else self.executor)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 3)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 5)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.machine is not None:
+            oprot.writeFieldBegin('machine', TType.STRING, 6)
+            oprot.writeString(self.machine.encode('utf-8') if sys.version_info[0] == 2 else self.machine)
+            oprot.writeFieldEnd()
+        if self.rack is not None:
+            oprot.writeFieldBegin('rack', TType.STRING, 7)
+            oprot.writeString(self.rack.encode('utf-8') if sys.version_info[0] == 2 else self.rack)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.labels))
+            for iter6 in self.labels:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cpu_milli is not None:
+            oprot.writeFieldBegin('cpu_milli', TType.I64, 9)
+            oprot.writeI64(self.cpu_milli)
+            oprot.writeFieldEnd()
+        if self.memory_mb is not None:
+            oprot.writeFieldBegin('memory_mb', TType.I64, 10)
+            oprot.writeI64(self.memory_mb)
+            oprot.writeFieldEnd()
+        if self.accelerators is not None:
+            oprot.writeFieldBegin('accelerators', TType.I64, 11)
+            oprot.writeI64(self.accelerators)
+            oprot.writeFieldEnd()
+        if self.is_draining is not None:
+            oprot.writeFieldBegin('is_draining', TType.BOOL, 12)
+            oprot.writeBool(self.is_draining)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EnrolExecutor(object):
+    """
+    Attributes:
+     - executor
+
+    """
+
+    __slots__ = (
+        'executor',
+    )
+
+
+    def __init__(self, executor=None,):
+        self.executor = executor
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.executor = EnrolledExecutor()
+                    self.executor.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EnrolExecutor')
+        if self.executor is not None:
+            oprot.writeFieldBegin('executor', TType.STRUCT, 1)
+            self.executor.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DropExecutor(object):
+    """
+    Attributes:
+     - life
+
+    """
+
+    __slots__ = (
+        'life',
+    )
+
+
+    def __init__(self, life=None,):
+        self.life = life
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.life = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DropExecutor')
+        if self.life is not None:
+            oprot.writeFieldBegin('life', TType.STRING, 1)
+            oprot.writeString(self.life.encode('utf-8') if sys.version_info[0] == 2 else self.life)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoreConfiguration(object):
     """
     Attributes:
@@ -518,10 +863,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.machines = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.machines.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.machines.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -552,8 +897,8 @@
         if self.machines is not None:
             oprot.writeFieldBegin('machines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.machines))
-            for iter6 in self.machines:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter13 in self.machines:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.duration_s is not None:
@@ -767,11 +1112,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = marigolddoor_wire.gen.state.ttypes.Tagged()
-                        _elem12.read(iprot)
-                        self.changes.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = marigolddoor_wire.gen.state.ttypes.Tagged()
+                        _elem19.read(iprot)
+                        self.changes.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -793,8 +1138,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter13 in self.changes:
-                iter13.write(oprot)
+            for iter20 in self.changes:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.time_s is not None:
@@ -1103,11 +1448,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = StoredTask()
-                        _elem19.read(iprot)
-                        self.tasks.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = StoredTask()
+                        _elem26.read(iprot)
+                        self.tasks.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1160,8 +1505,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter20 in self.tasks:
-                iter20.write(oprot)
+            for iter27 in self.tasks:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1239,20 +1584,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.machines = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.machines.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.machines.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.begun.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.begun.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1293,15 +1638,15 @@
         if self.machines is not None:
             oprot.writeFieldBegin('machines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.machines))
-            for iter33 in self.machines:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter40 in self.machines:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.begun))
-            for iter34 in self.begun:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter41 in self.begun:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.opened_s is not None:
@@ -1353,6 +1698,7 @@
      - document
      - jobs
      - waves
+     - executors
 
     """
 
@@ -1362,15 +1708,17 @@
         'document',
         'jobs',
         'waves',
+        'executors',
     )
 
 
-    def __init__(self, time_s=None, version=None, document=None, jobs=None, waves=None,):
+    def __init__(self, time_s=None, version=None, document=None, jobs=None, waves=None, executors=None,):
         self.time_s = time_s
         self.version = version
         self.document = document
         self.jobs = jobs
         self.waves = waves
+        self.executors = executors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1399,22 +1747,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = StoredJob()
-                        _elem40.read(iprot)
-                        self.jobs.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = StoredJob()
+                        _elem47.read(iprot)
+                        self.jobs.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.waves = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = StoredWave()
-                        _elem46.read(iprot)
-                        self.waves.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = StoredWave()
+                        _elem53.read(iprot)
+                        self.waves.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.executors = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = EnrolledExecutor()
+                        _elem59.read(iprot)
+                        self.executors.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1443,15 +1802,22 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter47 in self.jobs:
-                iter47.write(oprot)
+            for iter60 in self.jobs:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waves is not None:
             oprot.writeFieldBegin('waves', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter48 in self.waves:
-                iter48.write(oprot)
+            for iter61 in self.waves:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.executors is not None:
+            oprot.writeFieldBegin('executors', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.executors))
+            for iter62 in self.executors:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1816,10 +2182,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1840,8 +2206,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter55 in self.members:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter69 in self.members:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1904,10 +2270,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1928,8 +2294,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter62 in self.members:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter76 in self.members:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1984,6 +2350,32 @@
     (3, TType.STRING, 'end', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 4
 )
+all_structs.append(EnrolledExecutor)
+EnrolledExecutor.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'executor', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.STRING, 'service_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'data_centre', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'machine', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'rack', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.I64, 'cpu_milli', None, None, ),  # 9
+    (10, TType.I64, 'memory_mb', None, None, ),  # 10
+    (11, TType.I64, 'accelerators', None, None, ),  # 11
+    (12, TType.BOOL, 'is_draining', None, None, ),  # 12
+)
+all_structs.append(EnrolExecutor)
+EnrolExecutor.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'executor', [EnrolledExecutor, None], None, ),  # 1
+)
+all_structs.append(DropExecutor)
+DropExecutor.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'life', 'UTF8', None, ),  # 1
+)
 all_structs.append(StoreConfiguration)
 StoreConfiguration.thrift_spec = (
     None,  # 0
@@ -2061,6 +2453,7 @@
     (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
     (4, TType.LIST, 'jobs', (TType.STRUCT, [StoredJob, None], False), None, ),  # 4
     (5, TType.LIST, 'waves', (TType.STRUCT, [StoredWave, None], False), None, ),  # 5
+    (6, TType.LIST, 'executors', (TType.STRUCT, [EnrolledExecutor, None], False), None, ),  # 6
 )
 all_structs.append(QueueCall)
 QueueCall.thrift_spec = (
--- a/packages/wire/src/marigolddoor_wire/schema.py
+++ b/packages/wire/src/marigolddoor_wire/schema.py
@@ -7,6 +7,7 @@
 from marigolddoor_core.consensus import messages as consensus_messages
 from marigolddoor_core.declaration import organisation
 from marigolddoor_core.jobs import changes as job_changes
+from marigolddoor_core.jobs import enrolment
 from marigolddoor_core.jobs import stored as job_stored
 from marigolddoor_core.state import commands, objects, results, snapshots
 from marigolddoor_core.timeline import clock, events, filters, timelines
@@ -34,6 +35,7 @@
     timelines,
     queue_calls,
     queue_messages,
+    enrolment,
     job_changes,
     job_stored,
 )
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -89,6 +89,25 @@
         self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(self.fleet.dispatch.changes))
 
 
+class UnansweredTest(testtools.TestCase):
+    """Only tasks of which copies may run leave an executor before its lease is over."""
+
+    scenarios = [
+        ("copies may run", {"step": {"count": 1, "is_speculative": True}, "is_lost": True}),
+        ("one run at a time", {"step": {"count": 1}, "is_lost": False}),
+    ]
+
+    def test_unanswered(self) -> None:
+        fleet = Fleet()
+        executor = fleet.executor()
+        fleet.step(accept("j", self.step))
+        fleet.at(1.0).dispatch.unanswered(executor, fleet.now)
+        self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(fleet.dispatch.changes))
+        self.assertFalse(executor.accepts_work(fleet.now))
+        fleet.hold(executor, running("j.0.0.0"))
+        self.assertTrue(executor.accepts_work(fleet.now))
+
+
 class TakeOverTest(testtools.TestCase):
     """A new leader finds the runs of the former one, and repeats none that may still run."""
 
@@ -148,6 +167,33 @@
         self.assertTrue(all(isinstance(order, StopOrder) for order in orders))
 
 
+class EnrolmentTest(testtools.TestCase):
+    """A new leader knows the executors of the former one, and what they said of themselves."""
+
+    scenarios = [
+        ("ready", {"state": ExecutorState.READY, "accepts": True}),
+        ("draining", {"state": ExecutorState.DRAINING, "accepts": False}),
+    ]
+
+    def test_take_over(self) -> None:
+        former = Fleet()
+        executor = former.executor()
+        former.dispatch.heard(heartbeat(sequence=2, state=self.state), former.now)
+        former.step()
+        fleet = Fleet(former.log)
+        self.assertEqual([executor.life], list(fleet.dispatch.executors))
+        taken_over = fleet.dispatch.executors[executor.life]
+        fleet.hold(taken_over)
+        self.assertEqual(self.accepts, taken_over.accepts_work(fleet.now))
+        self.assertEqual([], fleet.dispatch.changes)
+
+    def test_ended_life(self) -> None:
+        former = Fleet()
+        former.dispatch.life_over(former.executor(), former.now)
+        former.step()
+        self.assertEqual({}, Fleet(former.log).dispatch.executors)
+
+
 class StopTest(StartedRun):
     """What belongs to no active job is stopped, once."""
 
--- /dev/null
+++ b/tests/platform/test_system.py
@@ -0,0 +1,115 @@
+"""Guards the whole path on real sockets and files: jobs run once, whatever ends around them."""
+
+from typing import Any
+
+import anyio
+import testtools
+
+from tests.platform.system import HOSTS, PlatformSystem, run_system
+
+SECOND_STEP = {"count": 2, "cpu": 500, "estimated-ms": 100, "depends-on": [0]}
+STEPS: list[dict[str, Any]] = [{"count": 4, "cpu": 500, "estimated-ms": 300}, SECOND_STEP]
+JOBS = [f"{number:016x}" for number in range(6)]
+
+
+async def nothing(system: PlatformSystem) -> None:
+    return
+
+
+async def kill_leader(system: PlatformSystem) -> None:
+    system.kill(await system.leader())
+
+
+async def restart_leader(system: PlatformSystem) -> None:
+    leader = await system.leader()
+    system.kill(leader)
+    await anyio.sleep(0.5)
+    system.start_control(leader, is_first=False)
+
+
+async def kill_all_control(system: PlatformSystem) -> None:
+    for host in HOSTS:
+        system.kill(host)
+    await anyio.sleep(0.3)
+    for host in HOSTS:
+        system.start_control(host, is_first=False)
+
+
+async def wipe_follower(system: PlatformSystem) -> None:
+    leader = await system.leader()
+    follower = next(host for host in HOSTS if host != leader)
+    system.kill(follower)
+    await anyio.sleep(0.3)
+    for file in (system.folder / follower).iterdir():
+        file.unlink()
+    system.start_control(follower, is_first=False)
+
+
+async def kill_executor(system: PlatformSystem) -> None:
+    system.kill("i-0")
+    await anyio.sleep(0.2)
+    system.start_executor("i-0")
+
+
+class CourseTest(testtools.TestCase):
+    """Every accepted job is completed, no task runs twice at a time or after it was done."""
+
+    scenarios = [
+        (event.__name__, {"event": staticmethod(event)})
+        for event in (
+            nothing,
+            kill_leader,
+            restart_leader,
+            kill_all_control,
+            wipe_follower,
+            kill_executor,
+        )
+    ]
+
+    def test_course(self) -> None:
+        async def course(system: PlatformSystem) -> None:
+            for job in JOBS[:3]:
+                self.assertEqual(200, await system.submit(job, STEPS, 0.3))
+            await self.event(system)
+            for job in JOBS[3:]:
+                self.assertEqual(200, await system.submit(job, STEPS, 0.3))
+            for job in JOBS:
+                await system.wait_state(job, "completed")
+            self.assertEqual([], system.ledger.double_runs)
+            done = [task for task, outcome in system.ledger.ends if outcome == "done"]
+            self.assertEqual(6 * 6, len(set(done)))
+            if self.event in (nothing, wipe_follower):
+                self.assertEqual(6 * 6, len(system.ledger.starts))
+
+        run_system(course)
+
+
+class CallersTest(testtools.TestCase):
+    """What callers are told."""
+
+    def test_states(self) -> None:
+        async def course(system: PlatformSystem) -> None:
+            self.assertEqual("410", await system.state(JOBS[0]))
+            self.assertEqual(400, await system.submit(JOBS[0], [], 0.1))
+            self.assertEqual("410", await system.state(JOBS[0]))
+            self.assertEqual(200, await system.submit(JOBS[0], STEPS, 0.1))
+            self.assertEqual(200, await system.submit(JOBS[0], STEPS, 0.1))
+            await system.wait_state(JOBS[0], "completed")
+            self.assertEqual(6, len(system.ledger.starts))
+
+        run_system(course)
+
+    def test_cancel(self) -> None:
+        async def course(system: PlatformSystem) -> None:
+            long_step = {"count": 2, "cpu": 500, "estimated-ms": 300, "long-running": True}
+            self.assertEqual(200, await system.submit(JOBS[0], [long_step], 50.0))
+            await system.wait_state(JOBS[0], "active")
+            while len(system.ledger.running) < 2:
+                await anyio.sleep(0.05)
+            self.assertEqual(200, await system.cancel(JOBS[0]))
+            self.assertEqual("canceled", await system.state(JOBS[0]))
+            while system.ledger.running:
+                await anyio.sleep(0.05)
+            self.assertEqual(410, await system.cancel(JOBS[1]))
+
+        run_system(course)
--- /dev/null
+++ b/tests/wire/test_log_sink.py
@@ -0,0 +1,80 @@
+"""Guards against a log that blocks the process, grows without bound or cuts lines."""
+
+import os
+
+import testtools
+from marigolddoor_wire.log_sink import BoundedLogSink
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class SinkTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.clock = Clock()
+
+    def lines(self) -> list[str]:
+        os.set_blocking(self.reader, False)
+        try:
+            return os.read(self.reader, 1 << 20).decode().splitlines()
+        except BlockingIOError:
+            return []
+
+
+class BoundTest(SinkTest):
+    """No more lines than the allowance, and the next one says how many are missing."""
+
+    scenarios = [
+        ("within the burst", {"lines_written": 5, "pause_s": 1.0, "left_out": None}),
+        ("beyond the burst", {"lines_written": 8, "pause_s": 1.0, "left_out": 3}),
+    ]
+
+    def test_bound(self) -> None:
+        self.addCleanup(os.close, self.writer)
+        sink = BoundedLogSink(self.writer, self.clock, lines_per_s=2, burst=5)
+        for number in range(self.lines_written):
+            sink.write(f"line {number}\n")
+        self.assertEqual([f"line {number}" for number in range(5)], self.lines())
+        self.clock.now += self.pause_s
+        sink.write("later")
+        expected = ["later"]
+        if self.left_out is not None:
+            expected.insert(0, f"log: {self.left_out} lines were left out")
+        self.assertEqual(expected, self.lines())
+
+
+class SlowReaderTest(SinkTest):
+    """A full pipe costs lines, not time, and the lines that come later are whole."""
+
+    def test_full_pipe(self) -> None:
+        self.addCleanup(os.close, self.writer)
+        sink = BoundedLogSink(self.writer, self.clock, lines_per_s=1, burst=10_000)
+        for _ in range(1000):
+            sink.write("x" * 199)
+        self.assertGreater(sink.left_out, 0)
+        first = self.lines()
+        sink.write("a")
+        sink.write("b")
+        second = self.lines()
+        text = "\n".join(first + second)
+        self.assertIn("lines were left out", text)
+        self.assertEqual("b", second[-1])
+        self.assertEqual({199}, {len(line) for line in first[:-1]})
+
+
+class GoneReaderTest(SinkTest):
+    """A reader that has gone must not end the process."""
+
+    def test_closed(self) -> None:
+        sink = BoundedLogSink(self.writer, self.clock)
+        os.close(self.writer)
+        sink.write("nobody hears this")
+        self.assertEqual(1, sink.left_out)
