Keep a floor in every pool and let hopeless work attract no machines

After the power loss at 43 s, 14 machines followed a backlog that was late anyway, and the turn of the next queue found 1 machine. Machines of the standby service stayed 'in upkeep' for good after a change of the leader. Change: a service keeps 0.6 of an even division; open jobs count until they can't be in time; a machine without an executor is back 6 s after it was handed over, and free ones are handed over at once; the first yes of the platform ends the executor; silent executors are asked less often.

--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -52,6 +52,8 @@
 CALL_TIMEOUT_S = 0.8
 # A call that failed is repeated after this long.
 RETRY_S = 0.15
+# The pause grows with the silence up to this.
+LONGEST_RETRY_S = 1.0
 # After this many unanswered starts the run is stopped, so that it can be placed elsewhere.
 START_ATTEMPTS = 2
 # The platform bounds its calls to some dozens a second for all processes.
@@ -356,6 +358,8 @@
     async def _begin_upkeep(self, order: UpkeepOrder) -> None:
         """Hand a machine over; repeat it until the platform says what became of it."""
         await anyio.sleep(max(0.0, self.dispatch.machine_orders_from - self._now()))
+        # Only a first call that is answered surely ended the executor that is known now.
+        executor = None if order.is_repeated else self.dispatch.by_machine.get(order.machine)
         while True:
             upkeep = self.dispatch.upkeeps.get(order.wave)
             if upkeep is None:
@@ -371,7 +375,7 @@
                     logger.info("fleet: upkeep of {} unanswered: {}", order.machine, error)
             if outcome is MachineOutcome.DONE:
                 logger.info("fleet: upkeep of {} in wave {}", order.machine, order.wave)
-                upkeep.handed_over(order.machine, self._now())
+                self.dispatch.handed_over(order.wave, order.machine, executor, self._now())
                 return
             if outcome is MachineOutcome.UNKNOWN_MACHINE:
                 logger.warning("fleet: wave {}: no machine {}", order.wave, order.machine)
@@ -380,6 +384,7 @@
             if outcome is MachineOutcome.BUSY:
                 logger.info("fleet: upkeep of {}: the platform is busy with it", order.machine)
                 upkeep.busy(order.machine)
+            executor = None
             await anyio.sleep(MACHINE_RETRY_S)
 
     def watch(self, executor: Executor) -> None:
@@ -417,7 +422,8 @@
                     logger.info("fleet: hold of {} unanswered: {}", executor.life, error)
                     self.dispatch.unanswered(executor, sent_at)
                     self.wake.set()
-                await anyio.sleep(RETRY_S)
+                silent_s = self._now() - (executor.silent_since or sent_at)
+                await anyio.sleep(min(max(RETRY_S, silent_s / 4), LONGEST_RETRY_S))
                 continue
             is_first = not executor.lease.is_known
             self.dispatch.held(executor, sent_at, report, self._now())
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -4,6 +4,7 @@
 what it runs, and from then on the view follows from recorded changes and the executors' answers.
 """
 
+import math
 from collections.abc import Iterable
 
 from marigolddoor_core.dispatch.durations import DurationEstimates
@@ -22,7 +23,7 @@
 from marigolddoor_core.dispatch.pacing import plan_pace
 from marigolddoor_core.dispatch.planner import Placer, StepOrder
 from marigolddoor_core.dispatch.ready import ReadySteps
-from marigolddoor_core.dispatch.room import Move, RoomPlanner
+from marigolddoor_core.dispatch.room import Move, PoolFloor, RoomPlanner
 from marigolddoor_core.dispatch.upkeep import Upkeep
 from marigolddoor_core.dispatch.worth_order import WorthOrder
 from marigolddoor_core.ids import (
@@ -39,6 +40,7 @@
     DropExecutor,
     EndRun,
     EnrolExecutor,
+    FleetConfiguration,
     JobChange,
     JobPhase,
     JobRecord,
@@ -59,6 +61,8 @@
 LONGEST_BLOCK_S = 8.0
 # Moves are looked at this often; demand that rises is seen within this time.
 ROOM_INTERVAL_S = 0.2
+# The share of an even division of the machines that every service keeps.
+LEAST_SHARE = 0.6
 # Failed tasks of this many jobs in a row point to the executor rather than to the jobs.
 SUSPICIOUS_JOBS = 2
 
@@ -122,7 +126,7 @@
                 self.unclaimed.setdefault(task.life, {})[task.name] = task
             if job.phase is JobPhase.ACTIVE:
                 self.ready.add_job(job, self.table.time_s)
-                self.work.accepted(job, self.service_of(job))
+                self.work.accepted(job, self.service_of(job), self.worth.first_deadline_s(job))
         for enrolled in sorted(self.table.executors.values(), key=lambda known: known.born_ms):
             self.heard(Heartbeat.of_enrolment(enrolled), self.now)
         # These are recorded already.
@@ -360,7 +364,9 @@
     def _plan_upkeep(self, now: Instant) -> list[JobChange]:
         changes: list[JobChange] = []
         for wave, upkeep in list(self.upkeeps.items()):
-            planned, leaving = upkeep.plan(self.by_machine, self.executors.values(), now)
+            planned, leaving = upkeep.plan(
+                self.by_machine, self.executors.values(), self.room.standby, now
+            )
             changes += planned
             for executor in leaving:
                 for placed in movable_runs(executor, self.executors, now):
@@ -369,6 +375,19 @@
                 del self.upkeeps[wave]
         return changes
 
+    def handed_over(
+        self, wave: WaveId, machine: MachineId, executor: Executor | None, now: Instant
+    ) -> None:
+        """Take the platform's word that it has a machine for its upkeep.
+
+        `executor` is the one that surely ended with it, None if that is not known.
+        """
+        upkeep = self.upkeeps.get(wave)
+        if upkeep is not None:
+            upkeep.handed_over(machine, now)
+        if executor is not None:
+            self.life_over(executor, now)
+
     def _is_in_upkeep(self, machine: MachineId) -> bool:
         return any(upkeep.is_in_upkeep(machine) for upkeep in self.upkeeps.values())
 
@@ -382,23 +401,35 @@
         if configuration is None or not is_due or now < self.machine_orders_from:
             return
         self.room_planned_at = now
-        moves = self.room.plan(self.by_machine, configuration, self._floors(), now)
+        self.work.drop_hopeless(self.table.time_s)
+        moves = self.room.plan(self.by_machine, configuration, self._floors(configuration), now)
         self.orders += [MoveOrder(move) for move in moves]
 
-    def _floors(self) -> dict[ServiceId, int]:
-        """Return the machines that each service needs for its long-running steps to be spread."""
-        floors: dict[ServiceId, int] = {}
+    def _floors(self, configuration: FleetConfiguration) -> dict[ServiceId, PoolFloor]:
+        """Return the least numbers of machines of each service.
+
+        It keeps a share of an even division, since no machine moves while there is no leader, and
+        as many machines as its long-running steps have to be spread over.
+        """
+        machines = len(self.by_machine) + len(self.room.standby)
+        least = math.ceil(LEAST_SHARE * machines / max(1, len(configuration.services)))
+        spread: dict[ServiceId, int] = {}
         for executor in self.executors.values():
             service = executor.heartbeat.service
             for placed in executor.runs.values():
                 spec = placed.task.step.spec
                 if spec.is_long_running and spec.spread_limit:
-                    machines = -(-spec.count // spec.spread_limit)
-                    floors[service] = max(floors.get(service, 0), machines)
-        if self.upkeeps:
-            # A task that leaves a machine before its upkeep needs another one to go to.
-            floors = {service: count + 1 for service, count in floors.items()}
-        return floors
+                    needed = -(-spec.count // spec.spread_limit)
+                    # A task that leaves a machine before its upkeep needs another one to go to.
+                    needed += 1 if self.upkeeps else 0
+                    spread[service] = max(spread.get(service, 0), needed)
+        return {
+            service.name: PoolFloor(
+                spread.get(service.name, 0), max(least, spread.get(service.name, 0))
+            )
+            for service in configuration.services
+            if not service.standby
+        }
 
     def _count(self, kind: CounterKind, job: JobRecord, outcome: str) -> None:
         self.counters.add(kind, Labels(service=self.service_of(job), outcome=outcome))
@@ -442,7 +473,7 @@
         self._count(CounterKind.JOBS, job, "accepted")
         self.ready.add_job(job, self.table.time_s)
         self.worth.learn(job)
-        self.work.accepted(job, self.service_of(job))
+        self.work.accepted(job, self.service_of(job), self.worth.first_deadline_s(job))
         self.is_planning_due = True
 
     def run_placed(self, task: TaskRecord) -> None:
@@ -502,7 +533,7 @@
         """Begin a wave, or go on with one that an earlier leader began."""
         upkeep = self.upkeeps[wave.wave] = Upkeep(wave, self.now)
         for machine in wave.begun:
-            self.orders.append(upkeep.begun(machine, self.now))
+            self.orders.append(upkeep.begun(machine, self.now, is_repeated=True))
 
     def upkeep_begun(self, wave: WaveRecord, machine: MachineId) -> None:
         """Order the upkeep that was recorded."""
--- a/packages/core/src/marigolddoor_core/dispatch/orders.py
+++ b/packages/core/src/marigolddoor_core/dispatch/orders.py
@@ -41,10 +41,14 @@
 
 @dataclass(frozen=True, slots=True)
 class UpkeepOrder:
-    """Hand a machine to the platform for its upkeep; what was handed over stays so."""
+    """Hand a machine to the platform for its upkeep.
+
+    `is_repeated` says that an earlier leader may have done so; the platform does it once.
+    """
 
     wave: WaveId
     machine: MachineId
+    is_repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/dispatch/outstanding.py
+++ b/packages/core/src/marigolddoor_core/dispatch/outstanding.py
@@ -1,5 +1,6 @@
 """The cores that accepted jobs need, by service, kept up to date with each change."""
 
+import heapq
 from collections.abc import Callable
 
 from marigolddoor_core.ids import JobId, ServiceId
@@ -9,6 +10,9 @@
 
 # The chain of a job counts as at least this long; estimates of some ms would ask for whole pools.
 SHORTEST_CHAIN_S = 0.3
+# A job that is open when less than this share of its chain is left until its deadline is late: on
+# average half of its chain is still to come.
+HOPELESS_SHARE = 0.5
 
 
 class OutstandingWork:
@@ -18,6 +22,8 @@
     In a steady state the sum is the work that arrives each second, and a backlog raises it. With
     windows of arrivals instead, one large job asks for more cores than it can use.
 
+    A job that can't be in time any more asks for no room: it is worth little and waits for gaps.
+
     Long-running tasks have no end, so they count by the cores that they hold, not here.
 
     Args:
@@ -28,9 +34,10 @@
         self.expected_s = expected_s
         self.jobs: dict[JobId, tuple[ServiceId, float]] = {}
         self.needed: dict[ServiceId, float] = {}
+        self.hopeless_from: list[tuple[float, JobId]] = []
 
-    def accepted(self, job: JobRecord, service: ServiceId) -> None:
-        """Add a job."""
+    def accepted(self, job: JobRecord, service: ServiceId, deadline_s: float) -> None:
+        """Add a job that has to end by a time of day."""
         if job.spec.is_timed:
             # Its occurrences are due at known times, one by one.
             return
@@ -46,6 +53,13 @@
         cores = work / max(max(ends), SHORTEST_CHAIN_S)
         self.jobs[job.job] = (service, cores)
         self.needed[service] = self.needed.get(service, 0.0) + cores
+        hopeless_s = deadline_s - HOPELESS_SHARE * max(ends)
+        heapq.heappush(self.hopeless_from, (hopeless_s, job.job))
+
+    def drop_hopeless(self, time_s: float) -> None:
+        """Take off the jobs whose time is over."""
+        while self.hopeless_from and self.hopeless_from[0][0] <= time_s:
+            self.ended(heapq.heappop(self.hopeless_from)[1])
 
     def ended(self, job: JobId) -> None:
         """Take off a job."""
--- a/packages/core/src/marigolddoor_core/dispatch/room.py
+++ b/packages/core/src/marigolddoor_core/dispatch/room.py
@@ -15,7 +15,7 @@
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import FleetConfiguration
 
-__all__ = ["MachineState", "MachineView", "Move", "RoomPlanner"]
+__all__ = ["MachineState", "MachineView", "Move", "PoolFloor", "RoomPlanner"]
 
 # Cores are never packed perfectly; above this share tasks of a few cores wait for a gap.
 FULL_SHARE = 0.9
@@ -57,6 +57,17 @@
     target: ServiceId
 
 
+@dataclass(frozen=True, slots=True)
+class PoolFloor:
+    """The machines that a service needs in any case, and those below which it gives none away."""
+
+    required: int = 0
+    kept: int = 0
+
+
+NO_FLOOR = PoolFloor()
+
+
 @dataclass(slots=True)
 class _Ordered:
     """A move that was ordered. `done_at` is when the platform said yes."""
@@ -113,7 +124,7 @@
         self,
         executors: Mapping[MachineId, Executor],
         configuration: FleetConfiguration,
-        floors: Mapping[ServiceId, int],
+        floors: Mapping[ServiceId, PoolFloor],
         now: Instant,
     ) -> list[Move]:
         """Return the moves that are due, and cordon machines that are to become free.
@@ -121,7 +132,7 @@
         Args:
           executors: the executor of each machine that has one.
           configuration: the one in force.
-          floors: the least number of machines of a service.
+          floors: the least numbers of machines of each service.
           now: the time.
         """
         self._note_arrivals(executors, configuration, now)
@@ -141,7 +152,9 @@
             spare = self._supply(service, pool) * FULL_SHARE - needed
             if spare < 0:
                 spare += self._keep_retiring(pool, -spare)
-            missing = floors.get(service, 0) - len(pool) - self._count_incoming(service)
+            missing = (
+                floors.get(service, NO_FLOOR).required - len(pool) - self._count_incoming(service)
+            )
             if spare < 0 or missing > 0:
                 self.spare_since.pop(service, None)
                 short.append((max(-spare, missing * _typical_cores(pool)), service))
@@ -219,14 +232,14 @@
         service: ServiceId,
         pool: list[Executor],
         spare: float,
-        floors: Mapping[ServiceId, int],
+        floors: Mapping[ServiceId, PoolFloor],
         now: Instant,
     ) -> None:
         """Choose machines that the service does not need, once that has lasted for a while."""
         staying = [e for e in pool if e.heartbeat.machine not in self.retiring]
         free = [executor for executor in staying if not _is_pinned(executor)]
         free.sort(key=lambda executor: executor.load)
-        most = len(staying) - floors.get(service, 0)
+        most = len(staying) - floors.get(service, NO_FLOOR).kept
         leavers = []
         for executor in free[: max(0, most)]:
             spare -= executor.heartbeat.capacity.cpu_milli / 1000 * FULL_SHARE
@@ -244,7 +257,7 @@
         cores: float,
         pools: Mapping[ServiceId, list[Executor]],
         spares: dict[ServiceId, float],
-        floors: Mapping[ServiceId, int],
+        floors: Mapping[ServiceId, PoolFloor],
         now: Instant,
     ) -> list[Move]:
         """Return moves into a service, from the standby service first."""
@@ -265,7 +278,7 @@
                 size = executor.heartbeat.capacity.cpu_milli / 1000
                 left = sum(1 for e in pools[other] if e.heartbeat.machine not in self.ordered)
                 is_retiring = executor.heartbeat.machine in self.retiring
-                if cores <= 0 or left <= floors.get(other, 0):
+                if cores <= 0 or left <= floors.get(other, NO_FLOOR).kept:
                     break
                 if spare < size * FULL_SHARE and not is_retiring:
                     continue
--- a/packages/core/src/marigolddoor_core/dispatch/upkeep.py
+++ b/packages/core/src/marigolddoor_core/dispatch/upkeep.py
@@ -4,7 +4,7 @@
 tasks end by themselves; a long-running task is moved while the others of its step are at work.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 
 from marigolddoor_core.dispatch.executors import Executor, ExecutorState
@@ -18,6 +18,8 @@
 # A machine counts as back if its executor answered a call this long after the platform's yes. The
 # platform ends what runs on the machine with its yes, so an answer that was on its way is older.
 BACK_AFTER_S = 0.3
+# Upkeep takes 2 s. A machine that shows no executor after this long is off or has failed.
+SURELY_BACK_S = 6.0
 # A machine without an executor is offered to the platform as it is after this long.
 MISSING_S = 4.0
 # At most this share of a service's executors is emptied or in upkeep at a time.
@@ -69,11 +71,11 @@
         state = self.machines.get(machine)
         return state is not None and state.step not in (UpkeepStep.DUE, UpkeepStep.BACK)
 
-    def begun(self, machine: MachineId, now: Instant) -> UpkeepOrder:
-        """Return the order for a machine whose upkeep was recorded."""
+    def begun(self, machine: MachineId, now: Instant, is_repeated: bool = False) -> UpkeepOrder:
+        """Return the order for a machine whose upkeep was recorded, maybe by an earlier leader."""
         state = self.machines[machine]
         state.step, state.since = UpkeepStep.BEGUN, now
-        return UpkeepOrder(self.id, machine)
+        return UpkeepOrder(self.id, machine, is_repeated)
 
     def handed_over(self, machine: MachineId, now: Instant) -> None:
         """Take the platform's word that it has the machine, or had it before."""
@@ -92,14 +94,22 @@
         self,
         by_machine: dict[MachineId, Executor],
         executors: Iterable[Executor],
+        off: Collection[MachineId],
         now: Instant,
     ) -> tuple[list[JobChange], list[Executor]]:
-        """Return the changes to record, and the executors whose tasks should leave."""
+        """Return the changes to record, and the executors whose tasks should leave.
+
+        Args:
+          by_machine: the executor of each machine that has one.
+          executors: all executors.
+          off: machines that are known to be free because their service is off.
+          now: the time.
+        """
         self._note_returns(by_machine, now)
         states = list(self.machines.values())
         if all(state.step is UpkeepStep.BACK for state in states):
             return ([] if self.wave.is_finished else [FinishWave(self.id)]), []
-        self._choose(by_machine, list(executors), now)
+        self._choose(by_machine, list(executors), off, now)
         changes: list[JobChange] = []
         leaving = []
         down = sum(
@@ -114,7 +124,7 @@
             if executor is not None and executor.runs:
                 leaving.append(executor)
             elif down < self.wave.max_count and (
-                executor is not None or now - state.since >= MISSING_S
+                executor is not None or state.machine in off or now - state.since >= MISSING_S
             ):
                 down += 1
                 changes.append(BeginUpkeep(self.id, state.machine))
@@ -126,11 +136,16 @@
                 continue
             executor = by_machine.get(state.machine)
             contact_at = None if executor is None else executor.contact_at
-            if contact_at is not None and contact_at >= state.since + BACK_AFTER_S:
+            has_answered = contact_at is not None and contact_at >= state.since + BACK_AFTER_S
+            if has_answered or now - state.since >= SURELY_BACK_S:
                 state.step = UpkeepStep.BACK
 
     def _choose(
-        self, by_machine: dict[MachineId, Executor], executors: list[Executor], now: Instant
+        self,
+        by_machine: dict[MachineId, Executor],
+        executors: list[Executor],
+        off: Collection[MachineId],
+        now: Instant,
     ) -> None:
         """Begin to empty machines, the idlest of the idlest services first."""
         total: dict[ServiceId, int] = {}
@@ -163,7 +178,7 @@
                 return
             candidate = by_machine.get(state.machine)
             if candidate is None:
-                if now - state.since < MISSING_S:
+                if state.machine not in off and now - state.since < MISSING_S:
                     continue
             else:
                 if candidate.heartbeat.state is ExecutorState.DRAINING:
--- a/tests/core/dispatch/test_room.py
+++ b/tests/core/dispatch/test_room.py
@@ -119,6 +119,39 @@
         self.assertTrue(retiring)
 
 
+class LeastPoolTest(testtools.TestCase):
+    """Every service keeps some machines, since none moves while there is no leader.
+
+    Found on the standard day scale-2 of tmpa-jellyworks: pools were empty when the leader froze
+    right after the traffic began, and the next one may not move machines for 3 s.
+    """
+
+    def test_least(self) -> None:
+        fleet = fleet_with(4, other=4)
+        for tenth in range(0, 60, 2):
+            for executor in list(fleet.dispatch.executors.values()):
+                fleet.at(tenth / 10).hold(executor)
+            fleet.step()
+        leaving = moves(fleet)
+        # 8 machines in 3 services: two stay in each.
+        self.assertEqual(4, len(leaving))
+
+
+class HopelessDemandTest(testtools.TestCase):
+    """Work that is late anyway attracts no machines away from work that is not."""
+
+    def test_hopeless(self) -> None:
+        fleet = fleet_with(1, standby=3)
+        fleet.step(accept("j", {"count": 90, "estimated_s": 1.0}))
+        needed = fleet.dispatch.work.needed
+        self.assertEqual(90.0, needed["desk"])
+        # In time until 1.6 x 1 s + 0.6 s after its arrival, less half its chain.
+        fleet.dispatch.work.drop_hopeless(1.6)
+        self.assertEqual(90.0, needed["desk"])
+        fleet.dispatch.work.drop_hopeless(1.8)
+        self.assertEqual(0.0, needed["desk"])
+
+
 class CancelledDemandTest(testtools.TestCase):
     """Cancelled work asks for no machine."""
 
