Foresee turns, end after a failed disk, reload seeds

Cause: machines follow a rising queue 2 to 3 s late, and the turns of the queues repeat; a replica whose disk failed stayed as a process that never votes again; an entry process kept the seeds of its start. Change: core.dispatch.forecast (the period is the lag at which all services together repeat best); the process ends 3 s after a failed write and is started again; seeds are read again while no leader is found; tasks of unguarded executors are not given up early.

--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -32,6 +32,8 @@
 __all__ = ["FleetProcess", "FleetProcessSettings"]
 
 BARRIER_TIMEOUT_S = 2.0
+# A full disk stays full for seconds; starting again at once would only repeat the failure.
+FAILED_DISK_PAUSE_S = 3.0
 
 
 def boot_time() -> float:
@@ -97,7 +99,7 @@
 
         Raises:
           OSError: an address can't be used.
-          StorageError: the data folder can't be used.
+          StorageError: the data folder can't be used, or a write to it failed.
         """
         settings = self.settings
         async with PeerPool(self.key) as pool, anyio.create_task_group() as group:
@@ -120,6 +122,7 @@
             group.start_soon(serve, self.service)
             group.start_soon(agreement.run)
             group.start_soon(self._lead)
+            group.start_soon(self._end_after_failure, agreement)
             logger.info("fleet: control process {} on {}", settings.name, address)
             task_status.started(address)
             await stopping.wait()
@@ -127,6 +130,17 @@
             group.cancel_scope.cancel()
         logger.info("fleet: control process {} stopped", settings.name)
 
+    async def _end_after_failure(self, agreement: Agreement) -> None:
+        """End the process after its disk failed, since only a new start knows what is stored.
+
+        Raises:
+          StorageError: the failure. The platform starts the process again.
+        """
+        while agreement.failure is None:
+            await agreement.role_changed.wait()
+        await anyio.sleep(FAILED_DISK_PAUSE_S)
+        raise agreement.failure
+
     def metrics_page(self) -> str:
         """Return counters and the sizes of what this process holds, as text."""
         leadership = None if self.service is None else self.service.leadership
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -120,6 +120,8 @@
             return await self._answer_known(leadership, call, known)
         if known is not None:
             return QueueReply(QueueOutcome.ANSWERED)
+        if not name or "/" in name:
+            return QueueReply(QueueOutcome.INVALID, detail="the path names no job")
         try:
             spec = self.table.reader.read_job(call.document)
         except InvalidJobError as error:
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -17,6 +17,7 @@
     HoldReport,
     PlacedRun,
 )
+from marigolddoor_core.dispatch.forecast import DemandForecast
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
 from marigolddoor_core.dispatch.orders import MoveOrder, Order, PaceOrder, StartOrder, StopOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
@@ -61,6 +62,9 @@
 LONGEST_BLOCK_S = 8.0
 # Moves are looked at this often; demand that rises is seen within this time.
 ROOM_INTERVAL_S = 0.2
+# Machines that are ordered now are there after some 1.8 s, so this part of the future counts.
+FORESEEN_FROM_S = 0.5
+FORESEEN_UNTIL_S = 2.5
 # The share of an even division of the machines that every service keeps.
 LEAST_SHARE = 0.6
 # Failed tasks of this many jobs in a row point to the executor rather than to the jobs.
@@ -111,6 +115,7 @@
         self.unclaimed: dict[ExecutorLife, dict[TaskName, TaskRecord]] = {}
         self.ready = ReadySteps(self.service_of)
         self.work = OutstandingWork(self.worth.expected_s)
+        self.forecast = DemandForecast()
         self.room = RoomPlanner(self.work, self._is_in_upkeep)
         self.room_planned_at = now
         self.upkeeps: dict[WaveId, Upkeep] = {}
@@ -121,6 +126,7 @@
 
     def _take_over(self) -> None:
         for job in self.table.jobs.values():
+            self._note_arrival(job)
             for task in job.placed_tasks():
                 assert task.life is not None
                 self.unclaimed.setdefault(task.life, {})[task.name] = task
@@ -252,10 +258,18 @@
         """
         if executor.silent_since is None:
             executor.silent_since = sent_at
+        if not self._enforces_capacity(executor.heartbeat.service):
+            # The run may go on, and its room must count.
+            return
         self._lose(
             placed.task for placed in executor.runs.values() if placed.task.step.spec.is_speculative
         )
 
+    def _enforces_capacity(self, service: ServiceId) -> bool:
+        configuration = self.table.configuration
+        settings = None if configuration is None else configuration.service_by_name.get(service)
+        return settings is not None and settings.enforces_capacity
+
     def _stop_unknown(self, executor: Executor, name: TaskName, run: RunNumber) -> None:
         """Stop a run that the table does not place there, such as one of an ended job."""
         task = self.table.task(name)
@@ -353,7 +367,7 @@
         changes, self.changes = self.changes, []
         changes += self._plan_upkeep(now)
         self._empty_draining(now)
-        self._plan_room(now)
+        self._plan_room(now, time_s)
         for machine, executor in self.by_machine.items():
             executor.is_cordoned = self.room.is_leaving(machine) or self._is_emptying(machine)
         if not changes or self.is_planning_due:
@@ -394,15 +408,23 @@
     def _is_emptying(self, machine: MachineId) -> bool:
         return any(upkeep.is_emptying(machine) for upkeep in self.upkeeps.values())
 
-    def _plan_room(self, now: Instant) -> None:
+    def _plan_room(self, now: Instant, time_s: float) -> None:
         configuration = self.table.configuration
         is_due = now - self.room_planned_at >= ROOM_INTERVAL_S
         # The former leader's orders for machines must not alternate with those of this one.
         if configuration is None or not is_due or now < self.machine_orders_from:
             return
         self.room_planned_at = now
-        self.work.drop_hopeless(self.table.time_s)
-        moves = self.room.plan(self.by_machine, configuration, self._floors(configuration), now)
+        self.work.drop_hopeless(time_s)
+        self.forecast.update(time_s)
+        expected = {
+            service.name: self.forecast.expected_cores(
+                service.name, time_s + FORESEEN_FROM_S, time_s + FORESEEN_UNTIL_S
+            )
+            for service in configuration.services
+        }
+        floors = self._floors(configuration)
+        moves = self.room.plan(self.by_machine, configuration, floors, expected, now)
         self.orders += [MoveOrder(move) for move in moves]
 
     def _floors(self, configuration: FleetConfiguration) -> dict[ServiceId, PoolFloor]:
@@ -431,6 +453,11 @@
             if not service.standby
         }
 
+    def _note_arrival(self, job: JobRecord) -> None:
+        if not job.spec.is_long_running and not job.spec.is_timed:
+            work = self.worth.total_work(job)
+            self.forecast.arrived(self.service_of(job), work, job.accepted_s)
+
     def _count(self, kind: CounterKind, job: JobRecord, outcome: str) -> None:
         self.counters.add(kind, Labels(service=self.service_of(job), outcome=outcome))
 
@@ -473,6 +500,7 @@
         self._count(CounterKind.JOBS, job, "accepted")
         self.ready.add_job(job, self.table.time_s)
         self.worth.learn(job)
+        self._note_arrival(job)
         self.work.accepted(job, self.service_of(job), self.worth.first_deadline_s(job))
         self.is_planning_due = True
 
--- a/packages/core/src/marigolddoor_core/dispatch/room.py
+++ b/packages/core/src/marigolddoor_core/dispatch/room.py
@@ -19,6 +19,8 @@
 
 # Cores are never packed perfectly; above this share tasks of a few cores wait for a gap.
 FULL_SHARE = 0.9
+# The past is no certain guide: a part of what is foreseen is prepared, the rest follows the demand.
+FORESEEN_SHARE = 0.8
 # A machine stays for this long after it became superfluous. Two moves cost as much as 2.3 s in a
 # pool, and demand of single jobs comes and goes within a second.
 PATIENCE_S = 1.5
@@ -125,6 +127,7 @@
         executors: Mapping[MachineId, Executor],
         configuration: FleetConfiguration,
         floors: Mapping[ServiceId, PoolFloor],
+        expected: Mapping[ServiceId, float],
         now: Instant,
     ) -> list[Move]:
         """Return the moves that are due, and cordon machines that are to become free.
@@ -133,6 +136,7 @@
           executors: the executor of each machine that has one.
           configuration: the one in force.
           floors: the least numbers of machines of each service.
+          expected: the cores that jobs which are still to come will need.
           now: the time.
         """
         self._note_arrivals(executors, configuration, now)
@@ -148,7 +152,7 @@
         short: list[tuple[float, ServiceId]] = []
         spares: dict[ServiceId, float] = {}
         for service, pool in pools.items():
-            needed = self.needed_cores(service, pool)
+            needed = self.needed_cores(service, pool, expected.get(service, 0.0))
             spare = self._supply(service, pool) * FULL_SHARE - needed
             if spare < 0:
                 spare += self._keep_retiring(pool, -spare)
@@ -169,7 +173,7 @@
             moves += self._send_home(pools, standby, now)
         return moves
 
-    def needed_cores(self, service: ServiceId, pool: Iterable[Executor]) -> float:
+    def needed_cores(self, service: ServiceId, pool: Iterable[Executor], expected: float) -> float:
         """Return the cores that a service needs now."""
         lasting = sum(
             placed.task.step.spec.size.cpu_milli
@@ -177,7 +181,8 @@
             for placed in executor.runs.values()
             if placed.task.step.spec.is_long_running and not placed.task.step.spec.is_filler
         )
-        return lasting / 1000 + self.work.needed.get(service, 0.0)
+        now = self.work.needed.get(service, 0.0)
+        return lasting / 1000 + max(now, FORESEEN_SHARE * expected)
 
     def _supply(self, service: ServiceId, pool: Iterable[Executor]) -> float:
         cpu = sum(
--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -124,6 +124,11 @@
             return QueueReply(QueueOutcome.UNKNOWN)
         return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=NO_LEADER_RETRY_S)
 
+    def replace_control(self, control: Iterable[Address]) -> None:
+        """Use other control processes to begin with, after the settings changed."""
+        self.control = tuple(control)
+        self._learn(self.known)
+
     async def probe(self) -> None:
         """Find the leader if it did not answer lately."""
         if not self.is_connected:
--- a/tests/core/dispatch/test_room.py
+++ b/tests/core/dispatch/test_room.py
@@ -152,6 +152,27 @@
         self.assertEqual(0.0, needed["desk"])
 
 
+class ForeseenDemandTest(testtools.TestCase):
+    """Machines are there when a turn begins that the past foretells."""
+
+    scenarios = [
+        ("a turn is near", {"at_s": 25.0, "is_fetched": True}),
+        ("a turn is far", {"at_s": 20.0, "is_fetched": False}),
+    ]
+
+    def test_foreseen(self) -> None:
+        fleet = fleet_with(1, other=1, standby=4)
+        # Each service has a turn of 4 s in a cycle of 18 s; "other" begins at 9 and at 27 s.
+        for second in range(int(self.at_s)):
+            if second % 18 < 4:
+                fleet.dispatch.forecast.arrived(ServiceId("desk"), 30.0, 1000.0 + second)
+            if 9 <= second % 18 < 13:
+                fleet.dispatch.forecast.arrived(OTHER, 30.0, 1000.0 + second)
+        fleet.at(10.0).dispatch.take_changes(fleet.now, 1000.0 + self.at_s)
+        fetched = [move for move in moves(fleet) if move.target == OTHER]
+        self.assertEqual(self.is_fetched, bool(fetched))
+
+
 class CancelledDemandTest(testtools.TestCase):
     """Cancelled work asks for no machine."""
 
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -14,6 +14,7 @@
 from marigolddoor_platform import main
 from marigolddoor_platform.settings import parse_settings
 from marigolddoor_standins.platform_executor import PlatformExecutor, RunLedger
+from marigolddoor_storage import StorageError
 
 HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 ENTRY_HOST = "127.0.0.4"
@@ -57,6 +58,12 @@
     raise OSError("no port is free on all hosts")
 
 
+def _leaf(failure: BaseException) -> BaseException:
+    while isinstance(failure, BaseExceptionGroup):
+        failure = failure.exceptions[0]
+    return failure
+
+
 class PlatformSystem:
     """Processes in one loop; each control process can be ended as by a kill."""
 
@@ -70,6 +77,7 @@
         self.ledger = RunLedger()
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.executors: dict[str, PlatformExecutor] = {}
+        self.failures: dict[str, BaseException] = {}
         self.client = httpx.AsyncClient(follow_redirects=True, timeout=3.0)
 
     def settings(self, host: str, is_first: bool = True, **fields: str) -> str:
@@ -122,7 +130,10 @@
 
         async def run_in_scope() -> None:
             with scope:
-                await run()
+                try:
+                    await run()
+                except* StorageError as group:
+                    self.failures[name] = _leaf(group)
 
         self.group.start_soon(run_in_scope)
 
@@ -130,6 +141,11 @@
         """End a process without a word."""
         self.scopes.pop(name).cancel()
 
+    def fail_disk(self, host: str) -> None:
+        """Let the next write of a control process fail, since its files are gone."""
+        for file in (self.folder / host).iterdir():
+            file.unlink()
+
     async def configure(self) -> None:
         """Send the configuration until a control process accepts it."""
         await self._until(lambda: self._operator("configuration/replace", CONFIGURATION))
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -4,6 +4,7 @@
 
 import anyio
 import testtools
+from marigolddoor_storage import StorageError
 
 from tests.platform.system import HOSTS, PlatformSystem, run_system
 
@@ -113,3 +114,22 @@
             self.assertEqual(410, await system.cancel(JOBS[1]))
 
         run_system(course)
+
+
+class FullDiskTest(testtools.TestCase):
+    """A control process whose disk fails ends, so that a new start can read what is stored."""
+
+    def test_failure(self) -> None:
+        async def course(system: PlatformSystem) -> None:
+            self.assertEqual(200, await system.submit(JOBS[0], STEPS, 0.1))
+            await system.wait_state(JOBS[0], "completed")
+            leader = await system.leader()
+            follower = next(host for host in HOSTS if host != leader)
+            system.fail_disk(follower)
+            self.assertEqual(200, await system.submit(JOBS[1], STEPS, 0.1))
+            while follower not in system.failures:
+                await anyio.sleep(0.1)
+            self.assertIsInstance(system.failures[follower], StorageError)
+            await system.wait_state(JOBS[1], "completed")
+
+        run_system(course)
