End the lease of an executor that does not answer

A crashed executor was asked again every 0.15 to 1 s, each time with a later deadline; since each call may have arrived, its lease was never over, and its long-running tasks stayed down for 40 s, as did every batch task on silent executors. Ruled out: the planner (there was room), the queue's service (unchanged). Change: a silent executor is sent the deadline that it has. Tests: RepeatedCallsTest fails with the former rule (extend on each call).

--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -247,7 +247,7 @@
                 order.run,
                 order.payload,
                 order.checkpoint,
-                executor.lease.extend(self._now()),
+                executor.extend_lease(self._now()),
                 self.token,
             )
             try:
@@ -409,7 +409,7 @@
                 await anyio.sleep(RETRY_S)
                 continue
             sent_at = self._now()
-            deadline_ms = executor.lease.extend(sent_at) if executor.lease.is_known else 0
+            deadline_ms = executor.extend_lease(sent_at)
             request = HoldRequest(deadline_ms, executor.seen, wait_s, self.token)
             try:
                 report = await self.calls.hold(executor, request)
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -198,6 +198,16 @@
         """Return which life this is."""
         return self.heartbeat.life
 
+    def extend_lease(self, now: Instant) -> int:
+        """Return the deadline for a call that is sent at `now`; 0 if its clock is not known.
+
+        A silent executor gets the deadline that it was sent last. Otherwise the calls that look for
+        it would keep its lease alive, and its tasks could never be started elsewhere.
+        """
+        if not self.lease.is_known:
+            return 0
+        return self.lease.deadline_ms if self.silent_since is not None else self.lease.extend(now)
+
     @property
     def load(self) -> float:
         """Return the share of the cores that is taken."""
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -174,6 +174,32 @@
         self.assertEqual(1, task.failures)
 
 
+class RepeatedCallsTest(StartedRun):
+    """Calls that get no answer must not keep the lease of an executor alive for ever.
+
+    Found on the drawn day fresh-8d7c of bw-ring: a crashed executor was asked again and again, each
+    time with a later deadline, so its tasks were not started elsewhere for 40 s (LOST).
+    """
+
+    def test_lease_ends(self) -> None:
+        self.executor.extend_lease(self.fleet.now)
+        self.fleet.dispatch.unanswered(self.executor, self.fleet.now)
+        for tenth in range(1, 65, 2):
+            self.executor.extend_lease(self.fleet.at(tenth / 10).now)
+        self.fleet.dispatch.expire(self.fleet.at(6.0).now)
+        self.assertEqual([], lost(self.fleet.dispatch.changes))
+        self.fleet.dispatch.expire(self.fleet.at(6.5).now)
+        self.assertEqual(["j.0.0.0"], lost(self.fleet.dispatch.changes))
+
+    def test_contact_renews(self) -> None:
+        self.executor.extend_lease(self.fleet.now)
+        self.fleet.dispatch.unanswered(self.executor, self.fleet.now)
+        self.fleet.at(3.0).hold(self.executor, running("j.0.0.0"))
+        before = self.executor.lease.over_at
+        self.executor.extend_lease(self.fleet.now)
+        self.assertGreater(self.executor.lease.over_at, before)
+
+
 class TakeOverTest(testtools.TestCase):
     """A new leader finds the runs of the former one, and repeats none that may still run."""
 
