Count a silent executor's tasks as away, leave slow executors, log each change

A rack that fell silent counted as at work by its last report until its lease was over; 5 s after the crash another task of the step was stopped for upkeep. Change: only an executor that answered its last call counts. Each recorded change is logged with its inputs.

--- /dev/null
+++ b/packages/control/src/marigolddoor_control/fleet/change_log.py
@@ -0,0 +1,72 @@
+"""Log lines on recorded changes: one for each decision, with the id that a complaint names."""
+
+from collections.abc import Sequence
+
+from loguru import logger
+from marigolddoor_core.dispatch import Dispatch
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.jobs import (
+    BeginUpkeep,
+    CancelJob,
+    EndRun,
+    FinishWave,
+    JobChange,
+    JobPhase,
+    JobTable,
+    PlaceRun,
+    parse_task_name,
+)
+
+__all__ = ["log_changes"]
+
+
+def log_changes(
+    changes: Sequence[JobChange], table: JobTable, dispatch: Dispatch, now: Instant
+) -> None:
+    """Log what was recorded.
+
+    A line names the task or job, the outcome, and what it was decided on with its age or version.
+    """
+    for change in changes:
+        if isinstance(change, PlaceRun):
+            _log_placement(change, table, dispatch, now)
+        elif isinstance(change, EndRun):
+            _log_end(change, table)
+        elif isinstance(change, CancelJob):
+            logger.info("fleet: job {}: cancelled", change.job)
+        elif isinstance(change, BeginUpkeep):
+            logger.info("fleet: wave {}: upkeep of {} begins", change.wave, change.machine)
+        elif isinstance(change, FinishWave):
+            logger.info("fleet: wave {}: finished", change.wave)
+
+
+def _log_placement(change: PlaceRun, table: JobTable, dispatch: Dispatch, now: Instant) -> None:
+    executor = dispatch.executors.get(change.life)
+    if executor is None:
+        logger.info("fleet: run {} {}: placed on {}, which is over", *_ids(change), change.life)
+        return
+    contact_at = executor.contact_at
+    logger.info(
+        "fleet: run {} {}: placed on {}, {} mcores left, contact {:.2f} s ago, configuration {}",
+        *_ids(change),
+        change.life,
+        executor.free_cpu,
+        -1.0 if contact_at is None else now - contact_at,
+        table.version,
+    )
+
+
+def _log_end(change: EndRun, table: JobTable) -> None:
+    logger.info("fleet: run {} {}: {}", *_ids(change), change.end.value)
+    job = table.jobs.get(parse_task_name(change.task).job)
+    if job is not None and job.phase is not JobPhase.ACTIVE and job.ended_s == table.time_s:
+        logger.info(
+            "fleet: job {}: {} after {:.2f} s",
+            job.job,
+            job.phase.value,
+            job.ended_s - job.accepted_s,
+        )
+
+
+def _ids(change: PlaceRun | EndRun) -> tuple[str, int]:
+    return change.task, change.run
--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 from marigolddoor_control.agreement import Agreement
+from marigolddoor_control.fleet.change_log import log_changes
 from marigolddoor_control.fleet.ports import (
     ExecutorCalls,
     HoldRequest,
@@ -208,6 +209,7 @@
         if batch.error is not None:
             logger.warning("fleet: {} changes were not recorded: {}", len(changes), batch.error)
             return False
+        log_changes(changes, self.table, self.dispatch, self._now())
         self._carry_out()
         if self.dispatch.changes or self.dispatch.is_planning_due:
             self.wake.set()
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -22,9 +22,10 @@
 from marigolddoor_core.dispatch.orders import MoveOrder, Order, PaceOrder, StartOrder, StopOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
 from marigolddoor_core.dispatch.pacing import plan_pace
-from marigolddoor_core.dispatch.planner import Placer, StepOrder
+from marigolddoor_core.dispatch.planner import Placer, StepOrder, has_destination
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.dispatch.room import Move, PoolFloor, RoomPlanner
+from marigolddoor_core.dispatch.stragglers import is_slow, straggling_runs
 from marigolddoor_core.dispatch.upkeep import Upkeep
 from marigolddoor_core.dispatch.worth_order import WorthOrder
 from marigolddoor_core.ids import (
@@ -67,6 +68,8 @@
 FORESEEN_UNTIL_S = 2.5
 # The share of an even division of the machines that every service keeps.
 LEAST_SHARE = 0.6
+# A slow executor gets no new task for this long after each sign of it.
+SLOW_BLOCK_S = 2.0
 # Failed tasks of this many jobs in a row point to the executor rather than to the jobs.
 SUSPICIOUS_JOBS = 2
 
@@ -244,12 +247,29 @@
         for placed, percent in plan_pace(executor, now):
             placed.pace = percent
             self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
+        if is_slow(executor, self._expected_s, now):
+            self._leave_slow(executor, now)
         for name, placed in list(executor.runs.items()):
             # The answer was made after the run was known there, and does not name it.
             is_missing = placed.confirmed_at is not None and placed.confirmed_at < sent_at
             if is_missing and name not in listed:
                 self._end(placed.task, RunEnd.LOST)
 
+    def _expected_s(self, task: TaskRecord) -> float:
+        return self.worth.expected_s(task.step.job, task.step.number)
+
+    def _leave_slow(self, executor: Executor, now: Instant) -> None:
+        """Let runs of a slow executor begin again where there is room."""
+        executor.blocked_until = max(executor.blocked_until, Instant(now + SLOW_BLOCK_S))
+        others = [
+            other
+            for other in self.executors_of(executor.heartbeat.service)
+            if other is not executor
+        ]
+        for placed in straggling_runs(executor, self._expected_s, now):
+            if has_destination(placed.task.step, others, now):
+                self._order_stop(executor, placed.task)
+
     def unanswered(self, executor: Executor, sent_at: Instant) -> None:
         """Take note that a renewal that was sent at `sent_at` got no answer.
 
--- a/packages/core/src/marigolddoor_core/dispatch/evacuation.py
+++ b/packages/core/src/marigolddoor_core/dispatch/evacuation.py
@@ -34,27 +34,33 @@
         step = placed.task.step
         if not step.spec.is_long_running or placed.is_stopping or step in going:
             continue
-        if is_within_allowance(placed.task, executors) and has_destination(step, others, now):
+        if is_within_allowance(placed.task, executors, now) and has_destination(step, others, now):
             movable.append(placed)
             going.add(step)
     return movable
 
 
-def is_within_allowance(task: TaskRecord, executors: Mapping[ExecutorLife, Executor]) -> bool:
+def is_within_allowance(
+    task: TaskRecord, executors: Mapping[ExecutorLife, Executor], now: Instant
+) -> bool:
     """Return whether a long-running task may be ended although its users need it."""
     step = task.step
     if not step.spec.allowed_misses:
         return True
-    away = sum(1 for other in step.tasks if other is not task and not is_at_work(other, executors))
+    away = sum(
+        1 for other in step.tasks if other is not task and not is_at_work(other, executors, now)
+    )
     return away < step.spec.allowed_misses
 
 
-def is_at_work(task: TaskRecord, executors: Mapping[ExecutorLife, Executor]) -> bool:
-    """Return whether a long-running task serves its users, as far as its executor said."""
+def is_at_work(task: TaskRecord, executors: Mapping[ExecutorLife, Executor], now: Instant) -> bool:
+    """Return whether a long-running task serves its users, as far as its executor said lately."""
     if task.phase is not TaskPhase.PLACED or task.life is None:
         return False
     executor = executors.get(task.life)
-    placed = None if executor is None else executor.runs.get(task.name)
+    if executor is None or not executor.is_in_contact(now):
+        return False
+    placed = executor.runs.get(task.name)
     return placed is not None and not placed.is_stopping and placed.percent >= FULL_PERCENT
 
 
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -222,15 +222,21 @@
             spec.latency_target_ms for spec in specs
         )
 
+    def is_in_contact(self, now: Instant) -> bool:
+        """Return whether the executor answered its last call, lately."""
+        return (
+            self.contact_at is not None
+            and self.silent_since is None
+            and now - self.contact_at <= CONTACT_S
+        )
+
     def accepts_work(self, now: Instant) -> bool:
         """Return whether new tasks may be placed here."""
         return (
             not self.is_over
             and not self.is_cordoned
             and self.heartbeat.state is ExecutorState.READY
-            and self.contact_at is not None
-            and self.silent_since is None
-            and now - self.contact_at <= CONTACT_S
+            and self.is_in_contact(now)
             and now >= self.blocked_until
         )
 
--- a/tests/core/dispatch/test_upkeep.py
+++ b/tests/core/dispatch/test_upkeep.py
@@ -124,10 +124,18 @@
 
     scenarios = [
         ("others at work", {"percents": [100, 100], "executors": 3, "moves": True}),
+        # Found by the first hunt (bw-ring trouble-1, seed 297870023826): a silent rack counted as
+        # at work until its lease was over, and another task of the step was stopped (AVAIL).
+        (
+            "another one is silent",
+            {"percents": [100, 100], "executors": 3, "moves": False, "is_silent": True},
+        ),
         ("another one starts", {"percents": [100, 40], "executors": 3, "moves": False}),
         ("nowhere to go", {"percents": [100, 100], "executors": 2, "moves": False}),
     ]
 
+    is_silent = False
+
     def test_move(self) -> None:
         fleet = Fleet()
         executors = [fleet.executor(number) for number in range(1, self.executors + 1)]
@@ -138,6 +146,8 @@
         for executor, percent in zip(holders, self.percents, strict=True):
             name = next(iter(executor.runs))
             fleet.hold(executor, running(name, percent=percent))
+        if self.is_silent:
+            fleet.dispatch.unanswered(holders[1], fleet.now)
         fleet.step(wave(holders[0].heartbeat.machine))
         orders = fleet.take_orders()
         self.assertEqual([self.moves], [bool(orders)])
