--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -238,7 +238,11 @@
           PeerTimeoutError: it was sent, and no reply came within `timeout_s` seconds.
           RemoteError: the peer refused.
         """
-        link = await self._link(address)
+        try:
+            with anyio.fail_after(timeout_s):
+                link = await self._link(address)
+        except TimeoutError as error:
+            raise PeerUnreachableError(f"no connection to {address} in time") from error
         correlation = next(self.correlations)
         call = _Call()
         link.waiting[correlation] = call
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -1,5 +1,6 @@
 """Guards against replies for the wrong call, unproven peers and calls that hang."""
 
+import socket
 from typing import Any
 
 import anyio
@@ -92,6 +93,28 @@
         self.assertEqual([], handled)
 
 
+class SilentPeerTest(testtools.TestCase):
+    """A connection that does not open must not take longer than the caller's time.
+
+    Found on trouble-1 of bw-ring (seed 297870023826): callers of a cut-off data centre got no
+    answer within their deadline, since the attempt to connect lasted a second longer.
+    """
+
+    def test_call(self) -> None:
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+                async with PeerPool(KEY) as pool:
+                    with anyio.fail_after(0.6):
+                        try:
+                            await pool.call(address, CancelTask(TaskId("now")), 0.1)
+                        except PeerUnreachableError:
+                            return
+            self.fail("the call was answered")
+
+        anyio.run(run)
+
+
 class AddressTest(testtools.TestCase):
     """A bad address is an error, not a connection to somewhere else."""
 
