--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -12,6 +12,7 @@
 from marigolddoor_control.agreement import Agreement
 from marigolddoor_control.fleet.change_log import log_changes
 from marigolddoor_control.fleet.ports import (
+    Adviser,
     ExecutorCalls,
     HoldRequest,
     MachineCalls,
@@ -22,6 +23,7 @@
     WrongLifeError,
 )
 from marigolddoor_core.dispatch import (
+    AdviceRequest,
     Dispatch,
     Executor,
     LeaseTiming,
@@ -101,6 +103,7 @@
         agreement: Agreement,
         calls: ExecutorCalls,
         machines: MachineCalls,
+        adviser: Adviser,
         lease_timing: LeaseTiming,
         machine_lease_s: float,
         token: FencingToken,
@@ -111,6 +114,7 @@
         self.agreement = agreement
         self.calls = calls
         self.machines = machines
+        self.adviser = adviser
         self.token = token
         self.counters = counters
         self.clock = clock
@@ -235,6 +239,8 @@
             await self._begin_upkeep(order)
         elif isinstance(order, MoveOrder):
             await self._move(order)
+        elif isinstance(order, AdviceRequest):
+            await self._ask_adviser(order)
 
     async def _start(self, order: StartOrder) -> None:
         executor = order.executor
@@ -251,6 +257,7 @@
                 order.checkpoint,
                 executor.extend_lease(self._now()),
                 self.token,
+                order.ticket,
             )
             try:
                 outcome = await self.calls.start(executor, request)
@@ -296,6 +303,25 @@
                 return
             await anyio.sleep(RETRY_S)
 
+    async def _ask_adviser(self, request: AdviceRequest) -> None:
+        """Ask which executors may run a step; without an answer the dispatch asks again."""
+        asked_at = self._now()
+        try:
+            advice = await self.adviser.advise(request)
+        except NoAnswerError as error:
+            self._count_unanswered("advice")
+            logger.info("fleet: advice on {} unanswered: {}", request.name, error)
+            return
+        logger.info(
+            "fleet: advice on {}: {} of {} executors for {:.1f} s",
+            request.name,
+            len(advice.tickets),
+            len(request.executors),
+            advice.validity_s,
+        )
+        self.dispatch.advised(request, advice.tickets, advice.validity_s, asked_at)
+        self.wake.set()
+
     async def _pace(self, order: PaceOrder) -> None:
         """Set the pace of a filler. One that gets no answer is set again with the next report."""
         try:
--- a/packages/control/src/marigolddoor_control/fleet/ports.py
+++ b/packages/control/src/marigolddoor_control/fleet/ports.py
@@ -4,11 +4,21 @@
 from enum import Enum
 from typing import Protocol
 
-from marigolddoor_core.dispatch import Executor, HoldReport, MachineView
+from marigolddoor_core.dispatch import AdviceRequest, Executor, HoldReport, MachineView
 from marigolddoor_core.errors import MarigolddoorError
-from marigolddoor_core.ids import FencingToken, MachineId, RunNumber, ServiceId, TaskName, WaveId
+from marigolddoor_core.ids import (
+    ExecutorId,
+    FencingToken,
+    MachineId,
+    RunNumber,
+    ServiceId,
+    TaskName,
+    WaveId,
+)
 
 __all__ = [
+    "Advice",
+    "Adviser",
     "CallOutcome",
     "ExecutorCalls",
     "HoldRequest",
@@ -64,6 +74,7 @@
     checkpoint: str
     deadline_ms: int
     token: FencingToken
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +90,26 @@
     token: FencingToken
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """The executors that may run a step, with their tickets, valid for `validity_s`."""
+
+    tickets: dict[ExecutorId, str]
+    validity_s: float
+
+
+class Adviser(Protocol):
+    """Knows which executors the policy of a queue allows."""
+
+    async def advise(self, request: AdviceRequest) -> Advice:
+        """Return the approved executors of a request.
+
+        Raises:
+          NoAnswerError: the adviser gave no usable answer.
+        """
+        ...
+
+
 class ExecutorCalls(Protocol):
     """Calls to executors.
 
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """The leader's decisions on submitted jobs: what runs on which executor."""
 
+from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
 from marigolddoor_core.dispatch.dispatch import Dispatch
 from marigolddoor_core.dispatch.executors import (
     Executor,
@@ -23,6 +24,7 @@
 from marigolddoor_core.dispatch.room import MachineState, MachineView, Move
 
 __all__ = [
+    "AdviceRequest",
     "ArrivalOrder",
     "Dispatch",
     "Executor",
@@ -44,5 +46,6 @@
     "StartOrder",
     "StepOrder",
     "StopOrder",
+    "Tickets",
     "UpkeepOrder",
 ]
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/dispatch/advice.py
@@ -0,0 +1,94 @@
+"""Tickets of an adviser that alone knows which executors may run a step of a queue.
+
+Which executors are approved does not change, but a ticket is valid for a while only, and for one
+life of its executor.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from marigolddoor_core.dispatch.executors import Executor
+from marigolddoor_core.ids import ExecutorId, ExecutorLife
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.jobs import StepRecord
+
+__all__ = ["AdviceRequest", "Tickets"]
+
+# The adviser takes at most this many executors in one call.
+MOST_EXECUTORS = 100
+# A call is repeated after this long if it brought nothing: the adviser handles one at a time.
+RETRY_S = 1.0
+# A ticket is not used in the last part of its time, which the start needs to arrive.
+START_MARGIN_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceRequest:
+    """Ask which of some executors may run a step."""
+
+    step: StepRecord
+    executors: tuple[Executor, ...]
+
+    @property
+    def name(self) -> str:
+        """Return the name of the step."""
+        return f"{self.step.job.job}.{self.step.occurrence}.{self.step.number}"
+
+
+@dataclass(frozen=True, slots=True)
+class _Ticket:
+    text: str
+    valid_until: Instant
+
+
+class Tickets:
+    """The tickets of all steps that need them."""
+
+    def __init__(self) -> None:
+        self.known: dict[StepRecord, dict[ExecutorLife, _Ticket]] = {}
+        self.asked_at: dict[StepRecord, Instant] = {}
+
+    def request(
+        self, step: StepRecord, executors: Iterable[Executor], now: Instant
+    ) -> AdviceRequest | None:
+        """Return the request that is due for a step, if it has too few tickets."""
+        asked_at = self.asked_at.get(step)
+        if asked_at is not None and now - asked_at < RETRY_S:
+            return None
+        missing = [e for e in executors if self.ticket(step, e, now) is None]
+        has_some = bool(self.known.get(step)) and asked_at is not None
+        if not missing or (has_some and self._is_served(step, now)):
+            return None
+        self.asked_at[step] = now
+        return AdviceRequest(step, tuple(missing[:MOST_EXECUTORS]))
+
+    def _is_served(self, step: StepRecord, now: Instant) -> bool:
+        return any(
+            now < ticket.valid_until - START_MARGIN_S for ticket in self.known[step].values()
+        )
+
+    def approved(
+        self,
+        request: AdviceRequest,
+        tickets: Mapping[ExecutorId, str],
+        validity_s: float,
+        asked_at: Instant,
+    ) -> None:
+        """Take the adviser's answer to a request that was sent at `asked_at`."""
+        known = self.known.setdefault(request.step, {})
+        for executor in request.executors:
+            text = tickets.get(executor.heartbeat.executor)
+            if text is not None:
+                known[executor.life] = _Ticket(text, Instant(asked_at + validity_s))
+
+    def ticket(self, step: StepRecord, executor: Executor, now: Instant) -> str | None:
+        """Return the ticket for a start now; None if there is no valid one."""
+        ticket = self.known.get(step, {}).get(executor.life)
+        is_valid = ticket is not None and now < ticket.valid_until - START_MARGIN_S
+        return ticket.text if ticket is not None and is_valid else None
+
+    def forget(self, steps: Iterable[StepRecord]) -> None:
+        """Drop the tickets of steps whose job has ended."""
+        for step in steps:
+            self.known.pop(step, None)
+            self.asked_at.pop(step, None)
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -5,8 +5,9 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
+from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
 from marigolddoor_core.dispatch.durations import DurationEstimates
 from marigolddoor_core.dispatch.evacuation import doomed_runs, movable_runs
 from marigolddoor_core.dispatch.executors import (
@@ -49,6 +50,7 @@
     JobTable,
     QueueSettings,
     RunEnd,
+    StepRecord,
     TaskPhase,
     TaskRecord,
     WaveRecord,
@@ -109,6 +111,7 @@
         self.worth = WorthOrder(self.queue_of, self.durations)
         self.order: StepOrder = order or self.worth
         self.placer = Placer()
+        self.tickets = Tickets()
         self.executors: dict[ExecutorLife, Executor] = {}
         self.current: dict[ExecutorId, Executor] = {}
         self.by_address: dict[str, Executor] = {}
@@ -390,7 +393,7 @@
         self._plan_room(now, time_s)
         for machine, executor in self.by_machine.items():
             executor.is_cordoned = self.room.is_leaving(machine) or self._is_emptying(machine)
-        if not changes or self.is_planning_due:
+        if not changes or self.is_planning_due or self.tickets.asked_at:
             # Ends free room only once they are recorded, so placements follow in the next batch.
             changes += self._plan(now, time_s)
         return changes
@@ -510,9 +513,41 @@
             steps = self.ready.of_service(service)
             if steps:
                 ordered = self.order.sort(steps, time_s)
-                placements += self.placer.place(ordered, self.executors_of(service), now)
+                executors = self.executors_of(service)
+                self._ask_for_advice(ordered, executors, now)
+                placements += self.placer.place(ordered, executors, now, self._is_allowed)
         return placements
 
+    def _needs_advice(self, step: StepRecord) -> bool:
+        queue = self.queue_of(step.job)
+        return queue is not None and queue.needs_advice
+
+    def _is_allowed(self, step: StepRecord, executor: Executor) -> bool:
+        if not self._needs_advice(step):
+            return True
+        return self.tickets.ticket(step, executor, self.now) is not None
+
+    def _ask_for_advice(
+        self, steps: Iterable[StepRecord], executors: list[Executor], now: Instant
+    ) -> None:
+        for step in steps:
+            if self._needs_advice(step):
+                request = self.tickets.request(step, executors, now)
+                if request is not None:
+                    self.orders.append(request)
+
+    def advised(
+        self,
+        request: AdviceRequest,
+        tickets: Mapping[ExecutorId, str],
+        validity_s: float,
+        asked_at: Instant,
+    ) -> None:
+        """Take the adviser's answer to a request that was sent at `asked_at`."""
+        if request.step.job.phase is JobPhase.ACTIVE:
+            self.tickets.approved(request, tickets, validity_s, asked_at)
+            self.is_planning_due = True
+
     # Notifications of the table.
 
     def job_accepted(self, job: JobRecord) -> None:
@@ -533,8 +568,10 @@
         if task.name not in executor.runs:
             executor.take(task, self.now)
         step = task.step
+        ticket = self.tickets.ticket(step, executor, self.now) or ""
+        payload = step.job.spec.payload
         self.orders.append(
-            StartOrder(executor, task.name, task.run, step.job.spec.payload, task.checkpoint)
+            StartOrder(executor, task.name, task.run, payload, task.checkpoint, ticket)
         )
 
     def run_ended(self, task: TaskRecord, end: RunEnd) -> None:
@@ -566,6 +603,7 @@
         """Stop what still runs of a cancelled or failed job."""
         self._count(CounterKind.JOBS, job, job.phase.value)
         self.work.ended(job.job)
+        self.tickets.forget(job.steps.values())
         for task in job.placed_tasks():
             executor = None if task.life is None else self.executors.get(task.life)
             if executor is not None:
--- a/packages/core/src/marigolddoor_core/dispatch/orders.py
+++ b/packages/core/src/marigolddoor_core/dispatch/orders.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from marigolddoor_core.dispatch.advice import AdviceRequest
 from marigolddoor_core.dispatch.executors import Executor
 from marigolddoor_core.dispatch.room import Move
 from marigolddoor_core.ids import MachineId, RunNumber, TaskName, WaveId
@@ -11,13 +12,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Start a run. `payload` and `checkpoint` are passed to the task."""
+    """Start a run. `payload` and `checkpoint` are passed to the task, `ticket` to the executor."""
 
     executor: Executor
     task: TaskName
     run: RunNumber
     payload: str
     checkpoint: str
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,4 +60,4 @@
     move: Move
 
 
-Order = StartOrder | StopOrder | PaceOrder | UpkeepOrder | MoveOrder
+Order = StartOrder | StopOrder | PaceOrder | UpkeepOrder | MoveOrder | AdviceRequest
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -1,6 +1,6 @@
 """Which waiting tasks are placed next, and where."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from marigolddoor_core.dispatch.executors import Executor
@@ -31,14 +31,22 @@
     """Places the tasks of ordered steps on the executors of their service."""
 
     def place(
-        self, steps: Iterable[StepRecord], executors: Sequence[Executor], now: Instant
+        self,
+        steps: Iterable[StepRecord],
+        executors: Sequence[Executor],
+        now: Instant,
+        is_allowed: Callable[[StepRecord, Executor], bool] | None = None,
     ) -> list[PlaceRun]:
-        """Return the placements; their room is taken at once."""
+        """Return the placements; their room is taken at once.
+
+        `is_allowed` tells which executors the policy of a step's queue allows, all by default.
+        """
         usable = [executor for executor in executors if executor.accepts_work(now)]
         placements: list[PlaceRun] = []
         for step in steps:
-            if usable:
-                placements += self._place_step(step, usable, now)
+            allowed = usable if is_allowed is None else [e for e in usable if is_allowed(step, e)]
+            if allowed:
+                placements += self._place_step(step, allowed, now)
         return placements
 
     def _place_step(
--- a/packages/core/src/marigolddoor_core/jobs/configuration.py
+++ b/packages/core/src/marigolddoor_core/jobs/configuration.py
@@ -19,6 +19,7 @@
 
     `priority` 0 is the most urgent. A task that failed `max_attempts` times fails its job. A job is
     in time if it takes at most `slack_factor` times its longest chain and `latency_target_s` more.
+    If it `needs_advice`, only an adviser knows which executors may run a step.
     """
 
     name: QueueName
@@ -30,6 +31,7 @@
     slack_factor: float = 1.0
     latency_target_s: float = 0.0
     timeout_s: float = 0.0
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/core/dispatch/test_advice.py
@@ -0,0 +1,61 @@
+"""Guards against starts without a valid ticket, and against jobs that wait for one for ever."""
+
+import testtools
+from marigolddoor_core.dispatch import AdviceRequest, StartOrder
+from marigolddoor_core.jobs import StoreConfiguration
+
+from tests.core.dispatch.fakes import Fleet
+from tests.core.jobs.fakes import QUEUE, SERVICE, Log, accept, configuration
+
+
+def advised_fleet(executors: int) -> Fleet:
+    log = Log()
+    document = configuration(1, advised=(QUEUE,), **{QUEUE: SERVICE})
+    log.apply(StoreConfiguration(1, document))
+    fleet = Fleet(log)
+    for number in range(1, executors + 1):
+        fleet.executor(number)
+    fleet.step(accept("j", {"count": 2}))
+    return fleet
+
+
+def requests(fleet: Fleet) -> list[AdviceRequest]:
+    return [order for order in fleet.take_orders() if isinstance(order, AdviceRequest)]
+
+
+class TicketTest(testtools.TestCase):
+    """A task starts only where a ticket is valid, and carries it."""
+
+    scenarios = [
+        ("approved", {"approved": {"i-2": "t-2"}, "later_s": 0.5, "starts": ["t-2", "t-2"]}),
+        ("nowhere", {"approved": {}, "later_s": 0.5, "starts": []}),
+        ("too late", {"approved": {"i-2": "t-2"}, "later_s": 2.9, "starts": []}),
+    ]
+
+    def test_start(self) -> None:
+        fleet = advised_fleet(2)
+        (request,) = requests(fleet)
+        self.assertEqual("j.0.0", request.name)
+        self.assertEqual(2, len(request.executors))
+        fleet.dispatch.advised(request, self.approved, 3.0, fleet.now)
+        fleet.at(self.later_s)
+        for executor in fleet.dispatch.executors.values():
+            fleet.hold(executor)
+        fleet.step()
+        starts = [order for order in fleet.take_orders() if isinstance(order, StartOrder)]
+        self.assertEqual(self.starts, [order.ticket for order in starts])
+
+
+class RepeatTest(testtools.TestCase):
+    """The adviser is asked again, but not while it may still answer."""
+
+    scenarios = [
+        ("at once", {"later_s": 0.3, "asked": 0}),
+        ("after a while", {"later_s": 1.1, "asked": 1}),
+    ]
+
+    def test_repeat(self) -> None:
+        fleet = advised_fleet(1)
+        self.assertEqual(1, len(requests(fleet)))
+        fleet.at(self.later_s).step()
+        self.assertEqual(self.asked, len(requests(fleet)))
--- a/tests/core/jobs/fakes.py
+++ b/tests/core/jobs/fakes.py
@@ -69,6 +69,7 @@
                     max_attempts=3,
                     slack_factor=1.6,
                     latency_target_s=0.6,
+                    needs_advice=name in fields.get("advised", ()),
                 )
                 for name, service in fields["queues"].items()
             ),
@@ -87,13 +88,19 @@
     return json.dumps({"steps": list(steps), **fields}).encode()
 
 
-def configuration(version: int, unguarded: tuple[str, ...] = (), **queues: str) -> bytes:
+def configuration(
+    version: int,
+    unguarded: tuple[str, ...] = (),
+    advised: tuple[str, ...] = (),
+    **queues: str,
+) -> bytes:
     services = sorted(set(queues.values()))
     fields = {
         "version": version,
         "queues": queues,
         "services": services,
         "unguarded": list(unguarded),
+        "advised": list(advised),
     }
     return json.dumps(fields).encode()
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,6 +8,7 @@
 from marigolddoor_core.jobs import TaskSize
 from marigolddoor_platform.documents import (
     JsonDocuments,
+    read_advice,
     read_heartbeat,
     read_hold_report,
     read_wave,
@@ -50,6 +51,7 @@
     "heartbeat": lambda document: read_heartbeat("i-1", document),
     "wave": read_wave,
     "hold": read_hold_report,
+    "advice": read_advice,
 }
 
 
@@ -102,6 +104,8 @@
             ("heartbeat", "no capacity", {**HEARTBEAT, "capacity": 3}),
             ("wave", "no machines", {**WAVE, "machines": None}),
             ("wave", "none at once", {**WAVE, "max-count": 0}),
+            ("advice", "no validity", {"approved": []}),
+            ("advice", "row without a ticket", {"approved": [["i-1"]], "validity-ms": 3}),
             ("hold", "short row", {"clock-ms": 1, "running": [["t"]], "finished": []}),
             ("hold", "no clock", {"running": [], "finished": []}),
         ]
@@ -170,6 +174,11 @@
         self.assertEqual((TaskSize(16000, 32768, 1), "m-1"), (known.capacity, known.machine))
         self.assertIs(ExecutorState.READY, known.state)
 
+    def test_advice(self) -> None:
+        fields = {"approved": [["i-1", "c81e"]], "validity-ms": 3000}
+        advice = read_advice(json.dumps(fields).encode())
+        self.assertEqual(({"i-1": "c81e"}, 3.0), (advice.tickets, advice.validity_s))
+
     def test_hold_report(self) -> None:
         fields = {
             "clock-ms": 9,
