Split the dispatch and the leadership by concept

Change: fleet_view (executors), machine_duties (upkeep, moves), dispatch (placements and notifications); order_sender (orders) and leadership (records, holds); FleetPorts names what a leader calls. No decision changed.

--- /dev/null
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -0,0 +1,270 @@
+"""Orders of one leadership to executors, the platform and the adviser."""
+
+from collections.abc import Callable
+
+import anyio
+from loguru import logger
+from marigolddoor_control.agreement import Agreement
+from marigolddoor_control.fleet.ports import (
+    FleetPorts,
+    MachineOutcome,
+    NoAnswerError,
+    StartOutcome,
+    StartRequest,
+    WrongLifeError,
+)
+from marigolddoor_core.dispatch import (
+    AdviceRequest,
+    Dispatch,
+    Executor,
+    LeaseTiming,
+    MoveOrder,
+    Order,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    UpkeepOrder,
+)
+from marigolddoor_core.ids import FencingToken
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.jobs import JobTable
+from marigolddoor_core.metrics import CounterKind, Counters, Labels
+
+__all__ = ["RETRY_S", "OrderSender"]
+
+# The pace of a filler that may or may not have taken an order. No order says this, so the next
+# report leads to another one.
+UNKNOWN_PACE = 99
+# A call that failed is repeated after this long.
+RETRY_S = 0.15
+# After this many unanswered starts the run is stopped, so that it can be placed elsewhere.
+START_ATTEMPTS = 2
+# The platform bounds its calls to some dozens a second for all processes.
+MACHINE_RETRY_S = 0.5
+# Machines that somebody else moved, or that are new, are found after this long at most.
+LIST_INTERVAL_S = 5.0
+
+
+class OrderSender:
+    """Carries out orders while this process leads, and tells the dispatch what came of them."""
+
+    def __init__(
+        self,
+        table: JobTable,
+        agreement: Agreement,
+        ports: FleetPorts,
+        lease_timing: LeaseTiming,
+        machine_lease_s: float,
+        token: FencingToken,
+        clock: Callable[[], float],
+        counters: Counters,
+    ) -> None:
+        self.table = table
+        self.agreement = agreement
+        self.ports = ports
+        self.token = token
+        self.counters = counters
+        self.clock = clock
+        self.dispatch = Dispatch(table, lease_timing, self._now(), machine_lease_s, counters)
+        self.wake = anyio.Event()
+
+    def _now(self) -> Instant:
+        return Instant(self.clock())
+
+    def _count_unanswered(self, order: str) -> None:
+        self.counters.add(CounterKind.ORDERS_UNANSWERED, Labels(reason=order))
+
+    async def _send(self, order: Order) -> None:
+        if isinstance(order, StartOrder):
+            await self._start(order)
+        elif isinstance(order, StopOrder):
+            await self._stop(order)
+        elif isinstance(order, PaceOrder):
+            await self._pace(order)
+        elif isinstance(order, UpkeepOrder):
+            await self._begin_upkeep(order)
+        elif isinstance(order, MoveOrder):
+            await self._move(order)
+        elif isinstance(order, AdviceRequest):
+            await self._ask_adviser(order)
+
+    async def _start(self, order: StartOrder) -> None:
+        executor = order.executor
+        for _ in range(START_ATTEMPTS):
+            placed = executor.runs.get(order.task)
+            if executor.is_over or placed is None or placed.run != order.run:
+                return
+            if not self.agreement.is_leader or placed.is_stopping:
+                break
+            request = StartRequest(
+                order.task,
+                order.run,
+                order.payload,
+                order.checkpoint,
+                executor.extend_lease(self._now()),
+                self.token,
+                order.ticket,
+            )
+            try:
+                outcome = await self.ports.executors.start(executor, request)
+            except WrongLifeError:
+                self._life_over(executor, "another life answered")
+                return
+            except NoAnswerError as error:
+                self._count_unanswered("start")
+                logger.info(
+                    "fleet: start of {} run {} unanswered: {}", order.task, order.run, error
+                )
+                self.dispatch.block(executor, self._now())
+                await anyio.sleep(RETRY_S)
+                continue
+            if outcome is StartOutcome.STARTED:
+                self.dispatch.started(order, self._now())
+            elif outcome is StartOutcome.REJECTED:
+                logger.info("fleet: {} rejects {} run {}", executor.life, order.task, order.run)
+                self.dispatch.rejected(order, self._now())
+                self.wake.set()
+            else:
+                logger.warning("fleet: {} obeys a later leader", executor.life)
+            return
+        await self._stop(StopOrder(executor, order.task, order.run))
+
+    async def _stop(self, order: StopOrder) -> None:
+        executor = order.executor
+        while not executor.is_over:
+            if self.agreement.is_leader:
+                try:
+                    await self.ports.executors.stop(executor, order.task, order.run, self.token)
+                except WrongLifeError:
+                    self._life_over(executor, "another life answered")
+                    return
+                except NoAnswerError as error:
+                    self._count_unanswered("stop")
+                    logger.info("fleet: stop of {} unanswered: {}", order.task, error)
+                else:
+                    self.dispatch.stop_confirmed(executor, order.task, order.run, self._now())
+                    return
+            placed = executor.runs.get(order.task)
+            if placed is None or placed.run != order.run:
+                return
+            await anyio.sleep(RETRY_S)
+
+    async def _ask_adviser(self, request: AdviceRequest) -> None:
+        """Ask which executors may run a step; without an answer the dispatch asks again."""
+        asked_at = self._now()
+        try:
+            advice = await self.ports.adviser.advise(request)
+        except NoAnswerError as error:
+            self._count_unanswered("advice")
+            logger.info("fleet: advice on {} unanswered: {}", request.name, error)
+            return
+        logger.info(
+            "fleet: advice on {}: {} of {} executors for {:.1f} s",
+            request.name,
+            len(advice.tickets),
+            len(request.executors),
+            advice.validity_s,
+        )
+        self.dispatch.advised(request, advice.tickets, advice.validity_s, asked_at)
+        self.wake.set()
+
+    async def _pace(self, order: PaceOrder) -> None:
+        """Set the pace of a filler. One that gets no answer is set again with the next report."""
+        try:
+            await self.ports.executors.pace(
+                order.executor, order.task, order.run, order.percent, self.token
+            )
+        except (NoAnswerError, WrongLifeError) as error:
+            self._count_unanswered("pace")
+            logger.info("fleet: pace of {} unanswered: {}", order.task, error)
+            placed = order.executor.runs.get(order.task)
+            if placed is not None and placed.run == order.run:
+                placed.pace = UNKNOWN_PACE
+        else:
+            logger.info(
+                "fleet: {} run {} on {} works at {} %",
+                order.task,
+                order.run,
+                order.executor.life,
+                order.percent,
+            )
+
+    async def _list_machines(self) -> None:
+        """Read the platform's list of machines now and then."""
+        while True:
+            configuration = self.table.configuration
+            if configuration is not None and self.agreement.is_leader:
+                try:
+                    machines = await self.ports.machines.list_machines()
+                except NoAnswerError as error:
+                    logger.info("fleet: the list of machines can't be read: {}", error)
+                else:
+                    self.dispatch.room.listed(machines, configuration)
+                    await anyio.sleep(LIST_INTERVAL_S)
+                    continue
+            await anyio.sleep(MACHINE_RETRY_S)
+
+    async def _move(self, order: MoveOrder) -> None:
+        """Move a machine; what is not answered is repeated until the planner gives up."""
+        move, room = order.move, self.dispatch.room
+        while self.agreement.is_leader and move.machine in room.ordered:
+            try:
+                outcome = await self.ports.machines.move(move.machine, move.target, self.token)
+            except NoAnswerError as error:
+                self._count_unanswered("move")
+                logger.info("fleet: move of {} unanswered: {}", move.machine, error)
+                await anyio.sleep(MACHINE_RETRY_S)
+                continue
+            logger.info(
+                "fleet: move of {} from {} to {}: {}",
+                move.machine,
+                move.source,
+                move.target,
+                outcome.value,
+            )
+            if outcome is MachineOutcome.DONE:
+                self.dispatch.moved(move, self._now())
+                self.wake.set()
+                return
+            if outcome is not MachineOutcome.THROTTLED:
+                room.failed(move)
+                return
+            await anyio.sleep(MACHINE_RETRY_S)
+
+    async def _begin_upkeep(self, order: UpkeepOrder) -> None:
+        """Hand a machine over; repeat it until the platform says what became of it."""
+        await anyio.sleep(max(0.0, self.dispatch.machine_orders_from - self._now()))
+        # Only a first call that is answered surely ended the executor that is known now.
+        executor = None if order.is_repeated else self.dispatch.by_machine.get(order.machine)
+        while True:
+            upkeep = self.dispatch.upkeeps.get(order.wave)
+            if upkeep is None:
+                return
+            outcome = None
+            if self.agreement.is_leader:
+                try:
+                    outcome = await self.ports.machines.begin_upkeep(
+                        order.machine, order.wave, self.token
+                    )
+                except NoAnswerError as error:
+                    self._count_unanswered("upkeep")
+                    logger.info("fleet: upkeep of {} unanswered: {}", order.machine, error)
+            if outcome is MachineOutcome.DONE:
+                logger.info("fleet: upkeep of {} in wave {}", order.machine, order.wave)
+                self.dispatch.handed_over(order.wave, order.machine, executor, self._now())
+                return
+            if outcome is MachineOutcome.UNKNOWN_MACHINE:
+                logger.warning("fleet: wave {}: no machine {}", order.wave, order.machine)
+                upkeep.gone(order.machine)
+                return
+            if outcome is MachineOutcome.BUSY:
+                logger.info("fleet: upkeep of {}: the platform is busy with it", order.machine)
+                upkeep.busy(order.machine)
+            executor = None
+            await anyio.sleep(MACHINE_RETRY_S)
+
+    def _life_over(self, executor: Executor, reason: str) -> None:
+        if not executor.is_over:
+            logger.info("fleet: {} is over: {}", executor.life, reason)
+            self.dispatch.life_over(executor, self._now())
+            self.wake.set()
--- a/packages/control/src/marigolddoor_control/fleet/ports.py
+++ b/packages/control/src/marigolddoor_control/fleet/ports.py
@@ -21,6 +21,7 @@
     "Adviser",
     "CallOutcome",
     "ExecutorCalls",
+    "FleetPorts",
     "HoldRequest",
     "MachineCalls",
     "MachineOutcome",
@@ -168,3 +169,12 @@
     async def list_machines(self) -> list[MachineView]:
         """Return all machines."""
         ...
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPorts:
+    """The outside systems that a leader calls."""
+
+    executors: ExecutorCalls
+    machines: MachineCalls
+    adviser: Adviser
--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -12,7 +12,7 @@
 from loguru import logger
 from marigolddoor_control.agreement import HANDLED_MESSAGES, Agreement, AgreementSettings
 from marigolddoor_control.fleet.leadership import FleetLeadership
-from marigolddoor_control.fleet.ports import Adviser, ExecutorCalls, MachineCalls
+from marigolddoor_control.fleet.ports import FleetPorts
 from marigolddoor_control.fleet.service import FleetService, NotLeadingError
 from marigolddoor_control.group_timing import FLEET_TIMING
 from marigolddoor_core.consensus import Timing
@@ -71,16 +71,12 @@
         settings: FleetProcessSettings,
         key: SharedKey,
         reader: DocumentReader,
-        calls: ExecutorCalls,
-        machines: MachineCalls,
-        adviser: Adviser,
+        ports: FleetPorts,
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
         self.key = key
-        self.calls = calls
-        self.machines = machines
-        self.adviser = adviser
+        self.ports = ports
         self.rng = rng if rng is not None else random.Random()
         self.clock = boot_time
         self.table = JobTable(reader)
@@ -182,9 +178,7 @@
             leadership = FleetLeadership(
                 self.table,
                 agreement,
-                self.calls,
-                self.machines,
-                self.adviser,
+                self.ports,
                 LeaseTiming(self.settings.longest_lease_s),
                 self.settings.machine_lease_s,
                 FencingToken(replica.term),
--- /dev/null
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -0,0 +1,333 @@
+"""The leader's view of the executors: what they say, what they run and what they no longer run.
+
+A leadership begins with the replicated table only. Executors report themselves; each is asked for
+what it runs, and from then on the view follows from recorded changes and the executors' answers.
+"""
+
+from collections.abc import Iterable
+
+from marigolddoor_core.dispatch.durations import DurationEstimates
+from marigolddoor_core.dispatch.executors import (
+    Executor,
+    FinishedRun,
+    Heartbeat,
+    HoldReport,
+    PlacedRun,
+)
+from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
+from marigolddoor_core.dispatch.orders import Order, PaceOrder, StartOrder, StopOrder
+from marigolddoor_core.dispatch.pacing import plan_pace
+from marigolddoor_core.dispatch.planner import has_destination
+from marigolddoor_core.dispatch.stragglers import is_slow, straggling_runs
+from marigolddoor_core.dispatch.worth_order import WorthOrder
+from marigolddoor_core.ids import (
+    ExecutorId,
+    ExecutorLife,
+    MachineId,
+    RunNumber,
+    ServiceId,
+    TaskName,
+)
+from marigolddoor_core.instants import Instant
+from marigolddoor_core.jobs import (
+    DropExecutor,
+    EndRun,
+    EnrolExecutor,
+    JobChange,
+    JobPhase,
+    JobRecord,
+    JobTable,
+    QueueSettings,
+    RunEnd,
+    TaskPhase,
+    TaskRecord,
+)
+
+__all__ = ["FleetView"]
+
+# An executor that rejected or ignored a call gets no new task for this long. The time is doubled
+# each time up to the limit, until one of its tasks ends well.
+FIRST_BLOCK_S = 0.5
+LONGEST_BLOCK_S = 8.0
+# A slow executor gets no new task for this long after each sign of it.
+SLOW_BLOCK_S = 2.0
+# Failed tasks of this many jobs in a row point to the executor rather than to the jobs.
+SUSPICIOUS_JOBS = 2
+
+OUTCOMES = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+    "lapsed": RunEnd.LAPSED,
+    "broken": RunEnd.BROKEN,
+    "alone": RunEnd.ALONE,
+}
+
+
+class FleetView:
+    """What one leadership knows of the executors, with the changes and orders that follow."""
+
+    def __init__(self, table: JobTable, lease_timing: LeaseTiming, now: Instant) -> None:
+        self.table = table
+        self.lease_timing = lease_timing
+        self.now = now
+        self.began_at = now
+        self.durations = DurationEstimates()
+        self.worth = WorthOrder(self.queue_of, self.durations)
+        self.executors: dict[ExecutorLife, Executor] = {}
+        self.current: dict[ExecutorId, Executor] = {}
+        self.by_address: dict[str, Executor] = {}
+        self.by_machine: dict[MachineId, Executor] = {}
+        self.newest_life: dict[ExecutorId, int] = {}
+        # Runs on executors that have not reported to this leader yet.
+        self.unclaimed: dict[ExecutorLife, dict[TaskName, TaskRecord]] = {}
+        self.changes: list[JobChange] = []
+        self.orders: list[Order] = []
+        self.is_planning_due = True
+
+    def take_over_runs(self) -> None:
+        """Take over the runs and executors that the table knows."""
+        for job in self.table.jobs.values():
+            for task in job.placed_tasks():
+                assert task.life is not None
+                self.unclaimed.setdefault(task.life, {})[task.name] = task
+        for enrolled in sorted(self.table.executors.values(), key=lambda known: known.born_ms):
+            self.heard(Heartbeat.of_enrolment(enrolled), self.now)
+        # These are recorded already.
+        self.changes = [change for change in self.changes if not isinstance(change, EnrolExecutor)]
+
+    def queue_of(self, job: JobRecord) -> QueueSettings | None:
+        """Return the settings of a job's queue, unless the queue was removed."""
+        configuration = self.table.configuration
+        return None if configuration is None else configuration.by_name.get(job.queue)
+
+    def service_of(self, job: JobRecord) -> ServiceId:
+        """Return the service that runs a job now."""
+        queue = self.queue_of(job)
+        return job.service if queue is None else queue.service
+
+    def executors_of(self, service: ServiceId) -> list[Executor]:
+        """Return the executors of a service."""
+        return [
+            executor
+            for executor in self.executors.values()
+            if executor.heartbeat.service == service
+        ]
+
+    def heard(self, heartbeat: Heartbeat, now: Instant) -> Executor | None:
+        """Take a heartbeat; return the executor if this is a life that was not known before."""
+        newest = self.newest_life.get(heartbeat.executor, 0)
+        known = self.executors.get(heartbeat.life)
+        if known is not None:
+            if heartbeat.sequence > known.heartbeat.sequence:
+                if known.heartbeat.state != heartbeat.state:
+                    self.is_planning_due = True
+                    self.changes.append(EnrolExecutor(heartbeat.enrolment()))
+                known.heartbeat = heartbeat
+            known.heard_at = now
+            return None
+        if heartbeat.born_ms <= newest:
+            # A late heartbeat of a life that has ended.
+            return None
+        at_address = self.by_address.get(heartbeat.address)
+        if at_address is not None and at_address.heartbeat.born_ms > heartbeat.born_ms:
+            return None
+        self.newest_life[heartbeat.executor] = heartbeat.born_ms
+        for former in (
+            self.current.get(heartbeat.executor),
+            at_address,
+            self.by_machine.get(heartbeat.machine) if heartbeat.machine else None,
+        ):
+            if former is not None:
+                self.life_over(former, now)
+        executor = Executor(heartbeat, ExecutorLease(self.lease_timing, self.began_at), now)
+        self.changes.append(EnrolExecutor(heartbeat.enrolment()))
+        self.executors[heartbeat.life] = executor
+        self.current[heartbeat.executor] = executor
+        self.by_address[heartbeat.address] = executor
+        if heartbeat.machine:
+            self.by_machine[heartbeat.machine] = executor
+        for task in self.unclaimed.pop(heartbeat.life, {}).values():
+            # The former leader's order is not carried out after the first call of this one, so the
+            # first answer tells whether the run is there.
+            executor.take(task, now).confirmed_at = now
+            if task.step.job.phase is not JobPhase.ACTIVE:
+                self._order_stop(executor, task)
+        self._end_former_lives(heartbeat)
+        return executor
+
+    def _end_former_lives(self, heartbeat: Heartbeat) -> None:
+        prefix = f"{heartbeat.executor}/"
+        for life in [life for life in self.unclaimed if life.startswith(prefix)]:
+            if int(life.removeprefix(prefix)) < heartbeat.born_ms:
+                self._lose(self.unclaimed.pop(life).values())
+
+    def held(self, executor: Executor, sent_at: Instant, report: HoldReport, now: Instant) -> None:
+        """Take an executor's answer to a renewal that was sent at `sent_at`."""
+        if executor.is_over:
+            return
+        if executor.contact_at is None or now - executor.contact_at > 1.0:
+            self.is_planning_due = True
+        executor.contact_at = now
+        executor.silent_since = None
+        executor.lease.observe(report.clock_ms, now)
+        listed: set[TaskName] = set()
+        for finished in report.finished:
+            placed = executor.runs.get(finished.task)
+            if placed is not None and placed.run == finished.run:
+                listed.add(finished.task)
+                if finished.number > executor.seen:
+                    self._finished(executor, placed, finished, now)
+            elif finished.number > executor.seen:
+                # The run was given up. Whoever notes its end must also record it.
+                end = OUTCOMES.get(finished.outcome, RunEnd.LOST)
+                self.changes.append(EndRun(finished.task, finished.run, end))
+        for running in report.running:
+            placed = executor.runs.get(running.task)
+            if placed is None or placed.run != running.run:
+                self._stop_unknown(executor, running.task, running.run)
+                continue
+            listed.add(running.task)
+            if placed.confirmed_at is None:
+                placed.confirmed_at = now
+            placed.percent = running.percent
+            placed.load = running.load
+        for placed, percent in plan_pace(executor, now):
+            placed.pace = percent
+            self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
+        if is_slow(executor, self._expected_s, now):
+            self._leave_slow(executor, now)
+        for name, placed in list(executor.runs.items()):
+            # The answer was made after the run was known there, and does not name it.
+            is_missing = placed.confirmed_at is not None and placed.confirmed_at < sent_at
+            if is_missing and name not in listed:
+                self._end(placed.task, RunEnd.LOST)
+
+    def _expected_s(self, task: TaskRecord) -> float:
+        return self.worth.expected_s(task.step.job, task.step.number)
+
+    def _leave_slow(self, executor: Executor, now: Instant) -> None:
+        """Let runs of a slow executor begin again where there is room."""
+        executor.blocked_until = max(executor.blocked_until, Instant(now + SLOW_BLOCK_S))
+        others = [
+            other
+            for other in self.executors_of(executor.heartbeat.service)
+            if other is not executor
+        ]
+        for placed in straggling_runs(executor, self._expected_s, now):
+            if has_destination(placed.task.step, others, now):
+                self._order_stop(executor, placed.task)
+
+    def unanswered(self, executor: Executor, sent_at: Instant) -> None:
+        """Take note that a renewal that was sent at `sent_at` got no answer.
+
+        The executor may go on with what it runs, so only tasks of which copies may run are placed
+        elsewhere before its lease is over.
+        """
+        if executor.silent_since is None:
+            executor.silent_since = sent_at
+        if not self._enforces_capacity(executor.heartbeat.service):
+            # The run may go on, and its room must count.
+            return
+        self._lose(
+            placed.task for placed in executor.runs.values() if placed.task.step.spec.is_speculative
+        )
+
+    def _enforces_capacity(self, service: ServiceId) -> bool:
+        configuration = self.table.configuration
+        settings = None if configuration is None else configuration.service_by_name.get(service)
+        return settings is not None and settings.enforces_capacity
+
+    def _stop_unknown(self, executor: Executor, name: TaskName, run: RunNumber) -> None:
+        """Stop a run that the table does not place there, such as one of an ended job."""
+        task = self.table.task(name)
+        if task is None or task.life != executor.life or task.run != run:
+            self.orders.append(StopOrder(executor, name, run))
+
+    def _finished(
+        self, executor: Executor, placed: PlacedRun, finished: FinishedRun, now: Instant
+    ) -> None:
+        task = placed.task
+        if task.phase is TaskPhase.DONE:
+            # It was superseded; its room was kept until now.
+            executor.release(task)
+            return
+        end = OUTCOMES.get(finished.outcome, RunEnd.LOST)
+        if end is RunEnd.DONE:
+            executor.failed_jobs.clear()
+            executor.block_s = 0.0
+            began = placed.confirmed_at or placed.placed_at
+            self.durations.observe(task.step.job.queue, task.step.spec.estimated_s, now - began)
+        elif end is RunEnd.FAILED and not task.step.spec.is_long_running:
+            executor.failed_jobs.add(task.step.job.job)
+            if len(executor.failed_jobs) >= SUSPICIOUS_JOBS:
+                self.block(executor, now)
+        self.changes.append(EndRun(task.name, finished.run, end, finished.checkpoint))
+
+    def block(self, executor: Executor, now: Instant) -> None:
+        """Give an executor no new task for a while, which grows each time."""
+        executor.block_s = min(max(executor.block_s * 2, FIRST_BLOCK_S), LONGEST_BLOCK_S)
+        executor.blocked_until = Instant(now + executor.block_s)
+
+    def started(self, order: StartOrder, now: Instant) -> None:
+        """Take an executor's word that it knows a run."""
+        placed = order.executor.runs.get(order.task)
+        if placed is not None and placed.run == order.run and placed.confirmed_at is None:
+            placed.confirmed_at = now
+
+    def rejected(self, order: StartOrder, now: Instant) -> None:
+        """Take an executor's word that it did not start a run and never will."""
+        placed = order.executor.runs.get(order.task)
+        if placed is not None and placed.run == order.run:
+            self.block(order.executor, now)
+            self._end(placed.task, RunEnd.REJECTED)
+
+    def stop_confirmed(self, executor: Executor, task: TaskName, run: int, now: Instant) -> None:
+        """Take an executor's word that a run is being stopped or never starts."""
+        placed = executor.runs.get(task)
+        if placed is not None and placed.run == run and placed.confirmed_at is None:
+            placed.confirmed_at = now
+
+    def life_over(self, executor: Executor, now: Instant) -> None:
+        """Take note that a life of an executor ended; nothing of it runs any more."""
+        if executor.is_over:
+            return
+        executor.is_over = True
+        heartbeat = executor.heartbeat
+        del self.executors[executor.life]
+        self.changes.append(DropExecutor(executor.life))
+        if self.current.get(heartbeat.executor) is executor:
+            del self.current[heartbeat.executor]
+        if self.by_address.get(heartbeat.address) is executor:
+            del self.by_address[heartbeat.address]
+        if self.by_machine.get(heartbeat.machine) is executor:
+            del self.by_machine[heartbeat.machine]
+        self._lose(placed.task for placed in executor.runs.values())
+        self.is_planning_due = True
+
+    def expire(self, now: Instant) -> None:
+        """End the lives whose leases are surely over and that do not answer."""
+        for executor in list(self.executors.values()):
+            heard_at = max(executor.heard_at, executor.contact_at or executor.heard_at)
+            is_silent = now - heard_at > self.lease_timing.surely_over_s
+            if now >= executor.lease.over_at and is_silent:
+                self.life_over(executor, now)
+            elif now >= executor.lease.over_at:
+                self._lose(placed.task for placed in list(executor.runs.values()))
+        if self.unclaimed and now - self.began_at >= self.lease_timing.surely_over_s:
+            for tasks in self.unclaimed.values():
+                self._lose(tasks.values())
+            self.unclaimed.clear()
+
+    def _lose(self, tasks: Iterable[TaskRecord]) -> None:
+        for task in list(tasks):
+            self._end(task, RunEnd.LOST)
+
+    def _end(self, task: TaskRecord, end: RunEnd) -> None:
+        self.changes.append(EndRun(task.name, task.run, end))
+
+    def _order_stop(self, executor: Executor, task: TaskRecord) -> None:
+        placed = executor.runs.get(task.name)
+        if placed is not None and not placed.is_stopping:
+            placed.is_stopping = True
+            self.orders.append(StopOrder(executor, task.name, task.run))
