Reset the connection of a call that is given up

The call was sent into a cut and given up after 2 s, but its connection was closed, not reset, so the bytes were delivered when the cut healed. Ruled out: the pause of 3 s after an election, which held. Change: HttpPool resets the connection of a call without a whole answer, so that what was not delivered never is. This also holds for starts and stops at executors. Tests: test_reset fails without the option and passes with it.

--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -5,12 +5,14 @@
 h11, the library under httpx.
 """
 
+import socket
+import struct
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import anyio
 import h11
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 from marigolddoor_core.errors import MarigolddoorError, UnavailableError
 
 from marigolddoor_wire.peers import Address, parse_address
@@ -19,6 +21,8 @@
 
 CONNECT_TIMEOUT_S = 0.7
 READ_BYTES = 65536
+# The linger option: on, with no time, so that closing resets the connection.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 _BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
@@ -68,6 +72,16 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise anyio.EndOfStream
 
+    async def reset(self) -> None:
+        """Close the connection and discard what was not delivered.
+
+        Bytes that a cut holds up would otherwise arrive when it is over, as an order of a leader
+        that was deposed meanwhile.
+        """
+        raw = self.stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        await anyio.aclose_forcefully(self.stream)
+
     def can_be_kept(self) -> bool:
         protocol = self.protocol
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
@@ -120,7 +134,7 @@
             if is_kept:
                 self.idle.setdefault(address, []).append(connection)
             else:
-                await anyio.aclose_forcefully(connection.stream)
+                await connection.reset()
         return answer
 
     async def forget(self, address: Address) -> None:
--- /dev/null
+++ b/tests/wire/test_http_client.py
@@ -0,0 +1,111 @@
+"""Guards against calls that are carried out long after their caller gave them up."""
+
+import socket
+
+import anyio
+import testtools
+from marigolddoor_wire.http_client import (
+    HttpAnswer,
+    HttpNoAnswerError,
+    HttpPool,
+    HttpUnreachableError,
+)
+from marigolddoor_wire.peers import Address
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+async def receive_request(connection: socket.socket) -> bytes:
+    connection.setblocking(False)
+    data = b""
+    while b"\r\n\r\n" not in data:
+        await anyio.wait_readable(connection)
+        data += connection.recv(65536)
+    return data
+
+
+class GivenUpCallTest(testtools.TestCase):
+    """A call that is given up resets its connection, so that what was not delivered never is.
+
+    Found by a hunt on tmpa-jellyworks (trouble-2, seed 1098310954633): a deposed leader's order for
+    a machine was held up by a cut and arrived 1 s after an order of the next leader (ONE).
+    """
+
+    def test_reset(self) -> None:
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+                pool = HttpPool()
+                try:
+                    await pool.call(address, "/order", b"{}", 0.1)
+                except HttpNoAnswerError:
+                    connection, _ = listener.accept()
+                    # The loop closes the connection in its next turn.
+                    await anyio.sleep(0.05)
+                    with connection:
+                        connection.settimeout(1.0)
+                        # Linux hands out what arrived before the reset.
+                        connection.recv(65536)
+                        self.assertRaises(ConnectionResetError, connection.recv, 65536)
+                    return
+            self.fail("the call was answered")
+
+        anyio.run(run)
+
+
+class AnswerTest(testtools.TestCase):
+    """A connection is used again after a whole answer, and only then."""
+
+    scenarios = [
+        ("whole answer", {"answer": OK, "status": 200, "is_kept": True}),
+        ("cut answer", {"answer": OK[:-1], "status": None, "is_kept": False}),
+        ("no HTTP", {"answer": b"what?\r\n\r\n", "status": None, "is_kept": False}),
+        (
+            "closing answer",
+            {
+                "answer": OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"),
+                "status": 200,
+                "is_kept": False,
+            },
+        ),
+    ]
+
+    def test_answer(self) -> None:
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+                pool = HttpPool()
+                got: list[HttpAnswer] = []
+
+                async def call() -> None:
+                    try:
+                        got.append(await pool.call(address, "/x", b"{}", 1.0))
+                    except HttpNoAnswerError:
+                        return
+
+                async with anyio.create_task_group() as group:
+                    group.start_soon(call)
+                    await anyio.wait_readable(listener)
+                    connection, _ = listener.accept()
+                    with connection:
+                        self.assertIn(b"POST /x", await receive_request(connection))
+                        connection.sendall(self.answer)
+                self.assertEqual(
+                    [] if self.status is None else [self.status], [one.status for one in got]
+                )
+                self.assertEqual(self.is_kept, bool(pool.idle.get(address)))
+                await pool.forget(address)
+
+        anyio.run(run)
+
+    def test_nobody_listens(self) -> None:
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+            try:
+                await HttpPool().call(address, "/x", b"", 0.5)
+            except HttpUnreachableError:
+                return
+            self.fail("the call was answered")
+
+        anyio.run(run)
