--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -13,6 +13,7 @@
 import anyio
 import h11
 from anyio.abc import ByteStream, SocketAttribute
+from loguru import logger
 from marigolddoor_core.errors import MarigolddoorError, UnavailableError
 
 from marigolddoor_wire.peers import Address, parse_address
@@ -79,7 +80,11 @@
         that was deposed meanwhile.
         """
         raw = self.stream.extra(SocketAttribute.raw_socket)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        try:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        except OSError as error:
+            # The other side ended the connection, so nothing is held up on it.
+            logger.debug("http: the connection is closed already: {}", error)
         await anyio.aclose_forcefully(self.stream)
 
     def can_be_kept(self) -> bool:
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -1,6 +1,7 @@
 """Guards against calls that are carried out long after their caller gave them up."""
 
 import socket
+import struct
 
 import anyio
 import testtools
@@ -53,6 +54,42 @@
         anyio.run(run)
 
 
+class ResetByServerTest(testtools.TestCase):
+    """A connection that the server reset must end the call, not the process.
+
+    Found by the incident inc-4350 of tmpa-jellyworks: three control processes ended with a bad file
+    descriptor, since the linger option was set on a socket that was closed already.
+    """
+
+    scenarios = [
+        ("reset", {"linger": struct.pack("ii", 1, 0)}),
+        ("closed", {"linger": struct.pack("ii", 0, 0)}),
+    ]
+
+    def test_reset(self) -> None:
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+                errors: list[str] = []
+
+                async def call() -> None:
+                    try:
+                        await HttpPool().call(address, "/x", b"{}", 1.0)
+                    except HttpNoAnswerError as error:
+                        errors.append(type(error).__name__)
+
+                async with anyio.create_task_group() as group:
+                    group.start_soon(call)
+                    await anyio.wait_readable(listener)
+                    connection, _ = listener.accept()
+                    await receive_request(connection)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, self.linger)
+                    connection.close()
+                self.assertEqual(["HttpNoAnswerError"], errors)
+
+        anyio.run(run)
+
+
 class AnswerTest(testtools.TestCase):
     """A connection is used again after a whole answer, and only then."""
 
