Let a killed stand-in executor end at once; give each test system its own metrics port

The listener of a killed stand-in executor closes within 0.5 s, and until then its runs counted as running; its next life reported after 0.2 s, so the leader rightly started them elsewhere. All test systems also shared port 9464, so two runs on one machine failed each other. Ruled out: a fault of the dispatch. The three tasks are always those on the killed executor, and each second start follows the next life's heartbeat. Change: the stand-in ends its runs at the kill and starts nothing after it; the setting metrics-port replaces the fixed port. KillTest fails before and passes after. 78 tests of the platform pass.

--- a/standins/src/marigolddoor_standins/platform_executor.py
+++ b/standins/src/marigolddoor_standins/platform_executor.py
@@ -67,6 +67,7 @@
         self.stopped: dict[str, int] = {}
         self.finished: list[list[Any]] = []
         self.count = 0
+        self.is_over = False
         self.deadline_ms = 0
         self.acknowledged: list[int] = []
         self.changed = anyio.Event()
@@ -77,15 +78,20 @@
 
     async def run(self) -> None:
         """Serve and report until cancelled; what runs then is gone."""
-        try:
-            async with anyio.create_task_group() as group:
-                self.address = await group.start(serve_http, self._serve)
-                group.start_soon(self._end_runs)
+        async with anyio.create_task_group() as group:
+            self.address = await group.start(serve_http, self._serve)
+            group.start_soon(self._end_runs)
+            try:
                 await self._report()
-        finally:
-            for task in self.runs:
-                self.ledger.ended(task, "lost")
-            self.runs.clear()
+            finally:
+                self._die()
+
+    def _die(self) -> None:
+        """End everything at once, although the listener needs a moment to close."""
+        self.is_over = True
+        for task in self.runs:
+            self.ledger.ended(task, "lost")
+        self.runs.clear()
 
     async def _report(self) -> None:
         async with httpx.AsyncClient(follow_redirects=True, timeout=CALL_TIMEOUT_S) as client:
@@ -154,7 +160,11 @@
         if headers.get(b"x-expected-instance", b"").decode() != self.name:
             await respond(send, 421)
             return
-        status, answer = await self._answer(scope["path"], body)
+        if not self.is_over:
+            status, answer = await self._answer(scope["path"], body)
+        if self.is_over:
+            # The listener ends the call when it closes.
+            await anyio.sleep_forever()
         answer = {"clock-ms": self.clock_ms(), "born": self.born, **answer}
         await respond(send, status, json.dumps(answer).encode())
 
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -74,6 +74,7 @@
         self.peer_port = free_port(HOSTS)
         self.callers_port = free_port((ENTRY_HOST,))
         self.ready_port = free_port((ENTRY_HOST,))
+        self.metrics_port = free_port((*HOSTS, ENTRY_HOST))
         self.ledger = RunLedger()
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.executors: dict[str, PlatformExecutor] = {}
@@ -88,6 +89,7 @@
             "ip": host,
             "zone": "east",
             "internal-port-range": f"{self.peer_port},{self.peer_port}",
+            "metrics-port": str(self.metrics_port),
             "seeds": seeds,
             "bootstrap": "true" if is_first else "false",
             "bounds.hold-max-ms": "6000",
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -21,7 +21,10 @@
 
 
 def text(**changes: str | None) -> str:
-    lines = {**LINES, **{name.replace("__", "."): value for name, value in changes.items()}}
+    lines = {
+        **LINES,
+        **{name.replace("__", ".").replace("_", "-"): value for name, value in changes.items()},
+    }
     return "\n".join(f"{name}={value}" for name, value in lines.items() if value is not None)
 
 
@@ -33,6 +36,7 @@
         ("no seeds", {"field": "seeds", "value": None}),
         ("a seed without a port", {"field": "seeds", "value": "10.1.0.12"}),
         ("a lease that is no number", {"field": "bounds.hold-max-ms", "value": "long"}),
+        ("a metrics port that is no number", {"field": "metrics-port", "value": "web"}),
         ("a listener without a port", {"field": "listen.control", "value": "10.1.0.12"}),
     ]
 
@@ -50,5 +54,7 @@
         self.assertEqual("10.1.0.12:7060", settings.peer)
         self.assertEqual(("10.1.0.12:7060", "10.2.0.26:7060"), settings.seeds)
         self.assertEqual((6.0, 8623), (settings.longest_lease_s, settings.control_port))
+        self.assertEqual("10.1.0.12:9464", settings.metrics)
+        self.assertEqual("10.1.0.12:9999", parse_settings(text(metrics_port="9999")).metrics)
         self.assertTrue(settings.is_first_start)
         self.assertIsNone(settings.callers)
