Refuse at once at an entry process that is cut off; find a new leader by probes

A call to a leader that fell silent also waited 1 s for itself. Change: LeaderSearch (pure) decides who leads and whether this process is cut off; the gateway probes it when the leader is silent for 0.5 s, abandons calls to a lost leader, and ends calls at once while cut off. Waiting calls send no messages of their own. A refused connection is told from silence, so callers wait for control processes that start again.

--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -7,7 +7,13 @@
 from marigolddoor_core.ids import ServiceId
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
 from marigolddoor_core.requests.outcomes import Outcome
-from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
+from marigolddoor_core.routing.leader_search import LeaderSearch
+from marigolddoor_wire.errors import (
+    PeerRefusedError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+    RemoteError,
+)
 from marigolddoor_wire.peers import Address, PeerPool
 from marigolddoor_wire.queue_messages import AskQueue, NotLeading, QueueAnswer
 
@@ -17,12 +23,15 @@
 
 # The leader answers within some 30 ms; a commit under load takes a few hundred.
 ATTEMPT_TIMEOUT_S = 1.0
+# A probe needs no commit. A packet that is lost comes again after 0.2 s.
+PROBE_TIMEOUT_S = 0.4
+# The leader is probed if it did not answer for this long.
+PROBE_INTERVAL_S = 0.5
 # Pause before the control processes are asked again while none of them leads.
 ELECTION_PAUSE_S = 0.1
 # When a caller may come back if no leader was found: an election takes 1 to 2 s.
 NO_LEADER_RETRY_S = 1.0
-# The gateway counts as connected for this long after the leader's last answer.
-CONNECTED_S = 2.5
+PROBE = AskQueue(QueueCall(QueueMethod.READ, "", ""))
 # What callers are told about whether their request ran.
 OUTCOMES = {
     QueueOutcome.ANSWERED: Outcome.ANSWERED,
@@ -36,10 +45,10 @@
 
 
 class QueueGateway:
-    """Finds the leader and asks it, again if needed, until the caller's time is over.
+    """Asks the leader, again if needed, until the caller's time is over.
 
-    `control` are the peer addresses of control processes to begin with; the members of the group
-    are learned from answers, so these may be out of date.
+    `probe` has to be called again and again: it finds the leader, and it finds out when this
+    process is cut off. Then calls end at once, since another one may still serve the caller.
     """
 
     def __init__(
@@ -48,19 +57,21 @@
         pool: PeerPool,
         clock: Callable[[], float] = anyio.current_time,
     ) -> None:
-        self.control = tuple(control)
-        self.known = list(self.control)
+        self.search = LeaderSearch(control, clock())
         self.pool = pool
         self.clock = clock
-        self.leader: Address | None = None
-        self.next_index = 0
-        self.answered_at: float | None = None
         self.metrics = Metrics()
+        # Calls that wait for an answer, by the address that was asked.
+        self.attempts: dict[str, set[anyio.CancelScope]] = {}
+        # Set when a leader was found, or this process was cut off.
+        self.changed = anyio.Event()
+        # Set when the leader was lost.
+        self.leader_lost = anyio.Event()
 
     @property
     def is_connected(self) -> bool:
         """Return whether a leader answered lately."""
-        return self.answered_at is not None and self.clock() - self.answered_at < CONNECTED_S
+        return self.search.is_connected(self.clock())
 
     async def call(self, call: QueueCall, timeout_s: float) -> QueueReply:
         """Return the leader's reply and record how long it took.
@@ -72,6 +83,7 @@
         took_s = self.clock() - began
         self.metrics.observe(ServiceId(call.method.value), OUTCOMES[reply.outcome], took_s)
         if OUTCOMES[reply.outcome] is not Outcome.ANSWERED:
+            answered_at = self.search.answered_at
             logger.info(
                 "entry: {} {}{}: {} after {:.0f} ms of {:.0f}, leader {}, last answer {:.1f} s ago",
                 call.method.value,
@@ -80,88 +92,148 @@
                 reply.outcome.value,
                 took_s * 1000,
                 timeout_s * 1000,
-                self.leader,
-                -1.0 if self.answered_at is None else self.clock() - self.answered_at,
+                "out of reach" if self.search.is_cut_off else self.search.leader,
+                -1.0 if answered_at is None else self.clock() - answered_at,
             )
         return reply
 
     async def _call(self, call: QueueCall, timeout_s: float) -> QueueReply:
-        """Ask until the caller's time is over.
+        """Ask until the caller's time is over or this process is cut off.
 
-        A submission may be repeated, since a job is accepted once. If the last try may have reached
-        a leader, the outcome is `UNKNOWN`, else `UNAVAILABLE`, after which nothing runs.
+        A submission may be repeated, since a job is accepted once. If a try may have reached a
+        leader, the outcome is `UNKNOWN`, else `UNAVAILABLE`, after which nothing runs.
         """
         deadline = self.clock() + timeout_s
         may_have_arrived = False
-        while True:
+        while not self.search.is_cut_off:
             remaining_s = deadline - self.clock()
             if remaining_s <= 0:
                 break
-            address = self.leader or self._next_known()
+            address = self.search.leader
+            if address is None:
+                changed = self.changed
+                with anyio.move_on_after(remaining_s):
+                    await changed.wait()
+                continue
             try:
-                answer = await self.pool.call(
-                    address, AskQueue(call), min(ATTEMPT_TIMEOUT_S, remaining_s)
-                )
+                answer = await self._ask(address, call, min(ATTEMPT_TIMEOUT_S, remaining_s))
             except PeerUnreachableError as error:
                 self._lost(address, error)
-                await anyio.sleep(min(ELECTION_PAUSE_S, remaining_s))
+                continue
             except (PeerTimeoutError, RemoteError) as error:
                 self._lost(address, error)
                 may_have_arrived = True
-            else:
-                if isinstance(answer, QueueAnswer):
-                    self._found(address, answer.members)
-                    if answer.reply.outcome is QueueOutcome.UNKNOWN:
-                        may_have_arrived = True
-                    elif not (
-                        may_have_arrived and answer.reply.outcome is QueueOutcome.UNAVAILABLE
-                    ):
-                        return answer.reply
-                    await anyio.sleep(min(ELECTION_PAUSE_S, remaining_s))
-                elif isinstance(answer, NotLeading) and not self._redirected(address, answer):
-                    await anyio.sleep(min(ELECTION_PAUSE_S, remaining_s))
+                continue
+            if answer is None:
+                may_have_arrived = True
+                continue
+            self._take(address, answer)
+            if isinstance(answer, QueueAnswer):
+                if answer.reply.outcome is QueueOutcome.UNKNOWN:
+                    may_have_arrived = True
+                elif not (may_have_arrived and answer.reply.outcome is QueueOutcome.UNAVAILABLE):
+                    return answer.reply
+                await anyio.sleep(min(ELECTION_PAUSE_S, remaining_s))
         if may_have_arrived and call.method is not QueueMethod.READ:
             return QueueReply(QueueOutcome.UNKNOWN)
         return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=NO_LEADER_RETRY_S)
 
-    def replace_control(self, control: Iterable[Address]) -> None:
-        """Use other control processes to begin with, after the settings changed."""
-        self.control = tuple(control)
-        self._learn(self.known)
+    async def _ask(
+        self, address: str, call: QueueCall, timeout_s: float
+    ) -> QueueAnswer | NotLeading | None:
+        """Return the answer; None if the address was found to be silent meanwhile."""
+        with anyio.CancelScope() as scope:
+            self.attempts.setdefault(address, set()).add(scope)
+            try:
+                return await self._send(address, AskQueue(call), timeout_s)
+            finally:
+                self.attempts.get(address, set()).discard(scope)
+        return None
+
+    async def _send(
+        self, address: str, message: AskQueue, timeout_s: float
+    ) -> QueueAnswer | NotLeading:
+        answer = await self.pool.call(Address(address), message, timeout_s)
+        assert isinstance(answer, QueueAnswer | NotLeading)
+        return answer
 
     async def probe(self) -> None:
         """Find the leader if it did not answer lately."""
-        if not self.is_connected:
-            await self._call(QueueCall(QueueMethod.READ, "", ""), ATTEMPT_TIMEOUT_S)
-
-    def _next_known(self) -> Address:
-        self.next_index += 1
-        return self.known[self.next_index % len(self.known)]
-
-    def _found(self, address: Address, members: Iterable[str]) -> None:
-        if self.leader != address:
-            logger.info("entry: the leader is {}", address)
-        self.leader = address
-        self.answered_at = self.clock()
-        self._learn(members)
-
-    def _learn(self, members: Iterable[str]) -> None:
-        known = dict.fromkeys(Address(member) for member in members)
-        if known:
-            # The addresses of the settings stay, for the case that all known members were replaced.
-            self.known = list(known | dict.fromkeys(self.control))
-
-    def _lost(self, address: Address, error: Exception) -> None:
-        if self.leader == address:
-            logger.info("entry: the leader {} is lost: {}", address, error)
-            self.leader = None
-
-    def _redirected(self, address: Address, answer: NotLeading) -> bool:
-        """Follow a control process to the leader that it names; return whether it names one."""
-        self._learn(answer.members)
-        leader = Address(answer.leader)
-        if not leader or leader == address:
-            self.leader = None
+        leader, answered_at = self.search.leader, self.search.answered_at
+        if leader is not None:
+            is_recent = answered_at is not None and self.clock() - answered_at < PROBE_INTERVAL_S
+            if is_recent or await self._probe(leader):
+                return
+        reactions: list[bool] = []
+
+        async def probe(address: str) -> None:
+            reactions.append(await self._probe(address))
+
+        async with anyio.create_task_group() as group:
+            for address in self.search.known:
+                group.start_soon(probe, address)
+        if self.search.leader is not None:
+            return
+        was_cut_off = self.search.is_cut_off
+        reacting = sum(reactions)
+        self.search.searched(reacting, len(reactions) - reacting, self.clock())
+        if self.search.is_cut_off and not was_cut_off:
+            logger.warning(
+                "entry: cut off, {} of {} control processes react", reacting, len(reactions)
+            )
+            for address in list(self.attempts):
+                self._abandon(address)
+            self._notify()
+
+    async def wait_for_probe(self) -> None:
+        """Wait until the next probe is due, which is at once when the leader is lost."""
+        if self.search.leader is None:
+            await anyio.sleep(ELECTION_PAUSE_S)
+            return
+        self.leader_lost = anyio.Event()
+        with anyio.move_on_after(PROBE_INTERVAL_S):
+            await self.leader_lost.wait()
+
+    async def _probe(self, address: str) -> bool:
+        """Return whether a control process reacts, if only by refusing the connection."""
+        try:
+            answer = await self._send(address, PROBE, PROBE_TIMEOUT_S)
+        except PeerRefusedError as error:
+            self._lost(address, error)
+            return True
+        except (PeerUnreachableError, PeerTimeoutError, RemoteError) as error:
+            self._lost(address, error)
             return False
-        self.leader = leader
+        self._take(address, answer)
         return True
+
+    def replace_control(self, control: Iterable[Address]) -> None:
+        """Use other control processes to begin with, after the settings changed."""
+        self.search.replace_control(control)
+
+    def _take(self, address: str, answer: QueueAnswer | NotLeading) -> None:
+        former = self.search.leader
+        if isinstance(answer, QueueAnswer):
+            self.search.answered(address, answer.members, self.clock())
+        else:
+            self.search.redirected(address, answer.leader, answer.members, self.clock())
+        if self.search.leader != former:
+            logger.info("entry: the leader is {}, as {} says", self.search.leader, address)
+            if former is not None:
+                self._abandon(former)
+            self._notify()
+
+    def _lost(self, address: str, error: Exception) -> None:
+        if self.search.lost(address, self.clock()):
+            logger.info("entry: the leader {} is lost: {}", address, error)
+            self.leader_lost.set()
+            self._abandon(address)
+
+    def _abandon(self, address: str) -> None:
+        """Let calls that wait for an address ask elsewhere."""
+        for scope in self.attempts.pop(address, set()):
+            scope.cancel()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- a/packages/wire/src/marigolddoor_wire/errors.py
+++ b/packages/wire/src/marigolddoor_wire/errors.py
@@ -7,6 +7,7 @@
 __all__ = [
     "FrameError",
     "HandshakeError",
+    "PeerRefusedError",
     "PeerTimeoutError",
     "PeerUnreachableError",
     "RemoteError",
@@ -17,6 +18,10 @@
     """No connection to the peer; the message was not sent."""
 
 
+class PeerRefusedError(PeerUnreachableError):
+    """The peer's VM answers, and no process listens there."""
+
+
 class PeerTimeoutError(MarigolddoorError):
     """The message was sent and no reply came; the peer may have acted on it."""
 
--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -19,6 +19,7 @@
 from marigolddoor_wire.errors import (
     FrameError,
     HandshakeError,
+    PeerRefusedError,
     PeerTimeoutError,
     PeerUnreachableError,
     RemoteError,
@@ -211,7 +212,8 @@
         self.clock = clock
         self.links: dict[Address, _Link] = {}
         self.locks: dict[Address, anyio.Lock] = {}
-        self.paused_until: dict[Address, float] = {}
+        # When an address is tried again, and how it failed.
+        self.paused: dict[Address, tuple[float, type[PeerUnreachableError]]] = {}
         self.correlations = itertools.count(1)
         self.group: TaskGroup | None = None
 
@@ -234,6 +236,7 @@
         """Return the reply of the process at `address`.
 
         Raises:
+          PeerRefusedError: no process listens there; the message was not sent.
           PeerUnreachableError: the message was not sent.
           PeerTimeoutError: it was sent, and no reply came within `timeout_s` seconds.
           RemoteError: the peer refused.
@@ -280,14 +283,18 @@
             return await self._open(address)
 
     async def _open(self, address: Address) -> _Link:
-        if self.clock() < self.paused_until.get(address, -math.inf):
-            raise PeerUnreachableError(f"{address} did not answer just now")
+        paused_until, failure = self.paused.get(address, (-math.inf, PeerUnreachableError))
+        if self.clock() < paused_until:
+            raise failure(f"{address} did not answer just now")
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 link = await self._connect(address)
         except (*_CLOSED, TimeoutError, FrameError, HandshakeError, ssl.SSLError) as error:
-            self.paused_until[address] = self.clock() + RECONNECT_PAUSE_S
-            raise PeerUnreachableError(f"no connection to {address}: {error}") from error
+            # anyio names the reason as the cause.
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            failure = PeerRefusedError if is_refused else PeerUnreachableError
+            self.paused[address] = (self.clock() + RECONNECT_PAUSE_S, failure)
+            raise failure(f"no connection to {address}: {error}") from error
         assert self.group is not None
         self.links[address] = link
         self.group.start_soon(link.run)
--- a/tests/platform/test_operations_page.py
+++ b/tests/platform/test_operations_page.py
@@ -28,6 +28,7 @@
             "fleet: move of {} from {} to {}: {}",
             "entry: {} {}{}: {} after {:.0f} ms of {:.0f}, leader {}, last answer",
             "entry: the leader {} is lost",
+            "entry: cut off, {} of {} control processes react",
             "fleet: leads with token",
             "fleet: leads no more",
             "may have been recorded",
--- a/tests/platform/test_reload.py
+++ b/tests/platform/test_reload.py
@@ -37,6 +37,6 @@
         async def run() -> None:
             gateway = QueueGateway(parse_settings(text()).seeds, PeerPool(SharedKey(b"k")))
             reload_seeds(gateway, self.read)
-            self.assertEqual(self.known, gateway.known)
+            self.assertEqual(self.known, gateway.search.known)
 
         anyio.run(run)
