--- a/tests/entry/test_queue_gateway.py
+++ b/tests/entry/test_queue_gateway.py
@@ -72,8 +72,8 @@
     """What callers are told, and how soon, by what the control processes do.
 
     A leader that falls silent is found out by a probe: within 0.5 s until the probe, 0.4 s without
-    its answer and 0.4 s without the others'. A minority is told from an election after 1.5 s without an answer, by the
-    next search of 0.5 s. `at_most_s` leaves 0.5 s for a busy machine.
+    its answer and 0.4 s without the others'. A minority is told from an election after 1.5 s
+    without an answer, by the next search of 0.5 s. `at_most_s` leaves 0.5 s for a busy machine.
     """
 
     scenarios = [
