Let a new leader order machines that the former one did not

Cause: after each change of the leader no machine moved for 3 s, whether or not it was ordered lately. Ruled out: the election, which took 0.55 s. Change: each move is recorded before it is ordered (OrderMove), as an upkeep is. A new leader waits only for machines with an order in the last 30 s; repeated upkeeps wait as before. The states of machines that the platform lists are logged when they change.

--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -1,6 +1,6 @@
 """Orders of one leadership to executors, the platform and the adviser."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 from loguru import logger
@@ -18,6 +18,8 @@
     Dispatch,
     Executor,
     LeaseTiming,
+    MachineState,
+    MachineView,
     MoveOrder,
     Order,
     PaceOrder,
@@ -25,7 +27,7 @@
     StopOrder,
     UpkeepOrder,
 )
-from marigolddoor_core.ids import FencingToken
+from marigolddoor_core.ids import FencingToken, MachineId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import JobTable
 from marigolddoor_core.metrics import CounterKind, Counters, Labels
@@ -67,6 +69,7 @@
         self.clock = clock
         self.dispatch = Dispatch(table, lease_timing, self.now(), machine_lease_s, counters)
         self.wake = anyio.Event()
+        self.machine_states: dict[MachineId, MachineState] = {}
 
     def now(self) -> Instant:
         """Return the time on the clock that also counts while the VM is suspended."""
@@ -200,11 +203,23 @@
                 except NoAnswerError as error:
                     logger.info("fleet: the list of machines can't be read: {}", error)
                 else:
+                    self._log_states(machines)
                     self.dispatch.room.listed(machines, configuration)
                     await anyio.sleep(LIST_INTERVAL_S)
                     continue
             await anyio.sleep(MACHINE_RETRY_S)
 
+    def _log_states(self, machines: Sequence[MachineView]) -> None:
+        """Log the machines whose state changed, but not those that were up and are."""
+        states = {view.machine: view.state for view in machines}
+        for machine in self.machine_states.keys() - states.keys():
+            logger.info("fleet: machine {} is listed no more", machine)
+        for machine, state in states.items():
+            former = self.machine_states.get(machine, MachineState.UP)
+            if state is not former:
+                logger.info("fleet: machine {} is {}, was {}", machine, state.value, former.value)
+        self.machine_states = states
+
     async def _move(self, order: MoveOrder) -> None:
         """Move a machine; what is not answered is repeated until the planner gives up."""
         move, room = order.move, self.dispatch.room
@@ -234,7 +249,7 @@
 
     async def _begin_upkeep(self, order: UpkeepOrder) -> None:
         """Hand a machine over; repeat it until the platform says what became of it."""
-        await anyio.sleep(max(0.0, self.dispatch.machine_orders_from - self.now()))
+        await anyio.sleep(self.dispatch.machine_wait_s(order.machine))
         # Only a first call that is answered surely ended the executor that is known now.
         executor = None if order.is_repeated else self.dispatch.by_machine.get(order.machine)
         while True:
--- a/packages/core/src/marigolddoor_core/dispatch/machine_duties.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_duties.py
@@ -19,6 +19,7 @@
     JobPhase,
     JobRecord,
     JobTable,
+    OrderMove,
     WaveRecord,
 )
 from marigolddoor_core.metrics import CounterKind, Counters, Labels
@@ -35,7 +36,11 @@
 
 
 class MachineDuties(FleetView):
-    """Plans what happens to machines. Orders for them begin after `machine_lease_s`."""
+    """Plans what happens to machines.
+
+    Every order for a machine is recorded before it is given. Machines that an earlier leader may
+    have given an order for get none from this one until `machine_lease_s` are over.
+    """
 
     def __init__(
         self,
@@ -50,7 +55,9 @@
         self.machine_orders_from = Instant(now + machine_lease_s)
         self.work = OutstandingWork(self.worth.expected_s)
         self.forecast = DemandForecast()
-        self.room = RoomPlanner(self.work, self._is_in_upkeep)
+        self.room = RoomPlanner(self.work, self._is_in_upkeep, self._may_be_ordered)
+        # Machines for which an order of an earlier leader may still be on its way.
+        self.ordered_before: set[MachineId] = set()
         self.room_planned_at = now
         self.upkeeps: dict[WaveId, Upkeep] = {}
 
@@ -60,15 +67,26 @@
             self._note_arrival(job)
             if job.phase is JobPhase.ACTIVE:
                 self._note_work(job)
+        self.ordered_before.update(self.table.machine_orders)
         for wave in self.table.waves.values():
             if not wave.is_finished:
+                self.ordered_before.update(wave.begun)
                 self.wave_opened(wave)
 
+    def machine_wait_s(self, machine: MachineId) -> float:
+        """Return how long no order for a machine may be given."""
+        if machine not in self.ordered_before:
+            return 0.0
+        return max(0.0, self.machine_orders_from - self.now)
+
+    def _may_be_ordered(self, machine: MachineId) -> bool:
+        return self.machine_wait_s(machine) == 0.0
+
     def plan_machines(self, now: Instant, time_s: float) -> list[JobChange]:
         """Return the changes to record, and mark the executors that get no new task."""
         changes = self._plan_upkeep(now)
         self._empty_draining(now)
-        self._plan_room(now, time_s)
+        changes += self._plan_room(now, time_s)
         for machine, executor in self.by_machine.items():
             executor.is_cordoned = self.room.is_leaving(machine) or self._is_emptying(machine)
         return changes
@@ -114,12 +132,11 @@
     def _is_emptying(self, machine: MachineId) -> bool:
         return any(upkeep.is_emptying(machine) for upkeep in self.upkeeps.values())
 
-    def _plan_room(self, now: Instant, time_s: float) -> None:
+    def _plan_room(self, now: Instant, time_s: float) -> list[JobChange]:
+        """Return the moves to record; their orders are carried out after that."""
         configuration = self.table.configuration
-        is_due = now - self.room_planned_at >= ROOM_INTERVAL_S
-        # The former leader's orders for machines must not alternate with those of this one.
-        if configuration is None or not is_due or now < self.machine_orders_from:
-            return
+        if configuration is None or now - self.room_planned_at < ROOM_INTERVAL_S:
+            return []
         self.room_planned_at = now
         self.work.drop_hopeless(time_s)
         self.forecast.update(time_s)
@@ -132,6 +149,7 @@
         floors = self._floors(configuration)
         moves = self.room.plan(self.by_machine, configuration, floors, expected, now)
         self.orders += [MoveOrder(move) for move in moves]
+        return [OrderMove(move.machine) for move in moves]
 
     def _floors(self, configuration: FleetConfiguration) -> dict[ServiceId, PoolFloor]:
         """Return the least numbers of machines of each service.
--- a/packages/core/src/marigolddoor_core/dispatch/room.py
+++ b/packages/core/src/marigolddoor_core/dispatch/room.py
@@ -86,11 +86,18 @@
     Args:
       work: the outstanding work of each service.
       is_reserved: whether a machine must stay because of a wave of upkeep.
+      may_be_ordered: whether no order of an earlier leader for a machine may still be on its way.
     """
 
-    def __init__(self, work: OutstandingWork, is_reserved: Callable[[MachineId], bool]) -> None:
+    def __init__(
+        self,
+        work: OutstandingWork,
+        is_reserved: Callable[[MachineId], bool],
+        may_be_ordered: Callable[[MachineId], bool],
+    ) -> None:
         self.work = work
         self.is_reserved = is_reserved
+        self.may_be_ordered = may_be_ordered
         self.standby: dict[MachineId, MachineView] = {}
         self.ordered: dict[MachineId, _Ordered] = {}
         self.spare_since: dict[ServiceId, Instant] = {}
@@ -270,15 +277,13 @@
         for view in list(self.standby.values()):
             if cores <= 0:
                 return moves
-            if not self.is_reserved(view.machine):
+            if not self.is_reserved(view.machine) and self.may_be_ordered(view.machine):
                 del self.standby[view.machine]
                 moves.append(Move(view.machine, view.service, service))
                 self._order(moves[-1], view.cpu_milli, now)
                 cores -= view.cpu_milli / 1000
         for other, spare in spares.items():
-            idle = [
-                e for e in pools[other] if not e.runs and e.heartbeat.machine not in self.ordered
-            ]
+            idle = [e for e in pools[other] if self._is_movable(e)]
             for executor in idle:
                 size = executor.heartbeat.capacity.cpu_milli / 1000
                 left = sum(1 for e in pools[other] if e.heartbeat.machine not in self.ordered)
@@ -302,11 +307,15 @@
         for service, pool in pools.items():
             for executor in pool:
                 machine = executor.heartbeat.machine
-                if machine in self.retiring and machine not in self.ordered and not executor.runs:
+                if machine in self.retiring and self._is_movable(executor):
                     moves.append(Move(machine, service, standby))
                     self._order(moves[-1], executor.heartbeat.capacity.cpu_milli, now)
         return moves
 
+    def _is_movable(self, executor: Executor) -> bool:
+        machine = executor.heartbeat.machine
+        return not executor.runs and machine not in self.ordered and self.may_be_ordered(machine)
+
     def _order(self, move: Move, cpu_milli: int, now: Instant) -> None:
         self.ordered[move.machine] = _Ordered(move, now, cpu_milli)
 
--- a/packages/core/src/marigolddoor_core/jobs/changes.py
+++ b/packages/core/src/marigolddoor_core/jobs/changes.py
@@ -30,6 +30,7 @@
     "FinishWave",
     "JobChange",
     "OpenWave",
+    "OrderMove",
     "PlaceRun",
     "RecordChanges",
     "StoreConfiguration",
@@ -105,6 +106,13 @@
     max_count: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrderMove:
+    """The platform is about to be told to move a machine. Recorded before the call."""
+
+    machine: MachineId
+
+
 @dataclass(frozen=True, slots=True)
 class BeginUpkeep:
     """A machine of a wave is about to be handed to the platform. Recorded before the call."""
@@ -129,6 +137,7 @@
     | DropExecutor
     | StoreConfiguration
     | OpenWave
+    | OrderMove
     | BeginUpkeep
     | FinishWave
 )
--- a/packages/core/src/marigolddoor_core/jobs/stored.py
+++ b/packages/core/src/marigolddoor_core/jobs/stored.py
@@ -15,7 +15,7 @@
 from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, TaskPhase
 
-__all__ = ["JobTableSnapshot", "StoredJob", "StoredTask", "StoredWave"]
+__all__ = ["JobTableSnapshot", "StoredJob", "StoredMachineOrder", "StoredTask", "StoredWave"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +59,14 @@
     is_finished: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StoredMachineOrder:
+    """When the platform was last about to be given an order for a machine."""
+
+    machine: MachineId
+    ordered_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class JobTableSnapshot:
     """The whole table."""
@@ -69,3 +77,4 @@
     jobs: tuple[StoredJob, ...]
     waves: tuple[StoredWave, ...]
     executors: tuple[EnrolledExecutor, ...] = ()
+    machine_orders: tuple[StoredMachineOrder, ...] = ()
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -14,6 +14,7 @@
     FinishWave,
     JobChange,
     OpenWave,
+    OrderMove,
     PlaceRun,
     RecordChanges,
     StoreConfiguration,
@@ -23,7 +24,13 @@
 from marigolddoor_core.jobs.phases import JobPhase, RunEnd, TaskPhase
 from marigolddoor_core.jobs.records import JobRecord, TaskRecord
 from marigolddoor_core.jobs.specs import InvalidJobError, JobSpec, parse_task_name
-from marigolddoor_core.jobs.stored import JobTableSnapshot, StoredJob, StoredTask, StoredWave
+from marigolddoor_core.jobs.stored import (
+    JobTableSnapshot,
+    StoredJob,
+    StoredMachineOrder,
+    StoredTask,
+    StoredWave,
+)
 from marigolddoor_core.jobs.waves import WaveRecord
 
 __all__ = ["DocumentReader", "JobTable", "TableObserver"]
@@ -31,6 +38,8 @@
 # Jobs that ended stay known for this long. The platform asks for 120 s (`status_s`); the rest
 # covers a caller whose clock or request is late.
 RETENTION_S = 150.0
+# An order for a machine is repeated for up to 8 s, and may then be on its way for some seconds.
+MACHINE_ORDER_MEMORY_S = 30.0
 
 
 class DocumentReader(Protocol):
@@ -104,6 +113,8 @@
         self.ended: dict[JobId, float] = {}
         self.waves: dict[WaveId, WaveRecord] = {}
         self.executors: dict[ExecutorLife, EnrolledExecutor] = {}
+        # When an order for a machine was last recorded, the oldest one first.
+        self.machine_orders: dict[MachineId, float] = {}
         self.configuration: FleetConfiguration | None = None
         self.document = b""
         self.observer: TableObserver | None = None
@@ -149,7 +160,10 @@
             self._store_configuration(change)
         elif isinstance(change, OpenWave):
             self._open_wave(change)
+        elif isinstance(change, OrderMove):
+            self._note_machine_order(change.machine)
         elif isinstance(change, BeginUpkeep):
+            self._note_machine_order(change.machine)
             wave = self.waves.get(change.wave)
             if wave is not None:
                 wave.begun[change.machine] = None
@@ -277,7 +291,16 @@
         if self.observer is not None:
             self.observer.wave_opened(wave)
 
+    def _note_machine_order(self, machine: MachineId) -> None:
+        self.machine_orders.pop(machine, None)
+        self.machine_orders[machine] = self.time_s
+
     def _remove_old(self) -> None:
+        while self.machine_orders:
+            machine, ordered_s = next(iter(self.machine_orders.items()))
+            if ordered_s + MACHINE_ORDER_MEMORY_S > self.time_s:
+                break
+            del self.machine_orders[machine]
         while self.ended:
             job, ended_s = next(iter(self.ended.items()))
             record = self.jobs[job]
@@ -307,6 +330,10 @@
                 for wave in self.waves.values()
             ),
             tuple(self.executors.values()),
+            tuple(
+                StoredMachineOrder(machine, ordered_s)
+                for machine, ordered_s in self.machine_orders.items()
+            ),
         )
 
     def restore(self, snapshot: Any) -> None:
@@ -329,6 +356,7 @@
             wave.is_finished = stored.is_finished
             self.waves[stored.wave] = wave
         self.executors = {executor.life: executor for executor in snapshot.executors}
+        self.machine_orders = {order.machine: order.ordered_s for order in snapshot.machine_orders}
 
     def _restored_job(self, stored: StoredJob) -> JobRecord:
         job = JobRecord(
--- a/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
@@ -934,6 +934,74 @@
         return not (self == other)
 
 
+class OrderMove(object):
+    """
+    Attributes:
+     - machine
+
+    """
+
+    __slots__ = (
+        'machine',
+    )
+
+
+    def __init__(self, machine=None,):
+        self.machine = machine
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.machine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderMove')
+        if self.machine is not None:
+            oprot.writeFieldBegin('machine', TType.STRING, 1)
+            oprot.writeString(self.machine.encode('utf-8') if sys.version_info[0] == 2 else self.machine)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BeginUpkeep(object):
     """
     Attributes:
@@ -1698,6 +1766,86 @@
         return not (self == other)
 
 
+class StoredMachineOrder(object):
+    """
+    Attributes:
+     - machine
+     - ordered_s
+
+    """
+
+    __slots__ = (
+        'machine',
+        'ordered_s',
+    )
+
+
+    def __init__(self, machine=None, ordered_s=None,):
+        self.machine = machine
+        self.ordered_s = ordered_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.machine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.ordered_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoredMachineOrder')
+        if self.machine is not None:
+            oprot.writeFieldBegin('machine', TType.STRING, 1)
+            oprot.writeString(self.machine.encode('utf-8') if sys.version_info[0] == 2 else self.machine)
+            oprot.writeFieldEnd()
+        if self.ordered_s is not None:
+            oprot.writeFieldBegin('ordered_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.ordered_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class JobTableSnapshot(object):
     """
     Attributes:
@@ -1707,6 +1855,7 @@
      - jobs
      - waves
      - executors
+     - machine_orders
 
     """
 
@@ -1717,16 +1866,18 @@
         'jobs',
         'waves',
         'executors',
+        'machine_orders',
     )
 
 
-    def __init__(self, time_s=None, version=None, document=None, jobs=None, waves=None, executors=None,):
+    def __init__(self, time_s=None, version=None, document=None, jobs=None, waves=None, executors=None, machine_orders=None,):
         self.time_s = time_s
         self.version = version
         self.document = document
         self.jobs = jobs
         self.waves = waves
         self.executors = executors
+        self.machine_orders = machine_orders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1785,6 +1936,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.machine_orders = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = StoredMachineOrder()
+                        _elem72.read(iprot)
+                        self.machine_orders.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1810,22 +1972,29 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter67 in self.jobs:
-                iter67.write(oprot)
+            for iter73 in self.jobs:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waves is not None:
             oprot.writeFieldBegin('waves', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.waves))
-            for iter68 in self.waves:
-                iter68.write(oprot)
+            for iter74 in self.waves:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.executors is not None:
             oprot.writeFieldBegin('executors', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.executors))
-            for iter69 in self.executors:
-                iter69.write(oprot)
+            for iter75 in self.executors:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.machine_orders is not None:
+            oprot.writeFieldBegin('machine_orders', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.machine_orders))
+            for iter76 in self.machine_orders:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2190,10 +2359,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2214,8 +2383,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter76 in self.members:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.members:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2278,10 +2447,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2302,8 +2471,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter83 in self.members:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.members:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2398,6 +2567,11 @@
     (3, TType.DOUBLE, 'duration_s', None, None, ),  # 3
     (4, TType.I64, 'max_count', None, None, ),  # 4
 )
+all_structs.append(OrderMove)
+OrderMove.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'machine', 'UTF8', None, ),  # 1
+)
 all_structs.append(BeginUpkeep)
 BeginUpkeep.thrift_spec = (
     None,  # 0
@@ -2453,6 +2627,12 @@
     (6, TType.I64, 'max_count', None, None, ),  # 6
     (7, TType.BOOL, 'is_finished', None, None, ),  # 7
 )
+all_structs.append(StoredMachineOrder)
+StoredMachineOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'machine', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'ordered_s', None, None, ),  # 2
+)
 all_structs.append(JobTableSnapshot)
 JobTableSnapshot.thrift_spec = (
     None,  # 0
@@ -2462,6 +2642,7 @@
     (4, TType.LIST, 'jobs', (TType.STRUCT, [StoredJob, None], False), None, ),  # 4
     (5, TType.LIST, 'waves', (TType.STRUCT, [StoredWave, None], False), None, ),  # 5
     (6, TType.LIST, 'executors', (TType.STRUCT, [EnrolledExecutor, None], False), None, ),  # 6
+    (7, TType.LIST, 'machine_orders', (TType.STRUCT, [StoredMachineOrder, None], False), None, ),  # 7
 )
 all_structs.append(QueueCall)
 QueueCall.thrift_spec = (
--- a/tests/core/jobs/test_table.py
+++ b/tests/core/jobs/test_table.py
@@ -9,6 +9,7 @@
     JobPhase,
     JobTable,
     OpenWave,
+    OrderMove,
     RecordChanges,
     RunEnd,
     StoreConfiguration,
@@ -258,3 +259,25 @@
         log.apply(accept("j", ONE), place("j.0.0.0"), end("j.0.0.0"), time_s=1000.0)
         log.table.apply(LogIndex(9), RecordChanges((), 1000.0 + self.later_s))
         self.assertEqual(self.is_known, JobId("j") in log.table.jobs)
+
+
+class MachineOrdersTest(testtools.TestCase):
+    """A later leader, also one that starts from a snapshot, knows which machines were ordered."""
+
+    scenarios = [
+        ("a move", {"change": OrderMove(MachineId("m")), "later_s": 10.0, "known": ["m"]}),
+        (
+            "an upkeep",
+            {"change": BeginUpkeep(WaveId(1), MachineId("m")), "later_s": 10.0, "known": ["m"]},
+        ),
+        ("long ago", {"change": OrderMove(MachineId("m")), "later_s": 31.0, "known": []}),
+    ]
+
+    def test_orders(self) -> None:
+        log = Log()
+        log.apply(self.change, time_s=1000.0)
+        restored = JobTable(TestDocuments())
+        restored.restore(log.table.snapshot())
+        for table in (log.table, restored):
+            table.apply(LogIndex(9), RecordChanges((), 1000.0 + self.later_s))
+            self.assertEqual(self.known, list(table.machine_orders))
