End the part of a wave of a machine that left for good

Ruled out: a slow platform (other upkeeps are answered within 20 ms). Change: a machine that two lists in a row do not name, and whose executor does not report, ends its part of the wave. Tests: LeftForGoodTest; 'listed no more' fails before.

--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -204,7 +204,7 @@
                     logger.info("fleet: the list of machines can't be read: {}", error)
                 else:
                     self._log_states(machines)
-                    self.dispatch.room.listed(machines, configuration)
+                    self.dispatch.listed(machines, configuration)
                     await anyio.sleep(LIST_INTERVAL_S)
                     continue
             await anyio.sleep(MACHINE_RETRY_S)
@@ -254,7 +254,7 @@
         executor = None if order.is_repeated else self.dispatch.by_machine.get(order.machine)
         while True:
             upkeep = self.dispatch.upkeeps.get(order.wave)
-            if upkeep is None:
+            if upkeep is None or upkeep.is_back(order.machine):
                 return
             outcome = None
             if self.agreement.is_leader:
--- a/packages/core/src/marigolddoor_core/dispatch/machine_duties.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_duties.py
@@ -1,6 +1,7 @@
 """Machines during one leadership: upkeep, moves between services, and executors that leave."""
 
 import math
+from collections.abc import Sequence
 
 from marigolddoor_core.dispatch.evacuation import doomed_runs, movable_runs
 from marigolddoor_core.dispatch.executors import Executor, ExecutorState
@@ -9,7 +10,7 @@
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.orders import MoveOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
-from marigolddoor_core.dispatch.room import Move, PoolFloor, RoomPlanner
+from marigolddoor_core.dispatch.room import MachineView, Move, PoolFloor, RoomPlanner
 from marigolddoor_core.dispatch.upkeep import Upkeep
 from marigolddoor_core.ids import MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
@@ -91,6 +92,14 @@
             executor.is_cordoned = self.room.is_leaving(machine) or self._is_emptying(machine)
         return changes
 
+    def listed(self, machines: Sequence[MachineView], configuration: FleetConfiguration) -> None:
+        """Take the platform's list of machines."""
+        self.room.listed(machines, configuration)
+        # A machine whose executor reports is there, whatever the list says.
+        known = {view.machine for view in machines} | self.by_machine.keys()
+        for upkeep in self.upkeeps.values():
+            upkeep.listed(known)
+
     def note_job(self, job: JobRecord) -> None:
         """Take a new job into the demand."""
         self._note_arrival(job)
--- a/packages/core/src/marigolddoor_core/dispatch/upkeep.py
+++ b/packages/core/src/marigolddoor_core/dispatch/upkeep.py
@@ -24,6 +24,9 @@
 MISSING_S = 4.0
 # At most this share of a service's executors is emptied or in upkeep at a time.
 SERVICE_SHARE = 0.34
+# A machine that so many lists in a row do not name has left for good. A list is read in pages, so
+# one alone may miss a machine.
+LISTS_UNTIL_GONE = 2
 
 
 class UpkeepStep(Enum):
@@ -42,6 +45,7 @@
         self.step = step
         self.since = now
         self.is_busy = False
+        self.lists_without = 0
 
 
 class Upkeep:
@@ -90,6 +94,22 @@
         """Take the platform's word that there is no such machine."""
         self.machines[machine].step = UpkeepStep.BACK
 
+    def listed(self, machines: Collection[MachineId]) -> None:
+        """Take the machines that there are; one that left for good ends its part of the wave.
+
+        The platform calls such a machine busy for ever.
+        """
+        for state in self.machines.values():
+            if state.step in (UpkeepStep.HANDED_OVER, UpkeepStep.BACK):
+                continue
+            state.lists_without = 0 if state.machine in machines else state.lists_without + 1
+            if state.lists_without >= LISTS_UNTIL_GONE:
+                self.gone(state.machine)
+
+    def is_back(self, machine: MachineId) -> bool:
+        """Return whether nothing is left to do for a machine."""
+        return self.machines[machine].step is UpkeepStep.BACK
+
     def plan(
         self,
         by_machine: dict[MachineId, Executor],
--- a/tests/core/dispatch/test_upkeep.py
+++ b/tests/core/dispatch/test_upkeep.py
@@ -3,10 +3,10 @@
 import testtools
 from marigolddoor_core.dispatch import MachineState, MachineView, StopOrder, UpkeepOrder
 from marigolddoor_core.ids import MachineId, ServiceId, WaveId
-from marigolddoor_core.jobs import BeginUpkeep, FinishWave, OpenWave
+from marigolddoor_core.jobs import BeginUpkeep, FinishWave, OpenWave, StoreConfiguration
 
 from tests.core.dispatch.fakes import Fleet, running
-from tests.core.jobs.fakes import Log, accept
+from tests.core.jobs.fakes import Log, accept, configuration
 
 WAVE = WaveId(1)
 
@@ -74,6 +74,44 @@
         self.assertEqual([FinishWave(WAVE)], fleet.step())
 
 
+class LeftForGoodTest(testtools.TestCase):
+    """A machine that is gone must not hold its wave open; one that stays must not be left out.
+
+    Found on the standard day scale-1 of bw-ring: the platform answered 'busy' for a machine that
+    had been scaled in, until the end of the day.
+    """
+
+    scenarios = [
+        ("listed no more", {"lists": [(), ()], "has_executor": False, "is_finished": True}),
+        ("missing in one list", {"lists": [()], "has_executor": False, "is_finished": False}),
+        (
+            "missing, listed, missing",
+            {"lists": [(), ("m-1",), ()], "has_executor": False, "is_finished": False},
+        ),
+        ("its executor reports", {"lists": [(), ()], "has_executor": True, "is_finished": False}),
+    ]
+
+    def test_lists(self) -> None:
+        log = Log()
+        log.apply(wave("m-1"), BeginUpkeep(WAVE, MachineId("m-1")))
+        log.apply(StoreConfiguration(1, configuration(1, views="desk")))
+        fleet = Fleet(log)
+        if self.has_executor:
+            fleet.executor()
+        upkeep = fleet.dispatch.upkeeps[WAVE]
+        upkeep.busy(MachineId("m-1"))
+        assert log.table.configuration is not None
+        for names in self.lists:
+            views = [
+                MachineView(MachineId(name), ServiceId("desk"), MachineState.UP, 4000)
+                for name in names
+            ]
+            fleet.dispatch.listed(views, log.table.configuration)
+        self.assertEqual(self.is_finished, upkeep.is_back(MachineId("m-1")))
+        fleet.step()
+        self.assertEqual(self.is_finished, log.table.waves[WAVE].is_finished)
+
+
 class WithoutExecutorTest(testtools.TestCase):
     """A machine whose service is off has its upkeep at once, and does not hold the wave up.
 
