Give back the room of placements whose job ended in the same batch

The table ignored the placements; the dispatch kept their room until the next leader. Change: the table tells its observer of a placement without effect, and the room is given back.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -16,6 +16,7 @@
     JobPhase,
     JobRecord,
     JobTable,
+    PlaceRun,
     RunEnd,
     StepRecord,
     TaskRecord,
@@ -130,6 +131,14 @@
             StartOrder(executor, task.name, task.run, payload, task.checkpoint, ticket)
         )
 
+    def run_not_placed(self, placement: PlaceRun) -> None:
+        """Give the room of a placement back that was decided before its job ended."""
+        executor = self.executors.get(placement.life)
+        placed = None if executor is None else executor.runs.get(placement.task)
+        if executor is not None and placed is not None and placed.run == placement.run:
+            executor.release(placed.task)
+            self.is_planning_due = True
+
     def run_ended(self, task: TaskRecord, end: RunEnd) -> None:
         """Give the room of a run back, and index what may start now."""
         executor = None if task.life is None else self.executors.get(task.life)
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -73,6 +73,10 @@
         """A task was placed on an executor."""
         ...
 
+    def run_not_placed(self, placement: PlaceRun) -> None:
+        """A placement had no effect, since the task is done or its job has ended meanwhile."""
+        ...
+
     def run_ended(self, task: TaskRecord, end: RunEnd) -> None:
         """A run ended; the task still names the executor of that run."""
         ...
@@ -192,12 +196,17 @@
 
     def _place(self, change: PlaceRun) -> None:
         task = self.task(change.task)
-        if task is None:
+        is_open = (
+            task is not None
+            and task.step.job.phase is JobPhase.ACTIVE
+            and task.phase is TaskPhase.WAITING
+            and change.run > task.run
+        )
+        if task is None or not is_open:
+            if self.observer is not None:
+                self.observer.run_not_placed(change)
             return
         step = task.step
-        is_open = step.job.phase is JobPhase.ACTIVE and task.phase is TaskPhase.WAITING
-        if not is_open or change.run <= task.run:
-            return
         task.phase = TaskPhase.PLACED
         task.run = change.run
         task.life = change.life
