Take machines that are off for back once a later list calls them up

Ruled out: a late upkeep (15 of 15 were in time). Change: a list that was asked for after the platform's yes and calls a machine up ends its upkeep. Lists are read every 2 s during a wave (5 s otherwise). Tests: ListedTest; 'up later' fails before.

--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -45,6 +45,8 @@
 MACHINE_RETRY_S = 0.5
 # Machines that somebody else moved, or that are new, are found after this long at most.
 LIST_INTERVAL_S = 5.0
+# During a wave the list also shows machines that are back without an executor, or that left.
+WAVE_LIST_INTERVAL_S = 2.0
 
 
 class OrderSender:
@@ -198,14 +200,18 @@
         while True:
             configuration = self.table.configuration
             if configuration is not None and self.agreement.is_leader:
+                asked_at = self.now()
                 try:
                     machines = await self.ports.machines.list_machines()
                 except NoAnswerError as error:
                     logger.info("fleet: the list of machines can't be read: {}", error)
                 else:
                     self._log_states(machines)
-                    self.dispatch.listed(machines, configuration)
-                    await anyio.sleep(LIST_INTERVAL_S)
+                    self.dispatch.listed(machines, configuration, asked_at)
+                    self.wake.set()
+                    await anyio.sleep(
+                        WAVE_LIST_INTERVAL_S if self.dispatch.upkeeps else LIST_INTERVAL_S
+                    )
                     continue
             await anyio.sleep(MACHINE_RETRY_S)
 
--- a/packages/core/src/marigolddoor_core/dispatch/machine_duties.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_duties.py
@@ -94,13 +94,17 @@
             executor.is_cordoned = self.room.is_leaving(machine) or self._is_emptying(machine)
         return changes
 
-    def listed(self, machines: Sequence[MachineView], configuration: FleetConfiguration) -> None:
-        """Take the platform's list of machines."""
+    def listed(
+        self,
+        machines: Sequence[MachineView],
+        configuration: FleetConfiguration,
+        asked_at: Instant,
+    ) -> None:
+        """Take the platform's list of machines, which was asked for at `asked_at`."""
         self.room.listed(machines, configuration)
-        # A machine whose executor reports is there, whatever the list says.
-        known = {view.machine for view in machines} | self.by_machine.keys()
+        states = {view.machine: view.state for view in machines}
         for upkeep in self.upkeeps.values():
-            upkeep.listed(known)
+            upkeep.listed(states, self.by_machine.keys(), asked_at)
 
     def note_job(self, job: JobRecord) -> None:
         """Take a new job into the demand."""
--- a/packages/core/src/marigolddoor_core/dispatch/upkeep.py
+++ b/packages/core/src/marigolddoor_core/dispatch/upkeep.py
@@ -4,11 +4,12 @@
 tasks end by themselves; a long-running task is moved while the others of its step are at work.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from enum import Enum
 
 from marigolddoor_core.dispatch.executors import Executor, ExecutorState
 from marigolddoor_core.dispatch.orders import UpkeepOrder
+from marigolddoor_core.dispatch.room import MachineState
 from marigolddoor_core.ids import MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import BeginUpkeep, FinishWave, JobChange, WaveRecord
@@ -94,15 +95,31 @@
         """Take the platform's word that there is no such machine."""
         self.machines[machine].step = UpkeepStep.BACK
 
-    def listed(self, machines: Collection[MachineId]) -> None:
-        """Take the machines that there are; one that left for good ends its part of the wave.
+    def listed(
+        self,
+        machines: Mapping[MachineId, MachineState],
+        reporting: Collection[MachineId],
+        asked_at: Instant,
+    ) -> None:
+        """Take the platform's list of machines.
 
-        The platform calls such a machine busy for ever.
+        One that is up again is back, also if its service is off and it shows no executor. One that
+        left for good ends its part of the wave; the platform calls it busy for ever.
+
+        Args:
+          machines: the states that the platform lists.
+          reporting: machines whose executors report, so that they are there whatever the list says.
+          asked_at: when the list was asked for.
         """
         for state in self.machines.values():
+            if state.step is UpkeepStep.HANDED_OVER:
+                is_up = machines.get(state.machine) is MachineState.UP
+                if is_up and asked_at >= state.since:
+                    state.step = UpkeepStep.BACK
             if state.step in (UpkeepStep.HANDED_OVER, UpkeepStep.BACK):
                 continue
-            state.lists_without = 0 if state.machine in machines else state.lists_without + 1
+            is_there = state.machine in machines or state.machine in reporting
+            state.lists_without = 0 if is_there else state.lists_without + 1
             if state.lists_without >= LISTS_UNTIL_GONE:
                 self.gone(state.machine)
 
--- a/tests/core/dispatch/test_upkeep.py
+++ b/tests/core/dispatch/test_upkeep.py
@@ -106,12 +106,38 @@
                 MachineView(MachineId(name), ServiceId("desk"), MachineState.UP, 4000)
                 for name in names
             ]
-            fleet.dispatch.listed(views, log.table.configuration)
+            fleet.dispatch.listed(views, log.table.configuration, fleet.now)
         self.assertEqual(self.is_finished, upkeep.is_back(MachineId("m-1")))
         fleet.step()
         self.assertEqual(self.is_finished, log.table.waves[WAVE].is_finished)
 
 
+class ListedTest(testtools.TestCase):
+    """A machine whose service is off is back once a later list calls it up, and not before.
+
+    Found on scale-1 of tmpa-jellyworks: a new leader repeats each upkeep, and waited 6 s for
+    machines that were off, so that the wave was said to be finished 0.3 s too late.
+    """
+
+    scenarios = [
+        ("up later", {"state": MachineState.UP, "asked_s": 1.5, "is_back": True}),
+        ("an older list", {"state": MachineState.UP, "asked_s": 0.5, "is_back": False}),
+        ("still in upkeep", {"state": MachineState.UPKEEP, "asked_s": 1.5, "is_back": False}),
+    ]
+
+    def test_list(self) -> None:
+        log = Log()
+        log.apply(wave("s-1"), BeginUpkeep(WAVE, MachineId("s-1")))
+        log.apply(StoreConfiguration(1, configuration(1, views="desk")))
+        fleet = Fleet(log)
+        fleet.dispatch.handed_over(WAVE, MachineId("s-1"), None, fleet.at(1.0).now)
+        view = MachineView(MachineId("s-1"), ServiceId("spare"), self.state, 4000)
+        assert log.table.configuration is not None
+        fleet.dispatch.listed([view], log.table.configuration, fleet.at(self.asked_s).now)
+        upkeep = fleet.dispatch.upkeeps[WAVE]
+        self.assertEqual(self.is_back, upkeep.is_back(MachineId("s-1")))
+
+
 class WithoutExecutorTest(testtools.TestCase):
     """A machine whose service is off has its upkeep at once, and does not hold the wave up.
 
