Send entries once to a peer that does not answer

A new leader does not know the peer's log and probes it; each heartbeat (8 a second) carried all entries of the term again, up to 512 KB, and its link keeps up to 1,024 frames. Ruled out: the messages in the outbox (64 of them share their entries). Change: a probe with entries is sent once; heartbeats after it are empty, and the answer to one of them ends the probe.

--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -310,8 +310,6 @@
         if progress.next_index <= node.log.base_index:
             self._begin_snapshot(peer, progress, now)
             return
-        if heartbeat:
-            progress.probe_sent = False
         while progress.can_send_entries() and progress.next_index <= node.log.last_index:
             first = progress.next_index
             entries = node.log.slice(first, self.limits.message_bytes)
--- a/packages/core/src/marigolddoor_core/consensus/progress.py
+++ b/packages/core/src/marigolddoor_core/consensus/progress.py
@@ -29,6 +29,8 @@
         self.match_index = LogIndex(0)
         self.next_index = next_index
         self.state = ProgressState.PROBE
+        # Entries were sent as a probe. If they are lost, the answer to an empty heartbeat ends the
+        # probe; a silent peer must not get the same entries with every heartbeat.
         self.probe_sent = False
         # The last index of each message with entries that was not answered.
         self.in_flight: deque[LogIndex] = deque()
--- a/tests/core/consensus/test_replica.py
+++ b/tests/core/consensus/test_replica.py
@@ -56,16 +56,16 @@
     return finish_writes(replica, now)
 
 
-def new_leader(configuration: Configuration) -> Replica:
+def new_leader(configuration: Configuration, answering: tuple[ReplicaId, ...] = (B, C)) -> Replica:
     """Return a leader of term 1 whose first entry is committed at 2.0 s."""
     replica = new_replica(configuration)
     now = Instant(2.0)
     replica.tick(now)
     for is_pre_vote in (True, False):
-        for peer in (B, C):
+        for peer in answering:
             replica.receive(peer, VoteReply(Term(1), is_pre_vote, True), now)
         finish_writes(replica, now)
-    answer(replica, [B, C], now)
+    answer(replica, list(answering), now)
     assert replica.accepts_commands
     return replica
 
@@ -218,3 +218,42 @@
         self.assertEqual(self.lease, replica.has_lease(Instant(self.now)))
         replica.tick(Instant(self.now))
         self.assertIs(self.role, replica.role)
+
+
+class SilentPeerTest(testtools.TestCase):
+    """A peer that never answered gets the entries once, and heartbeats without them after that.
+
+    Each heartbeat to a frozen former leader carried all entries of the term again. On trouble-1 of
+    bw-ring that filled 216 MB of the leader's memory, of 296 MB.
+    """
+
+    scenarios = [
+        ("never answered", {"answers": False, "messages": 1}),
+        ("answers a heartbeat", {"answers": True, "messages": 2}),
+    ]
+
+    def test_heartbeats(self) -> None:
+        replica = new_leader(group("abc"), answering=(B,))
+        replica.propose([b"x"], Instant(2.1))
+        sent = finish_writes(replica, 2.1).messages
+        for tenth in range(1, 21):
+            now = 2.1 + tenth / 10
+            answer(replica, [B], now)
+            replica.tick(Instant(now))
+            output = finish_writes(replica, now)
+            sent += output.messages
+            if self.answers and tenth == 10:
+                assert replica.leading is not None
+                previous = LogIndex(replica.leading.progress[C].next_index - 1)
+                reply = AppendReply(
+                    replica.term, True, previous, LogIndex(0), replica.leading.lease.round
+                )
+                replica.receive(C, reply, Instant(now))
+                sent += finish_writes(replica, now).messages
+        to_silent = [
+            outgoing.message
+            for outgoing in sent
+            if outgoing.recipient == C and isinstance(outgoing.message, AppendEntries)
+        ]
+        self.assertEqual(self.messages, len([m for m in to_silent if m.entries]))
+        self.assertTrue(len(to_silent) > 5)
