Ignore rejections of earlier probes

A peer that wakes from a freeze rejects each of the dozens of heartbeats that waited for it. Every rejection began the probe anew and sent up to 512 KB of entries again. Change: while probing, only a rejection of the present probe counts. Tests: ProgressTest 'rejected again by an answer to an earlier probe' fails before.

--- a/packages/core/src/marigolddoor_core/consensus/progress.py
+++ b/packages/core/src/marigolddoor_core/consensus/progress.py
@@ -63,6 +63,9 @@
         """Record a mismatch at `previous_index`; return whether it changes what to send next."""
         if previous_index <= self.match_index or self.state is ProgressState.SNAPSHOT:
             return False
+        if self.state is ProgressState.PROBE and previous_index != self.next_index - 1:
+            # An answer to an earlier probe. A peer that wakes rejects dozens of them at once.
+            return False
         self.state = ProgressState.PROBE
         self.probe_sent = False
         self.in_flight.clear()
--- a/tests/core/consensus/test_progress.py
+++ b/tests/core/consensus/test_progress.py
@@ -53,6 +53,20 @@
                 "expected": (0, 9, ProgressState.PROBE, True),
             },
         ),
+        (
+            "rejected again by an answer to an earlier probe",
+            {
+                "steps": [("sent", 12), ("rejected", 9, 4), ("sent", 8), ("rejected", 9, 4)],
+                "expected": (0, 5, ProgressState.PROBE, False),
+            },
+        ),
+        (
+            "rejected twice",
+            {
+                "steps": [("sent", 12), ("rejected", 9, 4), ("sent", 8), ("rejected", 4, 2)],
+                "expected": (0, 3, ProgressState.PROBE, True),
+            },
+        ),
         (
             "late rejection",
             {
