--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -7,7 +7,7 @@
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.machine_duties import MachineDuties
 from marigolddoor_core.dispatch.orders import StartOrder
-from marigolddoor_core.dispatch.planner import Placer, StepOrder
+from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.ids import ExecutorId
 from marigolddoor_core.instants import Instant
@@ -68,11 +68,18 @@
         placements: list[JobChange] = []
         for service in list(self.ready.steps):
             steps = self.ready.of_service(service)
-            if steps:
-                ordered = self.order.sort(steps, time_s)
-                executors = self.executors_of(service)
-                self._ask_for_advice(ordered, executors, now)
-                placements += self.placer.place(ordered, executors, now, self._is_allowed)
+            if not steps:
+                continue
+            executors = self.executors_of(service)
+            advised = [step for step in steps if self._needs_advice(step)]
+            if advised:
+                self._ask_for_advice(self.order.sort(advised, time_s), executors, now)
+            usable = [executor for executor in executors if executor.accepts_work(now)]
+            fitting = fitting_steps(steps, usable) if usable else []
+            if fitting:
+                is_allowed = self._is_allowed if advised else None
+                ordered = self.order.sort(fitting, time_s)
+                placements += self.placer.place(ordered, usable, now, is_allowed)
         return placements
 
     def _needs_advice(self, step: StepRecord) -> bool:
@@ -88,10 +95,9 @@
         self, steps: Iterable[StepRecord], executors: list[Executor], now: Instant
     ) -> None:
         for step in steps:
-            if self._needs_advice(step):
-                request = self.tickets.request(step, executors, now)
-                if request is not None:
-                    self.orders.append(request)
+            request = self.tickets.request(step, executors, now)
+            if request is not None:
+                self.orders.append(request)
 
     def advised(
         self,
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -8,7 +8,7 @@
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import PlaceRun, StepRecord, TaskPhase, TaskRecord
 
-__all__ = ["ArrivalOrder", "Placer", "StepOrder", "has_destination"]
+__all__ = ["ArrivalOrder", "Placer", "StepOrder", "fitting_steps", "has_destination"]
 
 
 class StepOrder(Protocol):
@@ -27,6 +27,23 @@
         return sorted(steps, key=lambda step: step.job.accepted_s)
 
 
+def fitting_steps(steps: Iterable[StepRecord], executors: Sequence[Executor]) -> list[StepRecord]:
+    """Return the steps of which a task might fit, by the largest free room of each kind.
+
+    In an overloaded pool most steps fit nowhere, and need no place in the order of work.
+    """
+    cpu = max((executor.free_cpu for executor in executors), default=0)
+    memory = max((executor.free_memory for executor in executors), default=0)
+    accelerators = max((executor.free_accelerators for executor in executors), default=0)
+    return [
+        step
+        for step in steps
+        if (step.spec.is_filler or step.spec.size.cpu_milli <= cpu)
+        and step.spec.size.memory_mb <= memory
+        and step.spec.size.accelerators <= accelerators
+    ]
+
+
 class Placer:
     """Places the tasks of ordered steps on the executors of their service."""
 
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -9,6 +9,7 @@
     JobPhase,
     PlaceRun,
     RunEnd,
+    StepRecord,
     StoreConfiguration,
 )
 
@@ -356,3 +357,34 @@
         fleet.log.apply(place("j.0.0.0", life=ExecutorLife("i-9/1")))
         self.assertEqual(["j.0.0.0"], lost(fleet.dispatch.changes))
         self.assertEqual([], fleet.take_orders())
+
+
+class CountingOrder:
+    """Serves steps as they come, and counts how many it was asked to sort."""
+
+    def __init__(self) -> None:
+        self.sorted = 0
+
+    def sort(self, steps: list[StepRecord], time_s: float) -> list[StepRecord]:
+        self.sorted += len(steps)
+        return steps
+
+
+class FullPoolTest(testtools.TestCase):
+    """A backlog that fits nowhere costs no sorting with each batch, whatever its size."""
+
+    scenarios = [
+        ("full", {"cpu": 4000, "sorted": 0}),
+        ("room for small tasks only", {"cpu": 3500, "sorted": 0}),
+        ("room", {"cpu": 3000, "sorted": 40}),
+    ]
+
+    def test_backlog(self) -> None:
+        fleet = Fleet()
+        fleet.executor(cpu=4000)
+        fleet.step(accept("first", {"count": 1, "cpu": self.cpu}))
+        fleet.dispatch.order = order = CountingOrder()
+        fleet.log.apply(*(accept(f"j{number}", {"count": 1}) for number in range(40)))
+        placed = fleet.dispatch.take_changes(fleet.now, fleet.log.table.time_s)
+        self.assertEqual(self.sorted, order.sorted)
+        self.assertEqual(bool(self.sorted), any(isinstance(c, PlaceRun) for c in placed))
