--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -38,8 +38,8 @@
 # Jobs that ended stay known for this long. The platform asks for 120 s (`status_s`); the rest
 # covers a caller whose clock or request is late.
 RETENTION_S = 150.0
-# An order for a machine is repeated for up to 8 s, its call takes 2 s at most, orders of two leaders
-# have to be 3 s apart, and the clocks of leaders may differ by 2 s.
+# An order for a machine is repeated for up to 8 s, its call takes 2 s at most, orders of two
+# leaders have to be 3 s apart, and the clocks of leaders may differ by 2 s.
 MACHINE_ORDER_MEMORY_S = 16.0
 
 
