--- a/tests/platform/test_operations_page.py
+++ b/tests/platform/test_operations_page.py
@@ -33,6 +33,7 @@
             "fleet: leads no more",
             "may have been recorded",
             "stops voting",
+            "fleet: machine {} is listed no more",
             "obeys a later leader",
             "the settings are not reloaded",
         )
