--- a/packages/control/src/marigolddoor_control/fleet/leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/leadership.py
@@ -147,7 +147,7 @@
                 if not self._is_same_term():
                     return
                 continue
-            self.dispatch.expire(self._now())
+            self.dispatch.expire(self.now())
             if not await self._record_batch():
                 return
 
@@ -160,7 +160,7 @@
     async def _record_batch(self) -> bool:
         batch, self.batch = self.batch, _Batch()
         submitted, self.submitted = self.submitted, []
-        changes = submitted + self.dispatch.take_changes(self._now(), self.agreement.agreed_time())
+        changes = submitted + self.dispatch.take_changes(self.now(), self.agreement.agreed_time())
         try:
             if changes:
                 await self.agreement.propose_here(RecordChanges(tuple(changes)), RECORD_TIMEOUT_S)
@@ -172,7 +172,7 @@
         if batch.error is not None:
             logger.warning("fleet: {} changes were not recorded: {}", len(changes), batch.error)
             return False
-        log_changes(changes, self.table, self.dispatch, self._now())
+        log_changes(changes, self.table, self.dispatch, self.now())
         self._carry_out()
         if self.dispatch.changes or self.dispatch.is_planning_due:
             self.wake.set()
@@ -205,7 +205,7 @@
             if not self.agreement.is_leader:
                 await anyio.sleep(RETRY_S)
                 continue
-            sent_at = self._now()
+            sent_at = self.now()
             deadline_ms = executor.extend_lease(sent_at)
             request = HoldRequest(deadline_ms, executor.seen, wait_s, self.token)
             try:
@@ -219,11 +219,11 @@
                     logger.info("fleet: hold of {} unanswered: {}", executor.life, error)
                     self.dispatch.unanswered(executor, sent_at)
                     self.wake.set()
-                silent_s = self._now() - (executor.silent_since or sent_at)
+                silent_s = self.now() - (executor.silent_since or sent_at)
                 await anyio.sleep(min(max(RETRY_S, silent_s / 4), LONGEST_RETRY_S))
                 continue
             is_first = not executor.lease.is_known
-            self.dispatch.held(executor, sent_at, report, self._now())
+            self.dispatch.held(executor, sent_at, report, self.now())
             last = max((finished.number for finished in report.finished), default=0)
             if last > executor.seen:
                 try:
--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -65,10 +65,11 @@
         self.token = token
         self.counters = counters
         self.clock = clock
-        self.dispatch = Dispatch(table, lease_timing, self._now(), machine_lease_s, counters)
+        self.dispatch = Dispatch(table, lease_timing, self.now(), machine_lease_s, counters)
         self.wake = anyio.Event()
 
-    def _now(self) -> Instant:
+    def now(self) -> Instant:
+        """Return the time on the clock that also counts while the VM is suspended."""
         return Instant(self.clock())
 
     def _count_unanswered(self, order: str) -> None:
@@ -101,7 +102,7 @@
                 order.run,
                 order.payload,
                 order.checkpoint,
-                executor.extend_lease(self._now()),
+                executor.extend_lease(self.now()),
                 self.token,
                 order.ticket,
             )
@@ -115,14 +116,14 @@
                 logger.info(
                     "fleet: start of {} run {} unanswered: {}", order.task, order.run, error
                 )
-                self.dispatch.block(executor, self._now())
+                self.dispatch.block(executor, self.now())
                 await anyio.sleep(RETRY_S)
                 continue
             if outcome is StartOutcome.STARTED:
-                self.dispatch.started(order, self._now())
+                self.dispatch.started(order, self.now())
             elif outcome is StartOutcome.REJECTED:
                 logger.info("fleet: {} rejects {} run {}", executor.life, order.task, order.run)
-                self.dispatch.rejected(order, self._now())
+                self.dispatch.rejected(order, self.now())
                 self.wake.set()
             else:
                 logger.warning("fleet: {} obeys a later leader", executor.life)
@@ -142,7 +143,7 @@
                     self._count_unanswered("stop")
                     logger.info("fleet: stop of {} unanswered: {}", order.task, error)
                 else:
-                    self.dispatch.stop_confirmed(executor, order.task, order.run, self._now())
+                    self.dispatch.stop_confirmed(executor, order.task, order.run, self.now())
                     return
             placed = executor.runs.get(order.task)
             if placed is None or placed.run != order.run:
@@ -151,7 +152,7 @@
 
     async def _ask_adviser(self, request: AdviceRequest) -> None:
         """Ask which executors may run a step; without an answer the dispatch asks again."""
-        asked_at = self._now()
+        asked_at = self.now()
         try:
             advice = await self.ports.adviser.advise(request)
         except NoAnswerError as error:
@@ -223,7 +224,7 @@
                 outcome.value,
             )
             if outcome is MachineOutcome.DONE:
-                self.dispatch.moved(move, self._now())
+                self.dispatch.moved(move, self.now())
                 self.wake.set()
                 return
             if outcome is not MachineOutcome.THROTTLED:
@@ -233,7 +234,7 @@
 
     async def _begin_upkeep(self, order: UpkeepOrder) -> None:
         """Hand a machine over; repeat it until the platform says what became of it."""
-        await anyio.sleep(max(0.0, self.dispatch.machine_orders_from - self._now()))
+        await anyio.sleep(max(0.0, self.dispatch.machine_orders_from - self.now()))
         # Only a first call that is answered surely ended the executor that is known now.
         executor = None if order.is_repeated else self.dispatch.by_machine.get(order.machine)
         while True:
@@ -251,7 +252,7 @@
                     logger.info("fleet: upkeep of {} unanswered: {}", order.machine, error)
             if outcome is MachineOutcome.DONE:
                 logger.info("fleet: upkeep of {} in wave {}", order.machine, order.wave)
-                self.dispatch.handed_over(order.wave, order.machine, executor, self._now())
+                self.dispatch.handed_over(order.wave, order.machine, executor, self.now())
                 return
             if outcome is MachineOutcome.UNKNOWN_MACHINE:
                 logger.warning("fleet: wave {}: no machine {}", order.wave, order.machine)
@@ -266,5 +267,5 @@
     def _life_over(self, executor: Executor, reason: str) -> None:
         if not executor.is_over:
             logger.info("fleet: {} is over: {}", executor.life, reason)
-            self.dispatch.life_over(executor, self._now())
+            self.dispatch.life_over(executor, self.now())
             self.wake.set()
