--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -160,6 +160,20 @@
             ("is_leading", "Whether this process leads the fleet.", int(leadership is not None)),
             ("executors", "Executors that are enrolled.", len(self.table.executors)),
         ]
+        health = None if self.consensus is None else self.consensus.health()
+        if health is not None:
+            gauges += [
+                (
+                    "group_voters",
+                    "Voters of the consensus group.",
+                    len(health.configuration.voters),
+                ),
+                (
+                    "group_tolerated_failures",
+                    "Voters that may still fail before the group loses its quorum.",
+                    health.tolerated_failures,
+                ),
+            ]
         return self.counters.page() + "".join(
             family_text(f"marigolddoor_{name}", text, "gauge", [Sample(Labels(), value)])
             for name, text, value in gauges
--- a/packages/control/src/marigolddoor_control/replica_driver.py
+++ b/packages/control/src/marigolddoor_control/replica_driver.py
@@ -4,6 +4,7 @@
 that has arrived, so that concurrent proposals share one append and one sync.
 """
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from marigolddoor_core.consensus import (
     ChangeRefusedError,
     Entry,
+    GroupHealth,
     Member,
     NotLeaderError,
     Output,
@@ -51,6 +53,8 @@
 SYNC_BYTES = 1024 * 1024
 # Without contact from a leader for this time, a replica may have been removed and asks to rejoin.
 REJOIN_AFTER_S = 5.0
+# The leader looks for members that no longer answer at this interval, not after each message.
+HEALTH_INTERVAL_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +122,8 @@
         self.applied = anyio.Event()
         self.role_changed = anyio.Event()
         self.announced_role: tuple[Any, ...] = ()
+        self.logged_health: GroupHealth | None = None
+        self.health_due = -math.inf
         self.received_snapshot: bytes | None = None
         self.unsnapshotted_bytes = 0
         self.joining_scope = anyio.CancelScope()
@@ -248,6 +254,7 @@
         self._process_output()
         self._snapshot_if_due()
         self._announce_role()
+        self._log_health()
 
     def _process_output(self) -> None:
         """Execute the replica's outputs until there are none."""
@@ -428,6 +435,29 @@
             self.role_changed = anyio.Event()
             logger.debug("agreement: {} is {} in term {}", self.replica_id, *role[:2])
 
+    def health(self) -> GroupHealth | None:
+        """Return which members answer, if this replica is the leader."""
+        return None if self.replica is None else self.replica.health(self._now())
+
+    def _log_health(self) -> None:
+        """Log the members and which of them answer, each time that this changes."""
+        if self.clock() < self.health_due:
+            return
+        self.health_due = self.clock() + HEALTH_INTERVAL_S
+        health = self.health()
+        if health is None or health == self.logged_health:
+            return
+        self.logged_health = health
+        logger.info(
+            "agreement: voters {}; learners {}; unresponsive {}; catching up {}; tolerates {} more"
+            " failures",
+            ", ".join(health.configuration.voter_ids),
+            ", ".join(member.replica for member in health.configuration.learners) or "none",
+            ", ".join(health.unresponsive) or "none",
+            ", ".join(health.behind) or "none",
+            health.tolerated_failures,
+        )
+
     def _replica(self) -> Replica:
         assert self.replica is not None, "run opens the replica first"
         return self.replica
--- a/packages/core/src/marigolddoor_core/consensus/__init__.py
+++ b/packages/core/src/marigolddoor_core/consensus/__init__.py
@@ -3,6 +3,7 @@
 from marigolddoor_core.consensus.configuration import Configuration, Member
 from marigolddoor_core.consensus.entries import Entry, SnapshotMeta
 from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
+from marigolddoor_core.consensus.group_health import GroupHealth
 from marigolddoor_core.consensus.limits import Limits
 from marigolddoor_core.consensus.outputs import Output, ReadId, RecoveredState, WriteNumber
 from marigolddoor_core.consensus.replica import Replica
@@ -14,6 +15,7 @@
     "ChangeRefusedError",
     "Configuration",
     "Entry",
+    "GroupHealth",
     "Limits",
     "Member",
     "NotLeaderError",
--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -6,6 +6,7 @@
 from marigolddoor_core.consensus.configuration import Configuration, Member
 from marigolddoor_core.consensus.entries import Entry
 from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
+from marigolddoor_core.consensus.group_health import GroupHealth
 from marigolddoor_core.consensus.lease import Lease
 from marigolddoor_core.consensus.limits import Limits
 from marigolddoor_core.consensus.messages import (
@@ -227,8 +228,26 @@
 
     def is_lost(self, replica: ReplicaId, now: Instant) -> bool:
         """Return whether a member has been unresponsive for so long that it may be replaced."""
+        return self._is_silent(replica, now, self.node.timing.replace_after_s)
+
+    def _is_silent(self, replica: ReplicaId, now: Instant, duration_s: float) -> bool:
         contact = max(self.elected_at, self.lease.contact(replica))
-        return replica != self.node.replica and now - contact > self.node.timing.replace_after_s
+        return replica != self.node.replica and now - contact > duration_s
+
+    def health(self, now: Instant) -> GroupHealth:
+        """Return which members answer."""
+        node = self.node
+        unresponsive = tuple(
+            member.replica
+            for member in node.configuration.members
+            if self._is_silent(member.replica, now, node.timing.quorum_lost_s)
+        )
+        behind = tuple(
+            learner.replica
+            for learner in node.configuration.learners
+            if learner.replica not in unresponsive and not self.is_caught_up(learner.replica, now)
+        )
+        return GroupHealth(node.configuration, unresponsive, behind)
 
     def _change(self, configuration: Configuration, now: Instant) -> LogIndex:
         node = self.node
--- a/packages/core/src/marigolddoor_core/consensus/replica.py
+++ b/packages/core/src/marigolddoor_core/consensus/replica.py
@@ -14,6 +14,7 @@
 from marigolddoor_core.consensus.entries import SnapshotMeta
 from marigolddoor_core.consensus.errors import ChangeRefusedError, NotLeaderError
 from marigolddoor_core.consensus.follower import Follower
+from marigolddoor_core.consensus.group_health import GroupHealth
 from marigolddoor_core.consensus.leader import Leader
 from marigolddoor_core.consensus.limits import Limits
 from marigolddoor_core.consensus.membership_plan import ChangeKind, PlannedChange, next_change
@@ -181,6 +182,10 @@
         """
         return self._require_leader().remove(replica, now)
 
+    def health(self, now: Instant) -> GroupHealth | None:
+        """Return which members answer, if this replica is the leader."""
+        return None if self.leader_state is None else self.leader_state.health(now)
+
     def planned_change(
         self, joining: tuple[Member, ...], voters: int, now: Instant
     ) -> PlannedChange | None:
