--- a/packages/control/src/marigolddoor_control/replica_driver.py
+++ b/packages/control/src/marigolddoor_control/replica_driver.py
@@ -444,7 +444,7 @@
         if self.clock() < self.health_due:
             return
         self.health_due = self.clock() + HEALTH_INTERVAL_S
-        health = self.health()
+        health = self.health() if self._replica().accepts_commands else None
         if health is None or health == self.logged_health:
             return
         self.logged_health = health
--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -228,11 +228,8 @@
 
     def is_lost(self, replica: ReplicaId, now: Instant) -> bool:
         """Return whether a member has been unresponsive for so long that it may be replaced."""
-        return self._is_silent(replica, now, self.node.timing.replace_after_s)
-
-    def _is_silent(self, replica: ReplicaId, now: Instant, duration_s: float) -> bool:
         contact = max(self.elected_at, self.lease.contact(replica))
-        return replica != self.node.replica and now - contact > duration_s
+        return replica != self.node.replica and now - contact > self.node.timing.replace_after_s
 
     def health(self, now: Instant) -> GroupHealth:
         """Return which members answer."""
@@ -240,7 +237,8 @@
         unresponsive = tuple(
             member.replica
             for member in node.configuration.members
-            if self._is_silent(member.replica, now, node.timing.quorum_lost_s)
+            if member.replica != node.replica
+            and now - self.lease.contact(member.replica) > node.timing.quorum_lost_s
         )
         behind = tuple(
             learner.replica
