Ignore a late heartbeat of an executor that was replaced on its machine

Callers: runs were declared lost while they went on, and could be started a second time; the executor that ran them was not used again.

Cause: a heartbeat that had been delayed until its sender was gone ended the executor that runs on the same machine now. At the same address this was checked by the time of birth, on the same machine it was not. A new leader does not know the ids that were in use before it, so it took the late heartbeat for a new executor.

Change: the newer of two executors on one machine stays, as at one address. If the newer one is gone, it ends with its lease, and the next heartbeat of the older one counts again.

The scenario "a late heartbeat from its machine" fails on the code before (44 passed, 1 failed); tests of core.dispatch with the change: 244 passed.

--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -134,16 +134,17 @@
             # A late heartbeat of an ended incarnation.
             return None
         at_address = self.by_address.get(heartbeat.address)
-        if at_address is not None and at_address.heartbeat.born_ms > heartbeat.born_ms:
+        on_machine = self.by_machine.get(heartbeat.machine) if heartbeat.machine else None
+        if any(
+            other is not None and other.heartbeat.born_ms > heartbeat.born_ms
+            for other in (at_address, on_machine)
+        ):
+            # A late heartbeat of an executor that was replaced at its address or on its machine.
             return None
         self.newest_incarnation[heartbeat.executor] = heartbeat.born_ms
         unconfirmed = self.unconfirmed.starts_of(heartbeat.executor, now)
         inherited = self._unconfirmed_runs(self.current.get(heartbeat.executor), unconfirmed)
-        for previous in (
-            self.current.get(heartbeat.executor),
-            at_address,
-            self.by_machine.get(heartbeat.machine) if heartbeat.machine else None,
-        ):
+        for previous in (self.current.get(heartbeat.executor), at_address, on_machine):
             if previous is not None:
                 self.end_incarnation(previous, now)
         # A start that was sent to the previous incarnation may have extended the lease of this one.
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -79,6 +79,10 @@
             "another executor on its machine",
             {"fields": {"number": 2, "born_ms": 200, "machine": "m-1"}, "is_lost": True},
         ),
+        (
+            "a late heartbeat from its machine",
+            {"fields": {"number": 2, "born_ms": 50, "machine": "m-1"}, "is_lost": False},
+        ),
     ]
 
     def test_heartbeat(self) -> None:
