Use an executor again that was cut off for longer than its lease

Callers: "something that had been accepted was lost": tasks that are to last did not run, and other jobs were late, although their service had idle executors. It went on until another process became the leader.

Cause: an executor that is silent for longer than its lease (6.3 s) is given up as if its incarnation had ended. One that was only cut off goes on, and reports again with the same time of birth. Reports with the time of birth of an incarnation that is known to have ended were ignored, so the leader never used the executor again.

Change: silence is not taken for an end. The next heartbeat of the same incarnation, by its number, makes it a known executor again, unless another one has its address or its machine. Its runs ended with its lease; one that is still listed is stopped, since its task starts again.

The scenario "its next report" fails on the code before (55 passed, 1 failed); tests of core.dispatch with it: 260 passed.

--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -82,6 +82,8 @@
         self.by_address: dict[str, Executor] = {}
         self.by_machine: dict[MachineId, Executor] = {}
         self.newest_incarnation: dict[ExecutorId, int] = {}
+        # The last heartbeat's number of each executor that was given up because of its silence.
+        self.silent_after: dict[ExecutorId, int] = {}
         # Runs on executors that have not reported to this leader yet.
         self.unreported: dict[ExecutorIncarnation, dict[TaskName, TaskRecord]] = {}
         self.unconfirmed = UnconfirmedStarts()
@@ -130,7 +132,9 @@
                 known.heartbeat = heartbeat
             known.last_heartbeat_at = now
             return None
-        if heartbeat.born_ms <= newest:
+        if heartbeat.born_ms < newest or (
+            heartbeat.born_ms == newest and not self._has_returned(heartbeat)
+        ):
             # A late heartbeat of an ended incarnation.
             return None
         at_address = self.by_address.get(heartbeat.address)
@@ -142,6 +146,7 @@
             # A late heartbeat of an executor that was replaced at its address or on its machine.
             return None
         self.newest_incarnation[heartbeat.executor] = heartbeat.born_ms
+        self.silent_after.pop(heartbeat.executor, None)
         unconfirmed = self.unconfirmed.starts_of(heartbeat.executor, now)
         inherited = self._unconfirmed_runs(self.current.get(heartbeat.executor), unconfirmed)
         for previous in (self.current.get(heartbeat.executor), at_address, on_machine):
@@ -171,6 +176,14 @@
         self.orders += [StopOrder(executor, name, run) for name, run in unconfirmed]
         return executor
 
+    def _has_returned(self, heartbeat: Heartbeat) -> bool:
+        """Return whether an executor that was given up because of its silence reports again.
+
+        It may only have been cut off. Its runs ended with its lease.
+        """
+        last = self.silent_after.get(heartbeat.executor)
+        return last is not None and heartbeat.sequence > last
+
     def _unconfirmed_runs(
         self, previous: Executor | None, unconfirmed: Iterable[tuple[TaskName, RunNumber]]
     ) -> list[TaskRecord]:
@@ -305,7 +318,12 @@
     def _stop_unknown(self, executor: Executor, name: TaskName, run: RunNumber) -> None:
         """Stop a run that the table does not place on the executor, such as one of an ended job."""
         task = self.table.task(name)
-        if task is None or task.incarnation != executor.incarnation or task.run != run:
+        if (
+            task is None
+            or task.phase is not TaskPhase.PLACED
+            or task.incarnation != executor.incarnation
+            or task.run != run
+        ):
             self.orders.append(StopOrder(executor, name, run))
 
     def _handle_end(
@@ -402,6 +420,7 @@
             )
             is_unresponsive = now - last_contact_at > self.lease_timing.certain_expiry_s
             if now >= executor.lease.over_at and is_unresponsive:
+                self.silent_after[executor.heartbeat.executor] = executor.heartbeat.sequence
                 self.end_incarnation(executor, now)
             elif now >= executor.lease.over_at:
                 self._end_as_lost(placed.task for placed in list(executor.runs.values()))
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -104,6 +104,69 @@
         self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(self.fleet.dispatch.changes))
 
 
+class SilentExecutorTest(testtools.TestCase):
+    """An executor that was silent for longer than its lease must be used again once it reports.
+
+    It was cut off but kept running, so its next reports name the incarnation that was given up.
+    They were ignored until another process became the leader, and a long-running task that only
+    this executor had a place for did not run, although the executor was idle.
+    """
+
+    scenarios = [
+        ("its next report", {"fields": {"sequence": 2}, "is_used": True}),
+        ("a report that was sent before", {"fields": {"sequence": 1}, "is_used": False}),
+        ("an earlier incarnation", {"fields": {"sequence": 2, "born_ms": 50}, "is_used": False}),
+        ("a later incarnation", {"fields": {"sequence": 1, "born_ms": 200}, "is_used": True}),
+    ]
+
+    def test_return(self) -> None:
+        fleet = Fleet()
+        fleet.executor()
+        fleet.step(accept("j", {"count": 1, "is_long_running": True}))
+        fleet.dispatch.expire(fleet.at(7.0).now)
+        fleet.step()
+        fleet.take_orders()
+        executor = fleet.at(8.0).dispatch.receive_heartbeat(heartbeat(**self.fields), fleet.now)
+        self.assertEqual(self.is_used, executor is not None)
+        if executor is not None:
+            fleet.hold(executor)
+            fleet.step()
+            starts = [order for order in fleet.take_orders() if isinstance(order, StartOrder)]
+            self.assertEqual([("j.0.0.0", 2)], [(start.task, start.run) for start in starts])
+
+    def test_run_that_was_declared_lost(self) -> None:
+        """A run that a late order kept alive is stopped, since its task starts again."""
+        fleet = Fleet()
+        fleet.executor()
+        fleet.step(accept("j", {"count": 1, "is_long_running": True}))
+        fleet.dispatch.expire(fleet.at(7.0).now)
+        fleet.step()
+        fleet.take_orders()
+        returned = fleet.at(8.0).dispatch.receive_heartbeat(heartbeat(sequence=2), fleet.now)
+        assert returned is not None
+        fleet.hold(returned, running("j.0.0.0"))
+        stops = [order for order in fleet.take_orders() if isinstance(order, StopOrder)]
+        self.assertEqual([("j.0.0.0", 1)], [(stop.task, stop.run) for stop in stops])
+
+    def test_replaced_meanwhile(self) -> None:
+        """Reports that were delayed must not end an executor that has replaced the silent one."""
+        for replaced in ({"address": "10.0.0.1:80"}, {"machine": "m-1"}):
+            fleet = Fleet()
+            fleet.executor()
+            fleet.dispatch.expire(fleet.at(7.0).now)
+            successor = fleet.executor(2, born_ms=200, **replaced)
+            late = heartbeat(sequence=2)
+            self.assertIsNone(fleet.at(8.0).dispatch.receive_heartbeat(late, fleet.now))
+            self.assertFalse(successor.has_ended)
+
+    def test_ended_otherwise(self) -> None:
+        """An incarnation that ended is not used again because of its delayed reports."""
+        fleet = Fleet()
+        fleet.dispatch.end_incarnation(fleet.executor(), fleet.now)
+        late = heartbeat(sequence=2)
+        self.assertIsNone(fleet.at(1.0).dispatch.receive_heartbeat(late, fleet.now))
+
+
 class UnansweredTest(testtools.TestCase):
     """Only tasks of which copies may run leave an executor before its lease expires."""
 
