Let a long-running task start on a blocked executor if no other one has room

Callers: a task that is to last stayed down for up to 8 s, or for as long as other callers' slow batch tasks ran, while an executor had capacity for it.

Cause: an executor on which calls or tasks fail, or whose batch tasks make little progress, gets no task at all for a time. The time doubles with each failure up to 8 s and only a successful batch task resets it; a slow executor is blocked anew with each report. With one task of a step on each machine, the executor that is left out is often the only place.

Change: the block of failures and the one of slow batch tasks are separate. For a long-running task a slow executor counts as the last choice, and so does one that failed 2 s ago or longer. Batch tasks are placed as before.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -75,7 +75,7 @@
             advised = [step for step in steps if self._needs_advice(step)]
             if advised:
                 self._ask_for_advice(self.order.sort(advised, time_s), executors, now)
-            usable = [executor for executor in executors if executor.accepts_work(now)]
+            usable = [executor for executor in executors if executor.accepts_long_running(now)]
             fitting = fitting_steps(steps, usable) if usable else []
             if fitting:
                 is_allowed = self._is_allowed if advised else None
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -30,6 +30,9 @@
 # An executor that has answered no call for this long gets no new task. A hold call waits up to
 # 1.5 s for its answer.
 CONTACT_TIMEOUT_S = 2.0
+# A blocked executor gets long-running tasks again after this long if no other executor has capacity
+# for them. The platform expects such a task to run again within 6 s.
+LONG_RUNNING_BLOCK_S = 2.0
 
 
 class ExecutorState(Enum):
@@ -181,8 +184,12 @@
         self.contact_at: Instant | None = None
         # When the first unanswered call since the last contact was sent.
         self.unresponsive_since: Instant | None = None
+        # Calls fail or tasks of several jobs fail: see `FleetView.block`.
+        self.blocked_at = Instant(0.0)
         self.blocked_until = Instant(0.0)
         self.block_s = 0.0
+        # Its batch tasks make far less progress than expected.
+        self.slow_until = Instant(0.0)
         self.paced_at = now
         self.is_cordoned = False
         self.has_ended = False
@@ -237,12 +244,27 @@
 
     def accepts_work(self, now: Instant) -> bool:
         """Return whether new tasks may be placed here."""
+        return self._is_available(now) and not self.is_blocked(now)
+
+    def accepts_long_running(self, now: Instant) -> bool:
+        """Return whether new long-running tasks may be placed here.
+
+        They can't wait for the end of a long block, nor for slow batch tasks of other jobs.
+        """
+        return self._is_available(now) and (
+            now >= self.blocked_until or now - self.blocked_at >= LONG_RUNNING_BLOCK_S
+        )
+
+    def is_blocked(self, now: Instant) -> bool:
+        """Return whether tasks failed here or made no progress a short while ago."""
+        return now < self.blocked_until or now < self.slow_until
+
+    def _is_available(self, now: Instant) -> bool:
         return (
             not self.has_ended
             and not self.is_cordoned
             and self.heartbeat.state is ExecutorState.READY
             and self.is_in_contact(now)
-            and now >= self.blocked_until
         )
 
     def has_capacity(self, step: StepRecord) -> bool:
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -285,7 +285,7 @@
 
     def _evacuate_slow(self, executor: Executor, now: Instant) -> None:
         """Stop straggling runs of a slow executor if they can restart on another one."""
-        executor.blocked_until = max(executor.blocked_until, Instant(now + SLOW_BLOCK_S))
+        executor.slow_until = Instant(now + SLOW_BLOCK_S)
         others = [
             other
             for other in self.executors_of(executor.heartbeat.service)
@@ -349,6 +349,7 @@
     def block(self, executor: Executor, now: Instant) -> None:
         """Block new tasks on an executor; the time doubles with each call up to the limit."""
         executor.block_s = min(max(executor.block_s * 2, INITIAL_BLOCK_S), MAX_BLOCK_S)
+        executor.blocked_at = now
         executor.blocked_until = Instant(now + executor.block_s)
 
     def start_sent(self, order: StartOrder, now: Instant) -> None:
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -60,9 +60,12 @@
         every executor is allowed.
         """
         usable = [executor for executor in executors if executor.accepts_work(now)]
+        for_long_running = [e for e in executors if e.accepts_long_running(now)]
         placements: list[PlaceRun] = []
         for step in steps:
-            allowed = usable if is_allowed is None else [e for e in usable if is_allowed(step, e)]
+            allowed = for_long_running if step.spec.is_long_running else usable
+            if is_allowed is not None:
+                allowed = [executor for executor in allowed if is_allowed(step, executor)]
             if allowed:
                 placements += self._place_step(step, allowed, now)
         return placements
@@ -79,7 +82,7 @@
         run = max((task.run for task in waiting), default=0) if step.spec.is_gang else None
         placements = []
         for task in waiting:
-            executor = _choose_executor(task, suitable)
+            executor = _choose_executor(task, suitable, now)
             if executor is None:
                 break
             number = RunNumber((task.run if run is None else run) + 1)
@@ -107,11 +110,13 @@
     )
 
 
-def _choose_executor(task: TaskRecord, executors: Sequence[Executor]) -> Executor | None:
+def _choose_executor(
+    task: TaskRecord, executors: Sequence[Executor], now: Instant
+) -> Executor | None:
     step = task.step
     limit = step.spec.spread_limit
     best: Executor | None = None
-    best_score = (2, 2, 0)
+    best_score = (2, 2, 2, 0)
     for executor in executors:
         if not executor.has_capacity(step):
             continue
@@ -119,6 +124,7 @@
             continue
         # A task that failed on an executor may fail there again.
         score = (
+            int(executor.is_blocked(now)),
             int(task.failures > 0 and task.incarnation == executor.incarnation),
             int(
                 bool(step.spec.preferred_rack)
