Keep machines for long-running tasks that wait

Callers: a task that is to last and had to start again waited although its service had a machine with capacity, which was about to leave the pool and got no new task; or its service had no machine and got none.

Cause: a service keeps as many machines as its long-running steps have to be spread over. This number was taken from the tasks that are placed, so it was 0 for a step of which none is. Machines that are about to leave were counted as present: they went to the standby service while the task waited, and only then was another machine ordered, which takes 2 s.

Change: the number comes from the accepted jobs. Machines that are about to leave stay if too few remain without them. For an empty pool the size of the standby machines decides how many of them are ordered.

Before the change both new tests fail (22 passed, 2 failed); tests of core.dispatch with it: 270 passed.

--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -13,7 +13,7 @@
 from marigolddoor_core.dispatch.orders import MoveOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
 from marigolddoor_core.dispatch.rebalancing import MachineView, Move, PoolFloor, PoolRebalancer
-from marigolddoor_core.ids import MachineId, ServiceId, WaveId
+from marigolddoor_core.ids import JobId, MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     FleetConfiguration,
@@ -63,6 +63,7 @@
         self.ordered_by_earlier_leader: set[MachineId] = set()
         self.rebalanced_at = now
         self.maintenance_waves: dict[WaveId, MaintenanceWave] = {}
+        self.long_running: dict[JobId, JobRecord] = {}
 
     def take_over_machines(self) -> None:
         """Take over the demand and the maintenance waves from the replicated table."""
@@ -112,6 +113,8 @@
         self._record_work(job)
 
     def _record_work(self, job: JobRecord) -> None:
+        if job.spec.is_long_running:
+            self.long_running[job.job] = job
         self.work.accepted(job, self.service_of(job), self.value_order.first_deadline_s(job))
 
     def _plan_maintenance(self, now: Instant) -> list[JobChange]:
@@ -179,17 +182,20 @@
         """Return the minimum numbers of machines of each service.
 
         A service keeps a share of an even division, since no machine moves while there is no
-        leader, and as many machines as its long-running steps must be spread over.
+        leader, and as many machines as its long-running steps must be spread over, also while their
+        tasks wait.
         """
         machines = len(self.by_machine) + len(self.rebalancer.standby)
         even_share = math.ceil(MIN_EVEN_SHARE * machines / max(1, len(configuration.services)))
         spread: dict[ServiceId, int] = {}
-        for executor in self.executors.values():
-            service = executor.heartbeat.service
-            for placed in executor.runs.values():
-                spec = placed.task.step.spec
-                if spec.is_long_running and spec.spread_limit:
-                    needed = -(-spec.count // spec.spread_limit)
+        for job in list(self.long_running.values()):
+            if job.phase is not JobPhase.ACTIVE:
+                del self.long_running[job.job]
+                continue
+            service = self.service_of(job)
+            for spec in job.spec.steps:
+                if spec.is_long_running:
+                    needed = -(-spec.count // spec.spread_limit) if spec.spread_limit else 1
                     # A task that leaves a machine before maintenance needs another one to move to.
                     needed += 1 if self.maintenance_waves else 0
                     spread[service] = max(spread.get(service, 0), needed)
--- a/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
+++ b/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
@@ -180,12 +180,11 @@
             surplus = present * MAX_UTILISATION - needed
             if surplus < 0:
                 surplus += self._keep_retiring(pool, -surplus)
-            missing = (
-                floors.get(service, NO_FLOOR).required - len(pool) - self._count_incoming(service)
-            )
+            required = floors.get(service, NO_FLOOR).required - self._count_incoming(service)
+            missing = self._keep_required(pool, required)
             if surplus < 0 or missing > 0:
                 self.surplus_since.pop(service, None)
-                deficits.append((max(-surplus, missing * _typical_cores(pool)), service))
+                deficits.append((max(-surplus, missing * self._typical_cores(pool)), service))
             else:
                 surpluses[service] = surplus
                 self._retire(service, pool, surplus, floors, now)
@@ -256,6 +255,14 @@
                 kept += executor.heartbeat.capacity.cpu_milli / 1000
         return kept
 
+    def _keep_required(self, pool: list[Executor], required: int) -> int:
+        """Keep machines that were about to leave if too few stay; return how many are missing."""
+        leaving = [e.heartbeat.machine for e in pool if e.heartbeat.machine in self.retiring]
+        missing = required - (len(pool) - len(leaving))
+        kept = leaving[: max(0, missing)]
+        self.retiring.difference_update(kept)
+        return missing - len(kept)
+
     def _retire(
         self,
         service: ServiceId,
@@ -333,6 +340,12 @@
         machine = executor.heartbeat.machine
         return not executor.runs and machine not in self.ordered and self.can_order(machine)
 
+    def _typical_cores(self, pool: Iterable[Executor]) -> float:
+        """Return the cores of the largest machine of a pool, or of a standby one if it is empty."""
+        sizes = [executor.heartbeat.capacity.cpu_milli for executor in pool]
+        sizes = sizes or [view.cpu_milli for view in self.standby.values()]
+        return max(sizes, default=1000) / 1000
+
     def _order(self, move: Move, cpu_milli: int, now: Instant) -> None:
         self.ordered[move.machine] = _OrderedMove(move, now, cpu_milli)
 
@@ -345,8 +358,3 @@
 def _is_pinned(executor: Executor) -> bool:
     """Return whether a long-running task keeps an executor in its pool."""
     return any(placed.task.step.spec.is_long_running for placed in executor.runs.values())
-
-
-def _typical_cores(pool: list[Executor]) -> float:
-    """Return the cores of the largest machine of a pool, 1 for an empty pool."""
-    return max((e.heartbeat.capacity.cpu_milli / 1000 for e in pool), default=1.0)
--- a/tests/core/dispatch/test_rebalancing.py
+++ b/tests/core/dispatch/test_rebalancing.py
@@ -12,7 +12,7 @@
     StoreConfiguration,
 )
 
-from tests.core.dispatch.fakes import Fleet
+from tests.core.dispatch.fakes import Fleet, running
 from tests.core.jobs.fakes import Log, accept
 
 SPARE = ServiceId("spare")
@@ -210,3 +210,42 @@
         fleet.step(accept("j", {"count": 90, "estimated_s": 1.0}), CancelJob(JobId("j")))
         fleet.at(2.0).step()
         self.assertEqual([], moves(fleet))
+
+
+class WaitingLongRunningTaskTest(testtools.TestCase):
+    """A long-running task that waits must get a machine, even if no other task of its step runs."""
+
+    def test_leaving_machine_stays(self) -> None:
+        """A machine that was about to leave stays if a task needs it to be spread over machines.
+
+        It got no new task until it had moved to the standby service, and only then was another
+        machine ordered for the task.
+        """
+        fleet = fleet_with(3)
+        step = {"count": 2, "is_long_running": True, "spread_limit": 1}
+        fleet.step(accept("j", step), accept("b", {"count": 1, "estimated_s": 1.0}))
+        placed = {order.task: order.executor for order in fleet.take_orders()}  # type: ignore[attr-defined]
+        self.run_for(fleet, 3.0)
+        leaving = placed["b.0.0.0"]
+        self.assertTrue(leaving.is_cordoned)
+        fleet.dispatch.end_incarnation(placed["j.0.0.0"], fleet.now)
+        fleet.step()
+        self.run_for(fleet, 0.5)
+        starts = {order.task: order.executor for order in fleet.take_orders()}  # type: ignore[attr-defined]
+        self.assertIs(leaving, starts.get("j.0.0.0"))
+
+    def test_empty_pool(self) -> None:
+        """No task of the step is placed, since its service has no machine."""
+        fleet = fleet_with(0, other=1, standby=3)
+        fleet.step(accept("j", {"count": 2, "is_long_running": True, "spread_limit": 1}))
+        fleet.at(0.3).step()
+        self.assertEqual(["desk", "desk"], [move.target for move in moves(fleet)])
+
+    def run_for(self, fleet: Fleet, seconds: float) -> None:
+        start = fleet.now - 100.0
+        for fifth in range(1, int(seconds * 5) + 1):
+            fleet.at(start + fifth / 5)
+            for executor in fleet.dispatch.executors.values():
+                names = [running(name, placed.run) for name, placed in executor.runs.items()]
+                fleet.hold(executor, *names)
+            fleet.step()
