Log executors that are given up because they are out of contact

The leader ended the incarnation of a silent executor without a line, so a machine that got no work any more could not be told from an idle one; the fault of executors that were cut off was found only in the absence of lines.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -149,7 +149,8 @@
                 if not self._is_same_term():
                     return
                 continue
-            self.dispatch.expire(self.now())
+            for executor in self.dispatch.expire(self.now()):
+                logger.info("fleet: executor {} ended: out of contact", executor.incarnation)
             if not await self._commit_batch():
                 return
 
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -412,8 +412,12 @@
         self._end_as_lost(placed.task for placed in executor.runs.values())
         self.is_planning_due = True
 
-    def expire(self, now: Instant) -> None:
-        """Give up runs whose leases have certainly expired, and end incarnations out of contact."""
+    def expire(self, now: Instant) -> list[Executor]:
+        """Give up runs whose leases have certainly expired, and end incarnations out of contact.
+
+        Return the executors whose incarnations were ended.
+        """
+        ended: list[Executor] = []
         self.unconfirmed.forget_old(now)
         for executor in list(self.executors.values()):
             last_contact_at = max(
@@ -423,12 +427,14 @@
             if now >= executor.lease.over_at and is_unresponsive:
                 self.silent_after[executor.heartbeat.executor] = executor.heartbeat.sequence
                 self.end_incarnation(executor, now)
+                ended.append(executor)
             elif now >= executor.lease.over_at:
                 self._end_as_lost(placed.task for placed in list(executor.runs.values()))
         if self.unreported and now - self.began_at >= self.lease_timing.certain_expiry_s:
             for tasks in self.unreported.values():
                 self._end_as_lost(tasks.values())
             self.unreported.clear()
+        return ended
 
     def _end_as_lost(self, tasks: Iterable[TaskRecord]) -> None:
         for task in list(tasks):
