Check in the fleet simulation that every executor that is up is used

Why: the simulation isolates executors for longer than their leases last, but no check noticed that the leader did not use them afterwards. The work ended on the other machines.

Change: after the last fault the leader has to be in contact with every executor that is up within 12 s.

--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -20,6 +20,7 @@
 from marigolddoor_core.dispatch import AdviceRequest, LeaseTiming, MachineState
 from marigolddoor_core.ids import (
     ExecutorId,
+    ExecutorIncarnation,
     FencingToken,
     JobId,
     MachineId,
@@ -28,6 +29,7 @@
     TaskName,
     WaveId,
 )
+from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     FleetConfiguration,
     JobPhase,
@@ -57,6 +59,9 @@
 # Every job must end within this time after the last fault: it covers the longest lease and a
 # backlog of late jobs on one machine, whose pool gets no further machines.
 COMPLETION_TIMEOUT_S = 90.0
+# After the last fault every executor is in contact with the leader within this time: it covers the
+# longest isolation of an executor and an election.
+CONTACT_TIMEOUT_S = 12.0
 MAX_ATTEMPTS = 3
 SERVICES = ("desk", "shop")
 SPARE = ServiceId("spare")
@@ -471,12 +476,40 @@
                 raise Violation("progress", f"{open_jobs} and {open_waves} never end")
             await anyio.sleep(0.5)
         self._check_free_capacity()
+        await self._wait_for_contact()
         self.checks.check_reported_states()
         for wave in self.waves:
             ordered = set(self.group.table.waves[wave].machines)
             if ordered - self.platform.maintained.get(wave, set()):
                 raise Violation("wave", f"{wave} is finished without its machines")
 
+    async def _wait_for_contact(self) -> None:
+        """Wait until the leader is in contact with every executor.
+
+        Raises:
+          Violation: the leader does not use an executor that is up.
+        """
+        deadline = anyio.current_time() + CONTACT_TIMEOUT_S
+        while unused := self._executors_without_contact():
+            if anyio.current_time() > deadline:
+                raise Violation("unused", f"the leader is not in contact with {unused}")
+            await anyio.sleep(0.1)
+
+    def _executors_without_contact(self) -> list[ExecutorIncarnation]:
+        leadership = None if self.service is None else self.service.leadership
+        known = {} if leadership is None else leadership.dispatch.executors
+        now = Instant(anyio.current_time())
+        incarnations = [
+            ExecutorIncarnation(f"{executor.name}/{executor.born_ms}")
+            for executor in self.executors.values()
+            if executor.is_up
+        ]
+        return [
+            incarnation
+            for incarnation in incarnations
+            if incarnation not in known or not known[incarnation].is_in_contact(now)
+        ]
+
     def _check_free_capacity(self) -> None:
         """Check that the leader has no capacity allocated on executors without runs."""
         leadership = None if self.service is None else self.service.leadership
--- a/tests/control/test_fleet_faults.py
+++ b/tests/control/test_fleet_faults.py
@@ -9,6 +9,7 @@
 
 import testtools
 from marigolddoor_core.dispatch import Executor, LeaseTiming
+from marigolddoor_core.dispatch.fleet_view import FleetView
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.unconfirmed_starts import UnconfirmedStarts
 from marigolddoor_core.jobs import RecordChanges, StepRecord
@@ -148,6 +149,13 @@
                 "checkers": {"order"},
             },
         ),
+        (
+            "executors that were out of contact are not used again",
+            {
+                "patches": [(FleetView, "_has_returned", lambda *_: False)],
+                "checkers": {"unused"},
+            },
+        ),
         (
             "free capacity is not checked",
             {"patches": [(Executor, "has_capacity", lambda *_: True)], "checkers": {"limit"}},
