Answer open requests before a stopping entry process ends

What callers saw: a request that waited for a leader while its entry process was stopped got status 500, after which a caller doesn't ask again. Without open requests the process refused connections for 2 s before it ended, although it had nothing left to do.

Cause: after the listeners closed, `run_entry` slept for a fixed 2 s and cancelled what was left. A caller waits for 3 s, and the platform for `bounds.grace-s` (6 s), which the process didn't use.

Calls end in time for that, derived from `bounds.grace-s`.

--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -1,5 +1,6 @@
 """Passes callers' requests about queues to the leader of the control processes."""
 
+import math
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -67,6 +68,8 @@
         self.changed = anyio.Event()
         # Set when contact with the leader was lost.
         self.leader_lost = anyio.Event()
+        # No call lasts longer than until this time.
+        self.ends_at = math.inf
 
     @property
     def is_connected(self) -> bool:
@@ -106,7 +109,7 @@
         deadline = self.clock() + timeout_s
         may_have_arrived = False
         while not self.search.is_partitioned:
-            remaining_s = deadline - self.clock()
+            remaining_s = min(deadline, self.ends_at) - self.clock()
             if remaining_s <= 0:
                 break
             address = self.search.leader
@@ -207,6 +210,11 @@
         self._apply_answer(address, answer)
         return True
 
+    def end_calls_by(self, time: float) -> None:
+        """Answer open and later calls by `time`, even if their callers would wait longer."""
+        self.ends_at = time
+        self._notify()
+
     def replace_control(self, control: Iterable[Address]) -> None:
         """Replace the configured control processes after the settings changed."""
         self.search.replace_control(control)
