Count the time for a connection in the timeout of a call to a peer

What callers saw: an answer up to 0.85 s after their deadline, when the link to the leader had to be opened again.

Cause: `PeerPool.call` gave its timeout to the connection and then once more to the reply.

Change: both share one deadline.

--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -238,9 +238,11 @@
         Raises:
           PeerRefusedError: no process listens there; the message was not sent.
           PeerUnreachableError: the message was not sent.
-          PeerTimeoutError: it was sent, but no reply arrived within `timeout_s` seconds.
+          PeerTimeoutError: it was sent, but no reply arrived within `timeout_s` seconds, which
+            include the time for the connection.
           RemoteError: the peer replied with an error.
         """
+        deadline = anyio.current_time() + timeout_s
         try:
             with anyio.fail_after(timeout_s):
                 link = await self._link(address)
@@ -251,7 +253,7 @@
         link.pending_calls[correlation] = call
         try:
             self._enqueue(link, address, encode_envelope(message, correlation, reply=False))
-            with anyio.move_on_after(timeout_s):
+            with anyio.CancelScope(deadline=deadline):
                 await call.done.wait()
         finally:
             link.pending_calls.pop(correlation, None)
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -5,6 +5,7 @@
 
 import anyio
 import testtools
+from anyio.abc import ByteStream
 from marigolddoor_core.ids import TaskId
 from marigolddoor_core.state.commands import CancelTask
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
@@ -60,6 +61,35 @@
             group.cancel_scope.cancel()
 
 
+class SlowPeerServer(PeerServer):
+    """Takes 0.4 s to accept a connection."""
+
+    async def _wrap(self, raw: ByteStream) -> ByteStream:
+        await anyio.sleep(0.4)
+        return raw
+
+
+class TimeoutTest(testtools.TestCase):
+    """A call over a slow new connection ends in time.
+
+    It got its timeout twice, once for the connection and once for the reply, so an entry process
+    answered callers up to 0.85 s after their deadline.
+    """
+
+    def test_timeout(self) -> None:
+        anyio.run(self.call)
+
+    async def call(self) -> None:
+        async with anyio.create_task_group() as group, PeerPool(KEY) as pool:
+            address = await group.start(SlowPeerServer(KEY, echo).run, LOOPBACK)
+            started_at = anyio.current_time()
+            with testtools.ExpectedException(PeerTimeoutError):
+                await pool.call(address, CancelTask(TaskId("stuck")), 0.7)
+            took_s = anyio.current_time() - started_at
+            self.assertTrue(0.6 < took_s < 1.0, f"{took_s} s")
+            group.cancel_scope.cancel()
+
+
 class UnreachablePeerTest(testtools.TestCase):
     """With a wrong key, or without a listener, the peer is unreachable and gets no message."""
 
