Don't take a caller's short deadline for a failure of the leader

What callers saw: calls were cancelled and sent again, and some ended with 504, because another caller at the same entry process had a deadline that was shorter than a commit takes.

Cause: an attempt that ended at the caller's deadline was recorded as an unanswered call to the leader. That drops the leader and cancels all calls that wait for its answer.

Evidence: ShortDeadlineTest on the code before: a call with 0.05 s made the other call ask the leader twice and left the process without a leader.

Change: an attempt that ends at the caller's deadline isn't recorded. The periodic probe detects a leader that doesn't answer.

Measured: the other call is sent once and answered (test).

--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -109,7 +109,8 @@
         deadline = self.clock() + timeout_s
         may_have_arrived = False
         while not self.search.is_partitioned:
-            remaining_s = min(deadline, self.ends_at) - self.clock()
+            ends_at = min(deadline, self.ends_at)
+            remaining_s = ends_at - self.clock()
             if remaining_s <= 0:
                 break
             address = self.search.leader
@@ -120,12 +121,11 @@
                 continue
             try:
                 answer = await self._ask(address, call, min(ATTEMPT_TIMEOUT_S, remaining_s))
-            except PeerUnreachableError as error:
-                self._record_no_answer(address, error)
-                continue
-            except (PeerTimeoutError, RemoteError) as error:
-                self._record_no_answer(address, error)
-                may_have_arrived = True
+            except (PeerUnreachableError, PeerTimeoutError, RemoteError) as error:
+                may_have_arrived |= not isinstance(error, PeerUnreachableError)
+                # A caller may wait for less time than a responsive leader takes.
+                if self.clock() < ends_at:
+                    self._record_no_answer(address, error)
                 continue
             if answer is None:
                 may_have_arrived = True
--- a/tests/entry/test_queue_gateway.py
+++ b/tests/entry/test_queue_gateway.py
@@ -27,17 +27,18 @@
 class FakePool:
     """Answers by address: a reply, an error to raise, or None for no reply."""
 
-    def __init__(self, **replies: Any) -> None:
+    def __init__(self, delay_s: float = 0.001, **replies: Any) -> None:
         self.replies = replies
+        self.delay_s = delay_s
         self.asked: list[str] = []
 
     async def call(self, address: Address, message: AskQueue, timeout_s: float) -> Any:
         self.asked.append(address)
         reply = self.replies["abc"[MEMBERS.index(address)]]
-        if reply is None:
+        if reply is None or self.delay_s > timeout_s:
             await anyio.sleep(timeout_s)
             raise PeerTimeoutError(f"no reply from {address}")
-        await anyio.sleep(0.001)
+        await anyio.sleep(self.delay_s)
         if isinstance(reply, Exception):
             raise reply
         return reply
@@ -198,3 +199,28 @@
         pool = FakePool(a=NO_LEADER, b=NO_LEADER, c=NO_LEADER)
         # Three control processes are probed every 0.1 s for 0.5 s.
         self.assertTrue(anyio.run(run_with_gateway, pool, scenario, None) <= 3 * 6)
+
+
+class ShortDeadlineTest(testtools.TestCase):
+    """A caller whose deadline passes doesn't disturb the calls of others at the same leader.
+
+    The entry process took it for a failure of the leader, and cancelled and repeated every other
+    call without knowing whether its first attempt had arrived.
+    """
+
+    def test_others(self) -> None:
+        async def scenario(gateway: QueueGateway, pool: FakePool) -> None:
+            outcomes: list[QueueOutcome] = []
+
+            async def call(timeout_s: float) -> None:
+                outcomes.append((await gateway.call(SUBMIT, timeout_s)).outcome)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call, CALLER_TIMEOUT_S)
+                group.start_soon(call, 0.05)
+            self.assertEqual([QueueOutcome.UNKNOWN, QueueOutcome.ANSWERED], outcomes)
+            self.assertEqual(A, gateway.search.leader)
+            self.assertEqual([A, A], pool.asked)
+
+        pool = FakePool(delay_s=0.2, a=ANSWERED, b=TO_B, c=TO_B)
+        anyio.run(run_with_gateway, pool, scenario)
