Log which executors the leader uses, and when it gives one up

The log named the executors that the leader began to send holds to, but not the end of one that was silent for longer than its lease, nor one that turned to draining. Executors that were never used again could not be told from a lack of work. One line now for each committed change of an executor's record: service, machine and state, or that it is no longer used.

--- a/packages/control/src/marigolddoor_control/fleet/change_log.py
+++ b/packages/control/src/marigolddoor_control/fleet/change_log.py
@@ -9,7 +9,9 @@
 from marigolddoor_core.jobs import (
     BeginUpkeep,
     CancelJob,
+    DropExecutor,
     EndRun,
+    EnrolExecutor,
     FinishWave,
     JobChange,
     JobPhase,
@@ -37,6 +39,17 @@
             _log_end(change, table)
         elif isinstance(change, OrderMove) and change.machine in dispatch.rebalancer.ordered:
             _log_move(dispatch.rebalancer.ordered[change.machine].move, dispatch.rebalancer)
+        elif isinstance(change, EnrolExecutor):
+            enrolled = change.executor
+            logger.info(
+                "fleet: executor {} of {} on machine {}: {}",
+                enrolled.incarnation,
+                enrolled.service,
+                enrolled.machine,
+                "draining" if enrolled.is_draining else "ready",
+            )
+        elif isinstance(change, DropExecutor):
+            logger.info("fleet: executor {}: no longer used", change.life)
         elif isinstance(change, CancelJob):
             logger.info("fleet: job {}: cancelled", change.job)
         elif isinstance(change, BeginUpkeep):
--- a/tests/control/test_change_log.py
+++ b/tests/control/test_change_log.py
@@ -55,3 +55,30 @@
         log_changes([OrderMove(MACHINE)], log.table, fleet.dispatch, fleet.dispatch.now)
         self.assertIn(self.expected, "".join(lines))
         self.assertEqual(bool(self.expected), bool(lines))
+
+
+class ExecutorLogTest(testtools.TestCase):
+    """Without these lines the log did not show which executors a leader could use.
+
+    An executor that was given up after it had been silent was never used again, and nothing told
+    this from a lack of work.
+    """
+
+    def test_lines(self) -> None:
+        lines: list[str] = []
+        handler = logger.add(lines.append, format="{message}", level="INFO")
+        self.addCleanup(logger.remove, handler)
+        logger.enable("marigolddoor_control")
+        self.addCleanup(logger.disable, "marigolddoor_control")
+        fleet = Fleet()
+        fleet.executor()
+        fleet.dispatch.expire(fleet.at(7.0).now)
+        changes = fleet.dispatch.take_changes(fleet.now, 0.0)
+        log_changes(changes, fleet.log.table, fleet.dispatch, fleet.now)
+        self.assertEqual(
+            [
+                "fleet: executor i-1/100 of desk on machine m-1: ready\n",
+                "fleet: executor i-1/100: no longer used\n",
+            ],
+            lines,
+        )
