Check in the fleet simulation that long-running tasks run again

The simulation of the fleet's leader had no long-running jobs, and its leaders and waves changed every few seconds, which replaces what a leader knows of an executor. So it could not show that a leader never used an executor again.

With the option long_running each service has a job whose tasks last, fail by themselves and are spread over machines. Faults and waves can be chosen, so that one leader stays.

--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -6,6 +6,7 @@
 what executors, machines and callers observe, and what the group has committed.
 """
 
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -37,6 +38,7 @@
     QueueSettings,
     ServiceSettings,
     StepSpec,
+    TaskKey,
     TaskSize,
     parse_task_name,
 )
@@ -48,6 +50,7 @@
 from bench.faults.fleet_checks import FleetChecks, SubmittedJob
 from bench.faults.fleet_executors import Faults, VirtualCalls, VirtualExecutor
 from bench.faults.fleet_group import VirtualConsensus, VirtualGroup
+from bench.faults.fleet_long_running import LongRunningChecks, LongRunningStep
 from bench.faults.fleet_machines import MACHINE_LEASE_S, VirtualMachine, VirtualMachines
 from bench.faults.virtual_loop import run_in_virtual_time
 
@@ -67,6 +70,11 @@
 SPARE = ServiceId("spare")
 # The executors of `shop` don't enforce their limits, so only the leader does.
 UNENFORCED_SERVICES = ("shop",)
+FAULT_KINDS = ("depose", "kill", "lease", "reborn", "reborn", "replaced", "drain", "cut", "cut")
+# The long-running tasks are watched for this long after the last fault.
+WATCH_S = 20.0
+# The longest of the faults, an isolated executor.
+LONGEST_FAULT_S = 8.0
 # A restarted executor is down for a time in this range.
 RESTART_DELAY_S = (0.0, 2.0)
 CPU = 8_000
@@ -76,7 +84,8 @@
 class FleetOptions:
     """Duration, intervals and fault rates of a simulation.
 
-    `lost`, `late` and `unanswered` are shares of calls, `failing` is a share of runs.
+    `lost`, `late` and `unanswered` are shares of calls, `failing` is a share of runs. With
+    `long_running` each service also has a job whose tasks run until it is cancelled.
     """
 
     duration_s: float = 20.0
@@ -87,6 +96,9 @@
     unanswered: float = 0.02
     failing: float = 0.05
     checks_tokens: bool = True
+    fault_kinds: tuple[str, ...] = FAULT_KINDS
+    long_running: bool = False
+    waves: bool = True
 
 
 class _DocumentTable:
@@ -155,6 +167,8 @@
         self.event_counts: Counter[str] = Counter()
         self.checks = FleetChecks(self.group, self.submitted, self.event_counts, MAX_ATTEMPTS)
         self.group.on_commit = self.checks.check_commit
+        self.long_running = LongRunningChecks(self._usable_executors, lambda: self.fault_ended_at)
+        self.fault_ended_at = math.inf
         # False enables the log of the control process, for traces.
         self.is_quiet = True
         self.service: FleetService | None = None
@@ -181,7 +195,7 @@
 
     async def _main(self) -> None:
         async with anyio.create_task_group() as self.tasks:
-            self.calls = VirtualCalls(self.rng, self.faults, self.tasks, self._cpu_of)
+            self.calls = VirtualCalls(self.rng, self.faults, self.tasks, self._step_of)
             self.platform = VirtualMachines(
                 self.rng,
                 self.faults,
@@ -202,8 +216,18 @@
                 self._run_operator,
             ):
                 self.tasks.start_soon(task)
+            if self.options.long_running:
+                for name in SERVICES:
+                    self.tasks.start_soon(self._submit_long_running, name)
+                self.tasks.start_soon(self.long_running.watch)
             await anyio.sleep(self.options.duration_s)
             self.faults.lost = self.faults.late = self.faults.unanswered = 0.0
+            if self.options.long_running:
+                # No fault lasts longer than this.
+                await anyio.sleep(LONGEST_FAULT_S)
+                self.fault_ended_at = anyio.current_time()
+                await anyio.sleep(WATCH_S)
+                await self._cancel_long_running()
             await self._wait_for_completion()
             self.tasks.cancel_scope.cancel()
 
@@ -318,7 +342,7 @@
         executor = self._choose_executor()
         if executor is not None:
             self.calls.unreachable.add(executor.address)
-            await anyio.sleep(self.rng.choice((0.5, 2.0, 8.0)))
+            await anyio.sleep(self.rng.choice((0.5, 2.0, LONGEST_FAULT_S)))
             self.calls.unreachable.discard(executor.address)
 
     async def _drain_executor(self) -> None:
@@ -341,9 +365,25 @@
         candidates = list(self.executors.values())
         return self.rng.choice(candidates) if candidates else None
 
-    def _cpu_of(self, task: TaskName) -> int:
+    def _step_of(self, task: TaskName) -> StepSpec:
         key = parse_task_name(task)
-        return self.submitted[key.job].spec.steps[key.step].size.cpu_milli
+        return self.submitted[key.job].spec.steps[key.step]
+
+    def _usable_executors(self) -> list[VirtualExecutor]:
+        """Return the executors that can take new tasks and await no maintenance."""
+        awaited = {
+            machine
+            for wave in self.waves
+            for machine in self.group.table.waves[wave].machines
+            if machine not in self.platform.maintained.get(wave, set())
+        }
+        return [
+            executor
+            for executor in self.executors.values()
+            if not executor.is_draining
+            and executor.address not in self.calls.unreachable
+            and executor.machine not in awaited
+        ]
 
     async def _inject_faults(self) -> None:
         end = self.options.duration_s
@@ -351,9 +391,7 @@
             await anyio.sleep(self.rng.expovariate(1 / self.options.fault_interval_s))
             if anyio.current_time() >= end:
                 return
-            kind = self.rng.choice(
-                ("depose", "kill", "lease", "reborn", "reborn", "replaced", "drain", "cut", "cut")
-            )
+            kind = self.rng.choice(self.options.fault_kinds)
             self.event_counts[kind] += 1
             if kind == "depose":
                 self._depose_leader()
@@ -375,7 +413,7 @@
             version += 1
             if await self._record_operation(version):
                 self.acknowledged_version = version
-            if version % 3 == 2:
+            if version % 3 == 2 and self.options.waves:
                 await self._open_wave(WaveId(version))
             await anyio.sleep(0.2 if self.acknowledged_version == 0 else 2.0)
 
@@ -426,7 +464,12 @@
 
     async def _submit(self, job: JobId, service: str) -> None:
         """Submit a job until it is accepted; cancel some of the accepted jobs."""
-        spec = self._draw_job()
+        await self._submit_until_accepted(job, service, self._draw_job())
+        if self.rng.random() < 0.15:
+            await anyio.sleep(self.rng.uniform(0.0, 2.0))
+            await self._cancel(job, service)
+
+    async def _submit_until_accepted(self, job: JobId, service: str, spec: JobSpec) -> None:
         document = f"{job}".encode()
         self.documents.jobs[document] = spec
         submitted = self.submitted[job] = SubmittedJob(spec)
@@ -438,12 +481,26 @@
         if job not in self.group.table.jobs:
             raise Violation("lost", f"{job} was acknowledged")
         self.event_counts["accepted"] += 1
-        if self.rng.random() < 0.15:
-            await anyio.sleep(self.rng.uniform(0.0, 2.0))
-            while not await self._call_queue(QueueMethod.CANCEL, path):
-                await anyio.sleep(0.2)
-            submitted.cancelled_at = anyio.current_time()
-            self.event_counts["cancelled"] += 1
+
+    async def _cancel(self, job: JobId, service: str) -> None:
+        while not await self._call_queue(QueueMethod.CANCEL, f"/{service}/{job}"):
+            await anyio.sleep(0.2)
+        self.submitted[job].cancelled_at = anyio.current_time()
+        self.event_counts["cancelled"] += 1
+
+    async def _submit_long_running(self, service: str) -> None:
+        job = JobId(f"long-{service}")
+        step = StepSpec(
+            2, TaskSize(1_000, 100), is_long_running=True, spread_limit=1, allowed_misses=1
+        )
+        await self._submit_until_accepted(job, service, JobSpec("payload", (step,)))
+        tasks = tuple(TaskKey(job, 0, 0, index).name for index in range(step.count))
+        self.long_running.steps.append(LongRunningStep(ServiceId(service), step, tasks))
+
+    async def _cancel_long_running(self) -> None:
+        self.long_running.steps.clear()
+        for service in SERVICES:
+            await self._cancel(JobId(f"long-{service}"), service)
 
     async def _call_queue(self, method: QueueMethod, path: str, document: bytes = b"") -> bool:
         service = self.service
--- a/bench/faults/fleet_checks.py
+++ b/bench/faults/fleet_checks.py
@@ -64,7 +64,7 @@
             raise Violation("unasked", f"{task} belongs to no job")
         if record.phase is TaskPhase.DONE:
             raise Violation("twice", f"{task} is done")
-        if record.failures >= self.max_attempts:
+        if record.failures >= self.max_attempts and not record.step.spec.is_long_running:
             raise Violation("budget", f"{task} failed {record.failures} times")
         cancelled_at = self.submitted[record.step.job.job].cancelled_at
         if cancelled_at is not None and not late:
--- a/bench/faults/fleet_executors.py
+++ b/bench/faults/fleet_executors.py
@@ -33,7 +33,7 @@
     ServiceId,
     TaskName,
 )
-from marigolddoor_core.jobs import TaskSize
+from marigolddoor_core.jobs import StepSpec, TaskSize
 
 __all__ = ["Faults", "RunObserver", "VirtualCalls", "VirtualExecutor"]
 
@@ -49,6 +49,8 @@
 # A share of the tasks takes about as long as a lease.
 LONG_TASK_DURATION_S = (3.0, 9.0)
 LONG_TASK_SHARE = 0.05
+# A long-running task fails by itself after this time on average.
+LONG_RUNNING_MEAN_S = 12.0
 
 
 @dataclass
@@ -103,6 +105,7 @@
     deadline_ms: int = 0
     runs: dict[TaskName, int] = field(default_factory=dict)
     cpu_by_task: dict[TaskName, int] = field(default_factory=dict)
+    long_running: set[TaskName] = field(default_factory=set)
     rejected: dict[TaskName, int] = field(default_factory=dict)
     finished: list[FinishedRun] = field(default_factory=list)
     finished_count: int = 0
@@ -199,7 +202,8 @@
             with anyio.move_on_after(request.wait_s):
                 await self.changed.wait()
         running = tuple(
-            RunningTask(task, RunNumber(run), "", 50, None) for task, run in self.runs.items()
+            RunningTask(task, RunNumber(run), "", 100 if task in self.long_running else 50, None)
+            for task, run in self.runs.items()
         )
         return HoldReport(self.clock_ms, running, tuple(self.finished), self.born_ms)
 
@@ -213,9 +217,15 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    async def run_task(self, task: TaskName) -> None:
-        """Run a task until it completes or fails by itself."""
+    async def run_task(self, task: TaskName, is_long_running: bool) -> None:
+        """Run a task until it completes or fails by itself; a long-running one only fails."""
         run = self.runs.get(task)
+        if is_long_running:
+            self.long_running.add(task)
+            await anyio.sleep(self.rng.expovariate(1 / LONG_RUNNING_MEAN_S))
+            if self.is_up and self.runs.get(task) == run:
+                self.end(task, "failed")
+            return
         is_long = self.rng.random() < LONG_TASK_SHARE
         await anyio.sleep(self.rng.uniform(*(LONG_TASK_DURATION_S if is_long else TASK_DURATION_S)))
         if self.is_up and run is not None and self.runs.get(task) == run:
@@ -249,12 +259,12 @@
         rng: random.Random,
         faults: Faults,
         task_group: TaskGroup,
-        cpu_of: Callable[[TaskName], int],
+        step_of: Callable[[TaskName], StepSpec],
     ) -> None:
         self.rng = rng
         self.faults = faults
         self.task_group = task_group
-        self.cpu_of = cpu_of
+        self.step_of = step_of
         self.executors_by_address: dict[str, VirtualExecutor] = {}
         # Addresses whose traffic is dropped in both directions.
         self.unreachable: set[str] = set()
@@ -264,9 +274,10 @@
 
         async def execute(target: VirtualExecutor, late: bool) -> StartOutcome:
             is_new = request.task not in target.runs
-            outcome = target.start(request, self.cpu_of(request.task), late)
+            step = self.step_of(request.task)
+            outcome = target.start(request, step.size.cpu_milli, late)
             if is_new and request.task in target.runs:
-                self.task_group.start_soon(target.run_task, request.task)
+                self.task_group.start_soon(target.run_task, request.task, step.is_long_running)
             return outcome
 
         outcome: StartOutcome = await self._call(executor, execute, ORDER_TIMEOUT_S)
--- a/tests/control/test_fleet_faults.py
+++ b/tests/control/test_fleet_faults.py
@@ -22,6 +22,10 @@
 BLOCK = 30
 # Enough seeds for each removed guard to be reported; most are reported within the first twenty.
 UNGUARDED_SEEDS = 300
+# Leaders and waves replace what a leader knows of an executor, so some runs go without them.
+EXECUTOR_FAULTS = ("reborn", "replaced", "drain", "cut", "cut")
+CUTS = FleetOptions(long_running=True, waves=False, fault_kinds=("cut",))
+LONG_RUNNING_SEEDS = 6
 
 
 class FaultsTest(testtools.TestCase):
@@ -40,6 +44,30 @@
                 self.fail(f"seed {seed}: {violation}")
 
 
+class LongRunningTest(testtools.TestCase):
+    """A long-running task runs again soon after the last fault if there is a place for it."""
+
+    scenarios = [
+        ("all faults", {"options": FleetOptions(long_running=True)}),
+        (
+            "faults of executors during waves",
+            {"options": FleetOptions(long_running=True, fault_kinds=EXECUTOR_FAULTS)},
+        ),
+        (
+            "faults of executors",
+            {"options": FleetOptions(long_running=True, waves=False, fault_kinds=EXECUTOR_FAULTS)},
+        ),
+        ("executors are cut off", {"options": CUTS}),
+    ]
+
+    def test_runs_again(self) -> None:
+        for seed in range(LONG_RUNNING_SEEDS):
+            try:
+                FleetSimulation(seed, self.options).run()
+            except Violation as violation:
+                self.fail(f"seed {seed}: {violation}")
+
+
 class CoverageTest(testtools.TestCase):
     """The seeds reach every kind of event, so that no check passes without being exercised."""
 
@@ -156,6 +184,14 @@
                 "checkers": {"unused"},
             },
         ),
+        (
+            "executors that were cut off are not used again",
+            {
+                "patches": [(FleetView, "_has_returned", lambda *_: False)],
+                "options": CUTS,
+                "checkers": {"waiting"},
+            },
+        ),
         (
             "free capacity is not checked",
             {"patches": [(Executor, "has_capacity", lambda *_: True)], "checkers": {"limit"}},
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -4,6 +4,7 @@
   python tools/faults.py --seed 0 --count 10000
   python tools/faults.py --seed 4711 --trace
   python tools/faults.py --fleet --seed 0 --count 1000
+  python tools/faults.py --long-running --seed 0 --count 1000
   python tools/faults.py --growing --seed 0 --count 1000
 """
 
@@ -21,7 +22,7 @@
 
 from bench.faults.consensus import Options, Simulation  # noqa: E402 (needs the path)
 from bench.faults.consensus_checkers import Violation  # noqa: E402
-from bench.faults.fleet import FleetSimulation  # noqa: E402
+from bench.faults.fleet import FleetOptions, FleetSimulation  # noqa: E402
 
 # A group that is formed by three of its five voters, as on the platform of the users.
 GROWING_GROUP = Options(voters=5, founders=3, spares=3)
@@ -52,18 +53,23 @@
     return run_group(seed, trace, GROWING_GROUP)
 
 
-def run_fleet(seed: int, trace: bool) -> int:
+def run_fleet(seed: int, trace: bool, options: FleetOptions | None = None) -> int:
     """Run the leader of the fleet; return the number of accepted jobs.
 
     Raises:
       Violation: an invariant does not hold.
     """
-    simulation = FleetSimulation(seed)
+    simulation = FleetSimulation(seed, options or FleetOptions())
     simulation.is_quiet = not trace
     simulation.run()
     return simulation.event_counts["accepted"]
 
 
+def run_long_running(seed: int, trace: bool) -> int:
+    """Run the leader of the fleet with long-running jobs, like `run_fleet`."""
+    return run_fleet(seed, trace, FleetOptions(long_running=True))
+
+
 def main() -> int:
     """Run the seeds; return 1 if any of them violated an invariant."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -72,6 +78,9 @@
     parser.add_argument("--trace", action="store_true", help="print every event")
     kind = parser.add_mutually_exclusive_group()
     kind.add_argument("--fleet", action="store_true", help="run the leader of the fleet")
+    kind.add_argument(
+        "--long-running", action="store_true", help="run it with long-running jobs as well"
+    )
     kind.add_argument(
         "--growing", action="store_true", help="run a group that grows to five voters"
     )
@@ -82,6 +91,8 @@
     run: Callable[[int, bool], int] = run_group
     if arguments.fleet:
         run = run_fleet
+    elif arguments.long_running:
+        run = run_long_running
     elif arguments.growing:
         run = run_growing_group
     started_s = time.monotonic()
