Count jobs as waiting until an executor has confirmed a start

Callers: the number of waiting jobs was too low while executors were cut off: 0 although 4 jobs had waited for 5 s.

Cause: a job counted as started once a placement was committed. Its executor may be out of reach, and the job also counted as started after these runs had been declared lost.

Change: the leader remembers of which jobs an executor has confirmed a run, by an answer or in its list. Jobs that an earlier leader placed count as started, since the table does not say more. The state of a single job is shown as before.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -107,7 +107,9 @@
             waiting = sum(
                 1
                 for job in self.table.jobs.values()
-                if job.queue == queue.name and job.phase is JobPhase.ACTIVE and not job.has_started
+                if job.queue == queue.name
+                and job.phase is JobPhase.ACTIVE
+                and not leadership.dispatch.has_begun(job)
             )
             return QueueReply(QueueOutcome.ANSWERED, pending=waiting)
         job = JobId(name)
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -175,6 +175,7 @@
         """Stop the remaining runs of a cancelled or failed job."""
         self._count(CounterKind.JOBS, job, job.phase.value)
         self.work.ended(job.job)
+        self.begun.discard(job.job)
         self.tickets.forget(job.steps.values())
         for task in job.placed_tasks():
             executor = self.holder_of(task)
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -24,6 +24,7 @@
 from marigolddoor_core.ids import (
     ExecutorId,
     ExecutorIncarnation,
+    JobId,
     MachineId,
     RunNumber,
     ServiceId,
@@ -87,6 +88,8 @@
         # Runs on executors that have not reported to this leader yet.
         self.unreported: dict[ExecutorIncarnation, dict[TaskName, TaskRecord]] = {}
         self.unconfirmed = UnconfirmedStarts()
+        # Jobs of which an executor has confirmed a run, or of which an earlier leader placed one.
+        self.begun: set[JobId] = {job.job for job in table.jobs.values() if job.has_started}
         self.changes: list[JobChange] = []
         self.orders: list[Order] = []
         self.is_planning_due = True
@@ -112,6 +115,13 @@
         queue = self.queue_of(job)
         return job.service if queue is None else queue.service
 
+    def has_begun(self, job: JobRecord) -> bool:
+        """Return whether a task of a job is known to have started.
+
+        A placement alone does not count: its executor may be out of reach.
+        """
+        return job.job in self.begun
+
     def executors_of(self, service: ServiceId) -> list[Executor]:
         """Return the executors of a service."""
         return [
@@ -244,6 +254,7 @@
             placed = executor.runs.get(finished.task)
             if placed is not None and placed.run == finished.run:
                 listed.add(finished.task)
+                self.begun.add(placed.task.step.job.job)
                 self.unconfirmed.listed(executor.heartbeat.executor, finished.task, finished.run)
                 if finished.number > executor.seen:
                     self._handle_end(executor, placed, finished, now)
@@ -261,6 +272,7 @@
             self.unconfirmed.listed(executor.heartbeat.executor, running.task, running.run)
             if placed.confirmed_at is None:
                 placed.confirmed_at = now
+                self.begun.add(placed.task.step.job.job)
             placed.percent = running.percent
             placed.load = running.load
         for placed, percent in plan_pace(executor, now):
@@ -365,6 +377,7 @@
         placed = order.executor.runs.get(order.task)
         if placed is not None and placed.run == order.run and placed.confirmed_at is None:
             placed.confirmed_at = now
+            self.begun.add(placed.task.step.job.job)
 
     def rejected(self, order: StartOrder, now: Instant) -> None:
         """Handle an executor's report that it did not start a run and never will."""
--- /dev/null
+++ b/tests/control/test_fleet_service.py
@@ -0,0 +1,42 @@
+"""Guards against answers to callers that differ from what the executors have confirmed."""
+
+from types import SimpleNamespace
+
+import anyio
+import testtools
+from marigolddoor_control.fleet.service import FleetService
+from marigolddoor_core.dispatch import StartOrder
+from marigolddoor_core.jobs import StoreConfiguration
+from marigolddoor_core.queue_calls import QueueCall, QueueMethod
+
+from tests.core.dispatch.fakes import Fleet
+from tests.core.jobs.fakes import SERVICE, Log, accept, configuration
+
+
+class WaitingJobsTest(testtools.TestCase):
+    """Jobs on executors that are cut off must be counted among the waiting ones.
+
+    They were left out as soon as they were placed: while 4 jobs had waited for 5 s, callers were
+    told that none did.
+    """
+
+    scenarios = [
+        ("placed", {"is_answered": False, "expected": 1}),
+        ("started", {"is_answered": True, "expected": 0}),
+    ]
+
+    def test_pending(self) -> None:
+        log = Log()
+        log.apply(StoreConfiguration(1, configuration(1, views=SERVICE)))
+        fleet = Fleet(log)
+        fleet.executor()
+        fleet.step(accept("j", {"count": 1}))
+        (start,) = fleet.take_orders()
+        assert isinstance(start, StartOrder)
+        if self.is_answered:
+            fleet.dispatch.started(start, fleet.now)
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(dispatch=fleet.dispatch, has_ended=False)  # type: ignore[assignment]
+        call = QueueCall(QueueMethod.READ, "a.example", "/views/", b"")
+        reply = anyio.run(service.call_queue, call)
+        self.assertEqual(self.expected, reply.pending)
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -57,6 +57,41 @@
         self.assertEqual(["j.0.0.0"] if self.is_lost else [], lost(changes))
 
 
+class BegunJobTest(StartedRun):
+    """A job whose placed runs were never confirmed must count as one that waits.
+
+    While executors were cut off, jobs that had been placed on them were left out of the number of
+    waiting jobs, also after these runs had been declared lost.
+    """
+
+    scenarios = [
+        ("placed", {"events": (), "has_begun": False}),
+        ("answered", {"events": ("answered",), "has_begun": True}),
+        ("listed", {"events": ("listed",), "has_begun": True}),
+        ("ended", {"events": ("ended",), "has_begun": True}),
+        ("lost without an answer", {"events": ("lost",), "has_begun": False}),
+        ("lost after an answer", {"events": ("answered", "lost"), "has_begun": True}),
+        ("placed by an earlier leader", {"events": ("other leader",), "has_begun": True}),
+    ]
+
+    def test_begun(self) -> None:
+        fleet = self.fleet
+        for event in self.events:
+            if event == "answered":
+                fleet.dispatch.started(self.start, fleet.at(1.0).now)
+            elif event == "listed":
+                fleet.at(1.0).hold(self.executor, running("j.0.0.0"))
+            elif event == "ended":
+                fleet.at(1.0).hold(self.executor, ends=(finished(1, "j.0.0.0", "failed"),))
+            elif event == "lost":
+                fleet.dispatch.expire(fleet.at(7.0).now)
+                fleet.step()
+            else:
+                fleet = Fleet(fleet.log)
+        job = fleet.log.table.jobs[JobId("j")]
+        self.assertEqual(self.has_begun, fleet.dispatch.has_begun(job))
+
+
 class EndedIncarnationTest(StartedRun):
     """Runs end with their executor's incarnation, but not because of late heartbeats."""
 
