End a leadership with its term even if the next term is won at once

What callers would see: tasks that don't start although there is room, until the next election.

Cause: the commit loop compared the term only while the process was not the leader. A process that lost an election and won the next one between two iterations of the loop, 0.25 s apart, kept its leadership with the old fencing token. Executors that have had an order of the leader between reject it, and nothing ends that leadership.

Evidence: TermTest on the code before: the leadership of term 3 goes on when the replica leads term 5.

Change: the term is compared in every iteration.

The whole of test_fleet_faults didn't finish in 400 s beside other load.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -145,9 +145,10 @@
             # Changes that arrive in the same iteration of the event loop join the same batch.
             await anyio.lowlevel.checkpoint()
             self.wake = anyio.Event()
+            if not self._is_same_term():
+                # After another election, executors may reject orders with this token.
+                return
             if not self.consensus.is_leader:
-                if not self._is_same_term():
-                    return
                 continue
             for executor in self.dispatch.expire(self.now()):
                 logger.info("fleet: executor {} ended: out of contact", executor.incarnation)
