Check what other writers send before it is used or stored

Callers saw: control processes ended one after the other, and again after each restart, so accepted jobs got no answer and did not run.

Cause: the readers of documents let through, or failed on, values that the rest of the process can't hold, and the errors were not the documented ones: - whole numbers beyond 64 bits, and texts with lone surrogates, from heartbeats, waves and end reports reach the log's encoder, which raises in the replica's loop (OverflowError, UnicodeEncodeError); - a number beyond a double raises OverflowError in a job, which arrives at the leader over a peer link and ends the process there, so that the entry process sends it to the next leader; - a document of 910 to 985 levels is accepted on a flat stack and fails on a deeper one: every replica fails when it applies the accepted job; - infinite run numbers, names that are lists and names with 5,000 digits in an executor's report end the leadership and the process; an end of a task whose name has another form is committed and then fails in the change log; - one odd row made the whole list of machines, hold report or advice unreadable, so the machines were not followed any more.

Lists are read row by row: the sound rows hold, the others are logged. A machine with an unreadable entry is listed as `UNKNOWN`, since a wave treats a machine that is not listed as gone. An executor's report with unreadable rows is asked for again after a pause, as an end that can't be read makes each answer come at once. Addresses are checked for a usable host and port, executor ids and job ids for texts that can be sent on.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -240,6 +240,15 @@
                 executor.seen = last_seen
             elif self.dispatch.changes or self.dispatch.orders or self.dispatch.is_planning_due:
                 self.wake.set()
+            if report.unreadable:
+                logger.info(
+                    "fleet: executor {}: {} rows of its report are unreadable: {}",
+                    executor.incarnation,
+                    len(report.unreadable),
+                    report.unreadable[0],
+                )
+                # An end that can't be read is never acknowledged, so each answer comes at once.
+                await anyio.sleep(RETRY_S)
             wait_s = 0.0 if is_first else _hold_wait_s(executor)
         await self.ports.executors.forget(executor)
 
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -17,6 +17,7 @@
 from marigolddoor_core.dispatch import ExecutorState, Heartbeat
 from marigolddoor_core.errors import UnavailableError
 from marigolddoor_core.ids import ExecutorId, JobId, MachineId, WaveId
+from marigolddoor_core.input_limits import is_text
 from marigolddoor_core.jobs import (
     AcceptJob,
     CancelJob,
@@ -120,7 +121,7 @@
             return await self._answer_existing(leadership, call, job_record)
         if job_record is not None:
             return QueueReply(QueueOutcome.ANSWERED)
-        if not name or "/" in name:
+        if not name or "/" in name or not is_text(name):
             return QueueReply(QueueOutcome.INVALID, detail="the path names no job")
         try:
             spec = self.table.reader.read_job(call.document)
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -134,12 +134,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldReport:
-    """An executor's answer to a renewal of its lease. `born_ms` is 0 if not reported."""
+    """An executor's answer to a renewal of its lease. `born_ms` is 0 if not reported.
+
+    `unreadable` has a text for each row that could not be read.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     finished: tuple[FinishedRun, ...]
     born_ms: int = 0
+    unreadable: tuple[str, ...] = ()
 
 
 class PlacedRun:
--- a/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
+++ b/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
@@ -32,12 +32,13 @@
 
 
 class MachineState(Enum):
-    """The state of a machine as the platform lists it."""
+    """The state of a machine as the platform lists it. `UNKNOWN`: its entry can't be read."""
 
     UP = "up"
     MOVING = "moving"
     MAINTENANCE = "upkeep"
     DOWN = "down"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/jobs/specs.py
+++ b/packages/core/src/marigolddoor_core/jobs/specs.py
@@ -1,9 +1,11 @@
 """Specifications of jobs: steps, resources of their tasks and placement constraints."""
 
+import re
 from dataclasses import dataclass
 
 from marigolddoor_core.errors import InvalidInputError
 from marigolddoor_core.ids import JobId, TaskName
+from marigolddoor_core.input_limits import shorten
 
 __all__ = ["InvalidJobError", "JobSpec", "StepSpec", "TaskKey", "TaskSize", "parse_task_name"]
 
@@ -126,13 +128,20 @@
         return TaskName(f"{self.job}.{self.occurrence}.{self.step}.{self.index}")
 
 
+# Each number has one spelling, so that two names never mean the same task.
+_TASK_NAME = re.compile(
+    r"(.+)\.(0|[1-9][0-9]{0,8})\.(0|[1-9][0-9]{0,8})\.(0|[1-9][0-9]{0,8})", re.S
+)
+
+
 def parse_task_name(name: str) -> TaskKey:
     """Return the parts of a task's name.
 
     Raises:
       InvalidJobError: it is not the name of a task.
     """
-    parts = name.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
-        raise InvalidJobError(f"{name!r} is not the name of a task")
-    return TaskKey(JobId(parts[0]), int(parts[1]), int(parts[2]), int(parts[3]))
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
+        raise InvalidJobError(f"{shorten(name)} is not the name of a task")
+    job, occurrence, step, index = match.groups()
+    return TaskKey(JobId(job), int(occurrence), int(step), int(index))
--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import re
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
@@ -13,6 +14,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from anyio.streams.tls import TLSStream
 from marigolddoor_core.errors import MarigolddoorError
+from marigolddoor_core.input_limits import MAX_PORT, shorten
 
 from marigolddoor_wire.codec import DecodeError
 from marigolddoor_wire.envelopes import ONE_WAY, Envelope, decode_envelope, encode_envelope
@@ -46,6 +48,12 @@
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
 
+# Labels of host names have up to 63 characters; the resolver raises unrelated errors for others.
+_HOST = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*")
+_IPV6 = re.compile(r"[0-9A-Fa-f:.]*:[0-9A-Fa-f:.]*(%[A-Za-z0-9_.-]+)?")
+_PORT = re.compile(r"[0-9]{1,5}")
+MAX_HOST_CHARACTERS = 253
+
 _CLOSED = (anyio.EndOfStream, anyio.IncompleteRead, anyio.BrokenResourceError, OSError)
 
 
@@ -53,12 +61,15 @@
     """Return host and port.
 
     Raises:
-      ValueError: `address` is not HOST:PORT.
+      ValueError: `address` is not HOST:PORT, or no connection can be opened to such an address.
     """
-    host, separator, port = address.rpartition(":")
-    if not separator or not host:
-        raise ValueError(f"{address!r} is not HOST:PORT")
-    return host.strip("[]"), int(port)
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    if len(host) > MAX_HOST_CHARACTERS or not (_HOST.fullmatch(host) or _IPV6.fullmatch(host)):
+        raise ValueError(f"{shorten(address)} is not HOST:PORT")
+    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise ValueError(f"{shorten(address)}: the port is not a number up to {MAX_PORT}")
+    return host, int(port)
 
 
 def set_timeouts(stream: ByteStream) -> None:
