Fail only the call when an address or an answer can't be used

Callers saw: a control process ended, and after it each new leader, without an answer to the requests in flight.

Cause: the clients of other processes raised errors outside their documented ones, in background tasks of the leadership. An address with a port out of range (OverflowError), a host that the resolver can't encode, or characters that HTTP forbids (LocalProtocolError, UnicodeEncodeError) ends the process. Executors are in the replicated log with their addresses, so one such address, once stored, ends every new leader until the log is lost; refusing it in heartbeats does not help a group that has stored it. A reply of a peer that can't be decoded, or of another type, ends an entry process. A body without a limit may fill the memory, and bytes after an answer were taken for the answer to the next call on the connection.

The HTTP client reports an address, path or header that can't be sent as `not sent`, limits bodies to 16 MiB and does not reuse a connection with bytes left over. The peer client reports an unreadable reply as `RemoteError`, as the peer has acted on the request.

--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -15,6 +15,7 @@
     PeerUnreachableError,
     RemoteError,
 )
+from marigolddoor_wire.messages import ErrorKind
 from marigolddoor_wire.peers import Address, PeerPool
 from marigolddoor_wire.queue_messages import AskQueue, NotLeading, QueueAnswer
 
@@ -157,7 +158,9 @@
         self, address: str, message: AskQueue, timeout_s: float
     ) -> QueueAnswer | NotLeading:
         answer = await self.pool.call(Address(address), message, timeout_s)
-        assert isinstance(answer, QueueAnswer | NotLeading)
+        if not isinstance(answer, QueueAnswer | NotLeading):
+            # Another service may have been started at the address.
+            raise RemoteError(ErrorKind.INTERNAL, f"{address}: {type(answer).__name__}")
         return answer
 
     async def probe(self) -> None:
--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -15,6 +15,7 @@
 from anyio.abc import ByteStream, SocketAttribute
 from loguru import logger
 from marigolddoor_core.errors import MarigolddoorError, UnavailableError
+from marigolddoor_core.input_limits import shorten
 
 from marigolddoor_wire.peers import Address, parse_address
 
@@ -22,6 +23,9 @@
 
 CONNECT_TIMEOUT_S = 0.7
 READ_BYTES = 65536
+# Answers have up to a few hundred kB. Without a limit a server could fill the memory before the
+# call times out.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # SO_LINGER enabled with a timeout of 0, so that closing sends a reset.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -32,6 +36,10 @@
     """There is no connection; the call was not sent."""
 
 
+class _AnswerTooLargeError(MarigolddoorError):
+    """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
+
+
 class HttpNoAnswerError(MarigolddoorError):
     """The call was sent but no complete answer arrived; it may have been carried out."""
 
@@ -56,7 +64,7 @@
             data += protocol.send(h11.Data(body)) or b""
         data += protocol.send(h11.EndOfMessage()) or b""
         await self.stream.send(data)
-        status, parts = 0, []
+        status, size, parts = 0, 0, []
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
@@ -68,6 +76,9 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > MAX_ANSWER_BYTES:
+                    raise _AnswerTooLargeError(f"a body of more than {MAX_ANSWER_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
                 return HttpAnswer(status, b"".join(parts))
             elif isinstance(event, h11.ConnectionClosed):
@@ -89,6 +100,9 @@
 
     def can_be_reused(self) -> bool:
         protocol = self.protocol
+        if protocol.trailing_data[0]:
+            # It would be taken for the answer to the next call.
+            return False
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             protocol.start_next_cycle()
             return True
@@ -122,19 +136,10 @@
         """Return the answer of the process at `address`.
 
         Raises:
-          HttpUnreachableError: the call was not sent.
+          HttpUnreachableError: the call was not sent, or can't be sent to this address.
           HttpNoAnswerError: no complete answer to it arrived within `timeout_s` seconds.
         """
-        request = h11.Request(
-            method=method,
-            target=path,
-            headers=[
-                ("Host", address),
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-                *headers,
-            ],
-        )
+        request = _request(address, path, body, headers, method)
         try:
             with anyio.fail_after(timeout_s):
                 await self.unused.acquire()
@@ -154,7 +159,7 @@
             with anyio.fail_after(timeout_s):
                 answer = await connection.exchange(request, body)
             is_reusable = connection.can_be_reused()
-        except (*_BROKEN, TimeoutError, h11.RemoteProtocolError) as error:
+        except (*_BROKEN, TimeoutError, _AnswerTooLargeError, h11.RemoteProtocolError) as error:
             detail = str(error) or type(error).__name__
             raise HttpNoAnswerError(f"{address}{path}: {detail}") from error
         finally:
@@ -192,9 +197,35 @@
         while self.idle_count > self.unused.value:
             oldest = self._take_idle(next(iter(self.idle)), 0)
             await anyio.aclose_forcefully(oldest.stream)
-        host, port = parse_address(address)
+        try:
+            host, port = parse_address(address)
+        except ValueError as error:
+            raise HttpUnreachableError(str(error)) from error
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, timeout_s)):
                 return _Connection(await anyio.connect_tcp(host, port))
         except (OSError, TimeoutError) as error:
             raise HttpUnreachableError(f"no connection to {address}: {error}") from error
+
+
+def _request(
+    address: Address, path: str, body: bytes, headers: Sequence[tuple[str, str]], method: str
+) -> h11.Request:
+    """Return the head of a request.
+
+    Raises:
+      HttpUnreachableError: the address, the path or a header contains characters that HTTP forbids.
+    """
+    try:
+        return h11.Request(
+            method=method,
+            target=path,
+            headers=[
+                ("Host", address),
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+                *headers,
+            ],
+        )
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        raise HttpUnreachableError(f"{shorten(address)}: {shorten(str(error))}") from error
--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -251,7 +251,7 @@
           PeerUnreachableError: the message was not sent.
           PeerTimeoutError: it was sent, but no reply arrived within `timeout_s` seconds, which
             include the time for the connection.
-          RemoteError: the peer replied with an error.
+          RemoteError: the peer replied with an error, or with a message that can't be read.
         """
         deadline = anyio.current_time() + timeout_s
         try:
@@ -302,8 +302,15 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 link = await self._connect(address)
-        except (*_CLOSED, TimeoutError, FrameError, HandshakeError, ssl.SSLError) as error:
-            # anyio sets the original error as the cause.
+        except (
+            *_CLOSED,
+            TimeoutError,
+            FrameError,
+            HandshakeError,
+            ssl.SSLError,
+            ValueError,
+        ) as error:
+            # `ValueError`: the address is not usable. anyio sets the original error as the cause.
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             failure = PeerRefusedError if is_refused else PeerUnreachableError
             self.backoffs[address] = (self.clock() + RECONNECT_BACKOFF_S, failure)
@@ -335,7 +342,11 @@
 def _parse_reply(call: _Call, address: Address) -> Any:
     if call.envelope is None:
         raise PeerTimeoutError(f"no reply from {address}")
-    reply = call.envelope.message()
+    try:
+        reply = call.envelope.message()
+    except DecodeError as error:
+        # The peer has acted on the request, as after any other error that it reports.
+        raise RemoteError(ErrorKind.INTERNAL, f"{address}: {error}") from error
     if isinstance(reply, ErrorReply):
         raise RemoteError(reply.kind, reply.detail)
     return reply
