Refuse announcements that an entry process can't use or report

An odd announcement of one target ends the entry process that holds it.

Cause: whole numbers beyond 64 bits, numbers beyond a double, texts with lone surrogates and addresses out of range pass the JSON reader. They are reported to the leader and the other entry processes, where the encoder raises, and the probe of a target parses the address in a background task.

Change: the JSON forms use `read_json` and the limits of `input_limits`, and an announcement needs an address that a connection can be opened to. Messages no longer contain the whole refused value.

--- a/packages/entry/src/marigolddoor_entry/json_forms.py
+++ b/packages/entry/src/marigolddoor_entry/json_forms.py
@@ -15,7 +15,10 @@
 from typing import Any
 
 from marigolddoor_core.errors import InvalidInputError
+from marigolddoor_core.input_limits import MAX_INTEGER, is_text, shorten
+from marigolddoor_core.json_input import InvalidJsonError, read_json
 from marigolddoor_core.targets import Announcement, AnnouncementReply
+from marigolddoor_wire.peers import Address, parse_address
 
 __all__ = [
     "JsonFormError",
@@ -40,7 +43,12 @@
     Raises:
       JsonFormError: the text doesn't encode one.
     """
-    return typing.cast(Announcement, _parse(Announcement, text))
+    announcement = typing.cast(Announcement, _parse(Announcement, text))
+    try:
+        parse_address(Address(announcement.address))
+    except ValueError as error:
+        raise JsonFormError(f"address: {error}") from error
+    return announcement
 
 
 def announcement_reply_from_json(text: bytes) -> AnnouncementReply:
@@ -64,8 +72,8 @@
 
 def _parse(kind: type, text: bytes) -> Any:
     try:
-        return _typed(kind, json.loads(text), kind.__name__)
-    except (ValueError, RecursionError) as error:
+        return _typed(kind, read_json(text), kind.__name__)
+    except InvalidJsonError as error:
         raise JsonFormError(f"not the JSON of {kind.__name__}: {error}") from error
 
 
@@ -89,13 +97,24 @@
     if dataclasses.is_dataclass(kind):
         return _object(typing.cast(type, kind), value, where)
     if isinstance(kind, type) and issubclass(kind, Enum):
-        return kind(value)
-    if kind is float and isinstance(value, int) and not isinstance(value, bool):
-        return float(value)
+        try:
+            return kind(value)
+        except ValueError as error:
+            raise JsonFormError(f"{where}: {shorten(value)} is not known") from error
+    return _scalar(kind, value, where)
+
+
+def _scalar(kind: Any, value: Any, where: str) -> Any:
+    """Return a value that can be encoded for other processes."""
     # A bool is an int in Python, but not a number in JSON.
-    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-        raise JsonFormError(f"{where} must be {kind.__name__}")
-    return value
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if kind is float and is_number and -MAX_INTEGER <= value <= MAX_INTEGER:
+        return float(value)
+    if kind is int and type(value) is int and -MAX_INTEGER <= value <= MAX_INTEGER:
+        return value
+    if (kind is str and is_text(value)) or (kind is bool and isinstance(value, bool)):
+        return value
+    raise JsonFormError(f"{where}: {shorten(value)} is not a usable {kind.__name__}")
 
 
 def _object(kind: type, value: Any, where: str) -> Any:
