Skip a stored document that can't be read instead of ending each replica

Callers saw: no replica starts again once a job or a configuration that it can't read is in the log, so everything that was accepted is out of reach.

The earlier code accepted documents with a depth that depends on the stack, so such documents may be stored already; stricter limits would meet them too.

Change: a document that can't be read is skipped and counted in the new gauge `marigolddoor_unreadable_documents`. An unreadable configuration leaves the one before in force; the operator's next one replaces it. The outcome is the same on every replica of one version, since a document has one outcome on every stack. While two versions run side by side, one of them may know a job that the other one skips.

--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -157,6 +157,11 @@
             ),
             ("known_jobs", "Jobs that are kept.", len(self.table.jobs)),
             ("configuration_version", "The configuration in force.", self.table.version),
+            (
+                "unreadable_documents",
+                "Stored documents that this version can't read, and skipped.",
+                self.table.unreadable,
+            ),
             ("is_leading", "Whether this process leads the fleet.", int(leadership is not None)),
             ("executors", "Executors that are enrolled.", len(self.table.executors)),
         ]
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -19,7 +19,7 @@
     RecordChanges,
     StoreConfiguration,
 )
-from marigolddoor_core.jobs.configuration import FleetConfiguration
+from marigolddoor_core.jobs.configuration import FleetConfiguration, InvalidConfigurationError
 from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, RunEnd, TaskPhase
 from marigolddoor_core.jobs.records import JobRecord, TaskRecord
@@ -109,7 +109,12 @@
 
 
 class JobTable:
-    """Applies changes in log order, with the same outcome on every replica."""
+    """Applies changes in log order, with the same outcome on every replica.
+
+    Documents are checked before they are proposed. One that an earlier version accepted and that
+    can't be read any more is skipped and counted in `unreadable`: the replica would otherwise fail
+    again after each restart.
+    """
 
     def __init__(self, reader: DocumentReader) -> None:
         self.reader = reader
@@ -124,6 +129,7 @@
         self.configuration: FleetConfiguration | None = None
         self.document = b""
         self.observer: TableObserver | None = None
+        self.unreadable = 0
 
     @property
     def version(self) -> int:
@@ -183,7 +189,11 @@
     def _accept(self, change: AcceptJob) -> None:
         if change.job in self.jobs:
             return
-        spec = self.reader.read_job(change.document)
+        try:
+            spec = self.reader.read_job(change.document)
+        except InvalidJobError:
+            self.unreadable += 1
+            return
         job = self.jobs[change.job] = JobRecord(
             change.job,
             change.queue,
@@ -288,7 +298,11 @@
     def _store_configuration(self, change: StoreConfiguration) -> None:
         if change.version <= self.version:
             return
-        self.configuration = self.reader.read_configuration(change.document)
+        try:
+            self.configuration = self.reader.read_configuration(change.document)
+        except InvalidConfigurationError:
+            self.unreadable += 1
+            return
         self.document = change.document
         if self.observer is not None:
             self.observer.configuration_changed()
@@ -350,11 +364,18 @@
     def restore(self, snapshot: Any) -> None:
         """Replace the whole table by a snapshot."""
         self.time_s = snapshot.time_s
-        self.document = snapshot.document
-        self.configuration = (
-            self.reader.read_configuration(self.document) if self.document else None
-        )
-        self.jobs = {stored.job: self._restored_job(stored) for stored in snapshot.jobs}
+        self.document, self.configuration, self.jobs = b"", None, {}
+        if snapshot.document:
+            try:
+                self.configuration = self.reader.read_configuration(snapshot.document)
+                self.document = snapshot.document
+            except InvalidConfigurationError:
+                self.unreadable += 1
+        for stored in snapshot.jobs:
+            try:
+                self.jobs[stored.job] = self._restored_job(stored)
+            except InvalidJobError:
+                self.unreadable += 1
         ended = [job for job in self.jobs.values() if job.phase is not JobPhase.ACTIVE]
         ended.sort(key=lambda job: (job.ended_s, job.job))
         self.ended = {job.job: job.ended_s for job in ended}
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -6,6 +6,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import testtools
@@ -321,3 +322,48 @@
         self.assertEqual(
             [("m-1", "unknown"), ("m-2", "up")], [(v.machine, v.state.value) for v in views]
         )
+
+
+class EarlierVersionTest(testtools.TestCase):
+    """Documents that an earlier version accepted must not keep a replica from starting.
+
+    The earlier version accepted more levels, larger numbers and other texts.
+    """
+
+    odd_job = with_value({**JOB, "x": 0}, ("x",), "[" * 900 + "]" * 900)
+    odd_configuration = with_value(CONFIGURATION, ("routes", 0, "name"), '"\\ud800"')
+
+    def accept(self, job: str, document: bytes) -> AcceptJob:
+        return AcceptJob(JobId(job), QueueName("r-1"), ServiceId("s-1"), 3, document)
+
+    def test_log(self) -> None:
+        sound = json.dumps(CONFIGURATION).encode()
+        table = JobTable(JsonDocuments())
+        changes = (
+            StoreConfiguration(7, sound),
+            self.accept("odd", self.odd_job),
+            StoreConfiguration(8, self.odd_configuration),
+            self.accept("sound", json.dumps(JOB).encode()),
+        )
+        table.apply(LogIndex(1), RecordChanges(changes, 1.0))
+        self.assertEqual((["sound"], 7, 2), (list(table.jobs), table.version, table.unreadable))
+
+    def test_snapshot(self) -> None:
+        table = JobTable(JsonDocuments())
+        sound = json.dumps(JOB).encode()
+        changes = (self.accept("odd", sound), self.accept("sound", sound))
+        table.apply(LogIndex(1), RecordChanges(changes, 1.0))
+        snapshot = table.snapshot()
+        odd, *others = snapshot.jobs
+        odd = replace(odd, document=self.odd_job)
+        snapshot = replace(
+            snapshot, version=8, document=self.odd_configuration, jobs=(odd, *others)
+        )
+        restored = JobTable(JsonDocuments())
+        restored.restore(snapshot)
+        self.assertEqual(
+            (["sound"], 0, 2), (list(restored.jobs), restored.version, restored.unreadable)
+        )
+        later = StoreConfiguration(9, json.dumps({**CONFIGURATION, "version": 9}).encode())
+        restored.apply(LogIndex(2), RecordChanges((later,), 2.0))
+        self.assertEqual(9, restored.version)
