Keep an executor when another writer's heartbeat names its place

Cause: a heartbeat with a later start under the id, the address or the machine of a known executor ends that executor: its runs count as lost while they go on, and its own later heartbeats are ignored as late ones. This also holds for a service that is not configured, to which no task is ever given. A heartbeat of the known incarnation with a higher sequence number replaces its address, service and machine, and hides its later reports, such as draining.

Change: a heartbeat of a service that is not configured displaces no executor. One that contradicts the address, service or machine of its incarnation is refused and logged, since these stay for the life of an executor. A start after the year 2100 is refused, as it would hide every later incarnation.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -183,6 +183,12 @@
         """
         leadership = self._require_leadership()
         known = leadership.dispatch.executors.get(heartbeat.incarnation)
+        if known is not None and not known.heartbeat.is_same_executor(heartbeat):
+            logger.info(
+                "fleet: heartbeat of {} refused: it contradicts an earlier one",
+                heartbeat.incarnation,
+            )
+            return
         was_ready = known is not None and known.heartbeat.state is ExecutorState.READY
         executor = leadership.dispatch.receive_heartbeat(heartbeat, leadership.now())
         if executor is not None:
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -70,6 +70,14 @@
         """Return the incarnation of the executor that sent this heartbeat."""
         return ExecutorIncarnation(f"{self.executor}/{self.born_ms}")
 
+    def is_same_executor(self, other: "Heartbeat") -> bool:
+        """Return whether `other` has the properties that an incarnation keeps for its life."""
+        return (self.address, self.service, self.machine) == (
+            other.address,
+            other.service,
+            other.machine,
+        )
+
     def enrolment(self) -> EnrolledExecutor:
         """Return the record of this incarnation that is replicated."""
         return EnrolledExecutor(
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -131,10 +131,16 @@
         ]
 
     def receive_heartbeat(self, heartbeat: Heartbeat, now: Instant) -> Executor | None:
-        """Handle a heartbeat; return the executor if its incarnation was not known before."""
+        """Handle a heartbeat; return the executor if its incarnation was not known before.
+
+        A heartbeat of another writer does not displace a known executor: one that contradicts what
+        its incarnation reported before, or one of a service that is not configured.
+        """
         newest = self.newest_incarnation.get(heartbeat.executor, 0)
         known = self.executors.get(heartbeat.incarnation)
         if known is not None:
+            if not known.heartbeat.is_same_executor(heartbeat):
+                return None
             if heartbeat.sequence > known.heartbeat.sequence:
                 if known.heartbeat.state != heartbeat.state:
                     self.is_planning_due = True
@@ -155,13 +161,19 @@
         ):
             # A late heartbeat of an executor that was replaced at its address or on its machine.
             return None
+        displaced = [
+            previous
+            for previous in (self.current.get(heartbeat.executor), at_address, on_machine)
+            if previous is not None
+        ]
+        if displaced and not self._is_configured(heartbeat.service):
+            return None
         self.newest_incarnation[heartbeat.executor] = heartbeat.born_ms
         self.silent_after.pop(heartbeat.executor, None)
         unconfirmed = self.unconfirmed.starts_of(heartbeat.executor, now)
         inherited = self._unconfirmed_runs(self.current.get(heartbeat.executor), unconfirmed)
-        for previous in (self.current.get(heartbeat.executor), at_address, on_machine):
-            if previous is not None:
-                self.end_incarnation(previous, now)
+        for previous in displaced:
+            self.end_incarnation(previous, now)
         # A start that was sent to the previous incarnation may have extended the lease of this one.
         lease = ExecutorLease(self.lease_timing, now if unconfirmed else self.began_at)
         executor = Executor(heartbeat, lease, now)
@@ -322,6 +334,10 @@
             placed.task for placed in executor.runs.values() if placed.task.step.spec.is_speculative
         )
 
+    def _is_configured(self, service: ServiceId) -> bool:
+        configuration = self.table.configuration
+        return configuration is None or service in configuration.service_by_name
+
     def _enforces_capacity(self, service: ServiceId) -> bool:
         configuration = self.table.configuration
         settings = None if configuration is None else configuration.service_by_name.get(service)
--- a/packages/core/src/marigolddoor_core/input_limits.py
+++ b/packages/core/src/marigolddoor_core/input_limits.py
@@ -11,6 +11,7 @@
     "MAX_NESTING",
     "MAX_PORT",
     "MAX_TEXT_BYTES",
+    "MAX_TIME_OF_DAY_MS",
     "is_header_text",
     "is_text",
     "shorten",
@@ -22,6 +23,9 @@
 # Larger whole numbers are not exact as a double. It also fits the 64 bits of stored numbers, and
 # products with the other limits do not overflow a double.
 MAX_INTEGER = 2**53 - 1
+# Times of day in ms since 1970, until the year 2100. Of two incarnations the one that started later
+# counts, so an absurd time would hide the later ones for good.
+MAX_TIME_OF_DAY_MS = 4_102_444_800_000
 # Texts are stored in the log and sent in headers. The longest one is a job's payload.
 MAX_TEXT_BYTES = 4000
 # Ports have 16 bits.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -102,6 +102,8 @@
             ("heartbeat", "sequence of the wrong type", {**HEARTBEAT, "sequence": "4"}),
             ("heartbeat", "labels of the wrong type", {**HEARTBEAT, "labels": "a"}),
             ("heartbeat", "capacity of the wrong type", {**HEARTBEAT, "capacity": 3}),
+            ("heartbeat", "start after the year 2100", {**HEARTBEAT, "born": 2**52}),
+            ("hold", "start after the year 2100", {"clock-ms": 1, "born": 2**52}),
             ("wave", "no machines", {**WAVE, "machines": None}),
             ("wave", "max-count of 0", {**WAVE, "max-count": 0}),
             ("advice", "no validity", {"approved": []}),
