Sync a replica's files before relying on what was read from them

A control process that was killed between a write and its sync found that write in the page cache when it restarted. It took it for durable: it counted the entries as synced, answered the leader with their index, and answered a repeated vote request without writing the vote again. A power loss after that took away what had been acknowledged, a vote included, on a machine that had not lost its disk. A kill within the sync and a loss of power before the next write to the same file are enough.

Cause: the files were read at the start, but only what this process itself had written was ever synced.

FailureTest let the first call after the start fail. A start now makes calls of its own, so the test lets the first call after the start fail explicitly, and a second test lets the start itself fail with the same errors.

--- a/packages/storage/src/marigolddoor_storage/log_file.py
+++ b/packages/storage/src/marigolddoor_storage/log_file.py
@@ -51,7 +51,10 @@
         return self.current.path.exists() or self.other.path.exists()
 
     def open(self, is_new: bool) -> None:
-        """Read the log and prepare to append; the next append overwrites a torn tail.
+        """Read the log, make it durable and prepare to append.
+
+        The next append overwrites a torn tail. The last batch may have been written without its
+        sync, if the process was killed in between.
 
         Args:
           is_new: the replica has not voted yet, so a log without a complete batch means that the
@@ -73,6 +76,7 @@
         newest = max(contents, key=lambda content: content.generation)
         if newest.file is self.other:
             self.current, self.other = self.other, self.current
+        self.current.sync()
         self.generation = newest.generation
         self.size_bytes = newest.size_bytes
         try:
--- a/packages/storage/src/marigolddoor_storage/record_file.py
+++ b/packages/storage/src/marigolddoor_storage/record_file.py
@@ -35,7 +35,7 @@
         return self.file.path.exists() and self.file.path.stat().st_size > 0
 
     def read(self) -> Any | None:
-        """Return the message, or None if none was ever stored.
+        """Return the message, or None if none was ever stored; a message returned is durable.
 
         Raises:
           CorruptFileError: no slot is valid.
@@ -50,6 +50,8 @@
                 # The very first write was interrupted before the second slot.
                 return None
             raise CorruptFileError(f"{self.file.path}: checksum mismatch in every slot")
+        # The process may have been killed between the write of a slot and its sync.
+        self.file.sync()
         self.sequence, body = max(valid)
         try:
             return decode(body)
--- a/packages/storage/src/marigolddoor_storage/snapshot_files.py
+++ b/packages/storage/src/marigolddoor_storage/snapshot_files.py
@@ -56,7 +56,7 @@
         self.received_writer: SnapshotWriter | None = None
 
     def open(self) -> bytes | None:
-        """Return the state of the latest complete snapshot, or None if there is none."""
+        """Return the state of the latest complete snapshot, made durable; None if there is none."""
         state: bytes | None = None
         for file in self.slots:
             content = _read(file)
@@ -66,6 +66,9 @@
             if self.latest is None or meta.index > self.latest.index:
                 self.latest, self.latest_file, self.data_offset = meta, file, offset
                 state = data
+        if state is not None:
+            # The process may have been killed between the last write and its sync.
+            self.latest_file.sync()
         return state
 
     def begin_local(self, meta: SnapshotMeta) -> SnapshotWriter:
--- a/tests/storage/folders.py
+++ b/tests/storage/folders.py
@@ -49,3 +49,29 @@
     def fail(self) -> None:
         """Raise the injected error."""
         raise OSError(self.error, "injected")
+
+
+class UnsyncedFiles(FailingFiles):
+    """Kills the process at call `fail_at`, and loses unsynced data in a later power loss."""
+
+    def __init__(self, fail_at: int) -> None:
+        super().__init__(fail_at, complete=True)
+        self.synced: dict[Path, bytes] = {}
+
+    def sync(self, descriptor: int) -> None:
+        super().sync(descriptor)
+        path = Path(f"/proc/self/fd/{descriptor}").readlink()
+        if path.is_file():
+            self.synced[path] = path.read_bytes()
+
+    def restart(self) -> None:
+        """Let all further calls succeed."""
+        self.fail_at = self.calls + 10**9
+
+    def lose_power(self, folder: Path) -> None:
+        """Reset each file to its content at its last sync; a file without one is lost."""
+        for path in folder.iterdir():
+            if path in self.synced:
+                path.write_bytes(self.synced[path])
+            else:
+                path.unlink()
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -29,7 +29,7 @@
     StorageError,
 )
 
-from tests.storage.folders import FailingFiles, temporary_folder
+from tests.storage.folders import FailingFiles, UnsyncedFiles, temporary_folder
 
 REPLICA = ReplicaId("a.1")
 GROUP = Configuration((Member(REPLICA, "127.0.0.1:1"),))
@@ -183,6 +183,35 @@
         return [reopen(folder)]
 
 
+class RestartBeforePowerLossTest(testtools.TestCase):
+    """What a restarted replica has read, and may acknowledge, survives a later power loss.
+
+    The process is killed at a file call, possibly between a write and its sync.
+    """
+
+    scenarios = [(f"call {call}", {"call": call}) for call in range(1, count_file_calls() + 1)]
+
+    def test_recovered(self) -> None:
+        path = temporary_folder(self).resolve()
+        files = UnsyncedFiles(self.call)
+        try:
+            store, _ = open_store(path, files)
+        except StorageError:
+            store = None
+        if store is not None:
+            self.assertRaises(StorageError, self.run_steps, store)
+            store.close()
+        files.restart()
+        store, restart = open_store(path, files)
+        store.close()
+        files.lose_power(path)
+        self.assertEqual(recovered_data(restart), reopen(path))
+
+    def run_steps(self, store: ReplicaStore) -> None:
+        for step in STEPS:
+            perform_step(store, step)
+
+
 def flip_bit(path: Path, position: int) -> None:
     """Flip one bit."""
     data = bytearray(path.read_bytes())
@@ -273,11 +302,21 @@
         path = temporary_folder(self)
         store, _ = open_store(path)
         store.close()
-        store, _ = open_store(path, FailingFiles(1, error=self.error))
+        files = FailingFiles(10**9, error=self.error)
+        store, _ = open_store(path, files)
         self.addCleanup(store.close)
+        files.fail_at = files.calls + 1
         error = self.assertRaises(self.expected, store.perform, STEPS[0])
         self.assertIs(self.expected, type(error))
 
+    def test_open(self) -> None:
+        path = temporary_folder(self)
+        store, _ = open_store(path)
+        store.close()
+        files = FailingFiles(1, error=self.error)
+        error = self.assertRaises(self.expected, open_store, path, files)
+        self.assertIs(self.expected, type(error))
+
 
 class FolderTest(testtools.TestCase):
     """A folder is locked by one process and must exist; its deletion is detected."""
