Refuse join requests of a former incarnation while its successor answers

A control machine that had lost its disk and joined again could be removed from the voters for 5 s or more: the group then had two of three voters, so the next lost disk took its quorum and with it all that was acknowledged.

Cause: a process has one replica at a time, so of two members at one address the one that was added last counts as the present one. A replica asks to join whenever it has no contact to a leader, also through other members, and such a request may be held up until its machine was wiped and has joined again. The leader then added the former incarnation and removed the one that works. That one notices only after 5 s without a leader.

The leader now ignores a request if another replica at the same address has answered within the lease.

--- a/packages/control/src/marigolddoor_control/consensus_service.py
+++ b/packages/control/src/marigolddoor_control/consensus_service.py
@@ -208,8 +208,9 @@
     async def _answer_join(self, message: Join) -> Acknowledgement:
         replica = self.replica
         if replica is not None and replica.is_leader:
-            self.joining[message.member.replica] = message.member
-            self.wake.set()
+            if replica.may_join(message.member, self._now()):
+                self.joining[message.member.replica] = message.member
+                self.wake.set()
         elif self.leader not in (None, self.settings.address, message.member.address):
             assert self.leader is not None
             await self.pool.post(self.leader, message)
--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -226,6 +226,17 @@
     def _has_recent_contact(self, replica: ReplicaId, now: Instant) -> bool:
         return now - self.lease.contact(replica) < self.node.timing.lease_s
 
+    def is_address_in_use(self, joining: Member, now: Instant) -> bool:
+        """Return whether another member has the address of `joining` and answered recently."""
+        return any(
+            member.address == joining.address
+            and member.replica != joining.replica
+            and (
+                member.replica == self.node.replica or self._has_recent_contact(member.replica, now)
+            )
+            for member in self.node.configuration.members
+        )
+
     def is_lost(self, replica: ReplicaId, now: Instant) -> bool:
         """Return whether a member has been unresponsive for so long that it may be replaced."""
         contact = max(self.elected_at, self.lease.contact(replica))
--- a/packages/core/src/marigolddoor_core/consensus/replica.py
+++ b/packages/core/src/marigolddoor_core/consensus/replica.py
@@ -186,6 +186,15 @@
         """Return which members answer, if this replica is the leader."""
         return None if self.leader_state is None else self.leader_state.health(now)
 
+    def may_join(self, member: Member, now: Instant) -> bool:
+        """Return whether this replica is leader and `member` may ask it to be added.
+
+        A process has one replica at a time. If another replica at its address still answers, the
+        request is from a former incarnation and was held up on its way.
+        """
+        leader_state = self.leader_state
+        return leader_state is not None and not leader_state.is_address_in_use(member, now)
+
     def planned_change(
         self, joining: tuple[Member, ...], voters: int, now: Instant
     ) -> PlannedChange | None:
