--- a/tests/wire/test_odd_answers.py
+++ b/tests/wire/test_odd_answers.py
@@ -41,7 +41,7 @@
 
     def test_unreachable(self) -> None:
         async def call() -> HttpAnswer:
-            return await HttpPool().call(Address(self.address), "/hold", b"{}", 0.5)
+            return await HttpPool(8).call(Address(self.address), "/hold", b"{}", 0.5)
 
         self.assertRaises(HttpUnreachableError, anyio.run, call)
 
@@ -58,10 +58,10 @@
 
     def test_unreachable(self) -> None:
         async def header() -> None:
-            await HttpPool().call(Address("127.0.0.1:9"), "/x", b"", 0.5, [("X-Id", self.value)])
+            await HttpPool(8).call(Address("127.0.0.1:9"), "/x", b"", 0.5, [("X-Id", self.value)])
 
         async def path() -> None:
-            await HttpPool().call(Address("127.0.0.1:9"), "/x" + self.value, b"", 0.5)
+            await HttpPool(8).call(Address("127.0.0.1:9"), "/x" + self.value, b"", 0.5)
 
         self.assertRaises(HttpUnreachableError, anyio.run, header)
         self.assertRaises(HttpUnreachableError, anyio.run, path)
@@ -126,7 +126,7 @@
         async with listener, anyio.create_task_group() as group:
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             group.start_soon(listener.serve, serve)
-            pool = HttpPool()
+            pool = HttpPool(8)
             try:
                 for _ in answers:
                     answer = await pool.call(Address(f"127.0.0.1:{port}"), "/x", b"", 5.0)
