Check in the simulations that a group tolerates losses again in time

The simulated group could stay one lost disk short of its quorum for a minute without a finding: its faults had no machine that is lost for good and replaced at another address, the last check was that a command is acknowledged, and the simulations set the time to replace a voter themselves.

A simulation now ends only when, whichever disks of the promised number are lost next, the other voters have a quorum and each quorum of them includes a disk with all that was acknowledged, in a committed configuration. Groups with the new fault then lose that many machines twice more, by wipes or with a successor at another address, and have to tolerate it again 4 s after the last one has started. After faults beyond the promise, and on links of 50 ms, the bound is that of the recovery, 8 s. They run with the timings of both products.

UnguardedRunTest has two more cases: with 60 s to replace a lost voter, and with learners that are never promoted, the check "tolerance" reports it. Existing scenarios draw the same faults as before, so that the seeds of former faults keep their meaning.

--- a/bench/faults/consensus.py
+++ b/bench/faults/consensus.py
@@ -38,6 +38,8 @@
 MAX_EVENTS = 50_000
 # Covers the longest pause (2.5 s), the replacement of a voter and several elections.
 RECOVERY_TIMEOUT_S = 8.0
+# Losses in series after the recovery, if machines are replaced.
+FURTHER_LOSSES = 2
 
 
 @dataclass
@@ -87,14 +89,27 @@
     fault_interval_s: float = 0.3
     client_interval_s: float = 0.04
     wiped_keeps_identity: bool = False
+    # Bound on the time between the start of an empty machine and full tolerance of losses, if no
+    # more machines were lost than are tolerated.
+    catch_up_s: float = 4.0
     timing: Timing = Timing(replace_after_s=1.5)
 
 
 class Simulation:
-    """The simulation of one seed."""
+    """The simulation of one seed.
 
-    def __init__(self, seed: int, options: Options | None = None, trace: bool = False) -> None:
+    With `replaces_machines`, machines are also lost for good and replaced at another address.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        options: Options | None = None,
+        trace: bool = False,
+        replaces_machines: bool = False,
+    ) -> None:
         self.rng = random.Random(seed)
+        self.replaces_machines = replaces_machines
         self.options = options or self._draw_options()
         self.now = 0.0
         self.trace: list[str] | None = [] if trace else None
@@ -104,12 +119,18 @@
         self.disks: dict[ReplicaId, VirtualDisk] = {}
         self.blocked: set[tuple[str, str]] = set()
         self.checkers = Checkers()
+        # Replicas whose disks are lost, and when they were lost.
         self.wiped: dict[ReplicaId, float] = {}
+        # The time at which the last machine that was stopped or paused is back.
+        self.back_at = 0.0
+        self.tolerance_bound_s = RECOVERY_TIMEOUT_S
+        self.further_losses = FURTHER_LOSSES if replaces_machines else 0
         # Occurrences of each kind of event, to verify that the seeds reach it.
         self.event_counts: Counter[str] = Counter()
         self.commands = 0
         self.acknowledged = 0
         self.incarnations = 0
+        self.successors = 0
         self.is_fault_free = False
         self.acknowledged_before = 0
         self._form_group()
@@ -124,6 +145,8 @@
             latency_s=rng.choice((0.001, 0.005, 0.05)),
             message_bytes=rng.choice((1, 100, 100, 10_000, 10_000)),
             fault_interval_s=rng.choice((0.15, 0.3, 0.6)),
+            # On links of 50 ms with one entry a message, a learner takes longer to catch up.
+            catch_up_s=RECOVERY_TIMEOUT_S,
         )
 
     def _form_group(self) -> None:
@@ -199,11 +222,49 @@
             self.is_fault_free = True
             self.acknowledged_before = self.acknowledged
             self.heal()
-        if self.now > self.options.duration_s + RECOVERY_TIMEOUT_S:
+            for node in self.nodes.values():
+                node.write_latency_s = 0.001
+            self._expect_back(0.0)
+        is_tolerant = self.checkers.tolerates_losses(self)
+        if self.now > self.back_at + self.tolerance_bound_s and not is_tolerant:
+            raise Violation(
+                "tolerance", f"not reached {self.tolerance_bound_s} s after the last return"
+            )
+        is_progressing = self.acknowledged > self.acknowledged_before
+        if self.now > self.options.duration_s + RECOVERY_TIMEOUT_S and not is_progressing:
             raise Violation(
                 "progress", f"nothing was acknowledged in {RECOVERY_TIMEOUT_S} s without faults"
             )
-        return self.acknowledged > self.acknowledged_before
+        if not (is_tolerant and is_progressing):
+            return False
+        if self.further_losses == 0:
+            return True
+        self.further_losses -= 1
+        self._lose_tolerated()
+        return False
+
+    def _lose_tolerated(self) -> None:
+        """Lose as many disks at once as the group tolerates, by wipes or with their machines."""
+        self.tolerance_bound_s = self.options.catch_up_s
+        for node in self.rng.sample(list(self.nodes.values()), self.tolerated_losses):
+            if self.rng.random() < 0.5:
+                self._wipe(node)
+                self._expect_back(0.0)
+            else:
+                self._replace(node)
+
+    @property
+    def tolerated_losses(self) -> int:
+        """Return the number of disks that the group has to survive the loss of."""
+        return (min(self.options.voters, len(self.nodes)) - 1) // 2
+
+    def _expect_back(self, delay_s: float) -> None:
+        """Record that a machine is back after `delay_s`."""
+        self.back_at = max(self.back_at, self.now + delay_s)
+
+    def _restart_after(self, node: SimulatedNode, delay_s: float) -> None:
+        self._expect_back(delay_s)
+        self.schedule_after(delay_s, self.restart, node)
 
     def process_output(self, node: SimulatedNode) -> None:
         """Carry out the output of the replica, and check the invariants."""
@@ -360,7 +421,8 @@
 
     def _membership(self) -> None:
         """Make the membership change that is due, as the driver of the leader does."""
-        self.schedule_after(0.15, self._membership)
+        # The driver of the leader makes a change within its next step.
+        self.schedule_after(0.05 if self.replaces_machines else 0.15, self._membership)
         for node in self._leaders():
             known = node.replica.configuration
             joining = tuple(
@@ -403,27 +465,28 @@
         if self.is_fault_free:
             return
         self.schedule_after(self.rng.expovariate(1 / self.options.fault_interval_s), self._fault)
-        fault = self.rng.choice(
-            (
-                self.partition,
-                self.partition,
-                self.isolate_leader,
-                self.cut_link,
-                self.heal,
-                self.heal,
-                self.crash,
-                self.crash_leader,
-                self.pause,
-                self.pause_leader,
-                self.wipe,
-                self.fill_disk,
-                self.slow_disk,
-                self.transfer,
-                self.snapshot,
-                self.snapshot,
-                self.remove_voter,
-            )
-        )
+        faults = [
+            self.partition,
+            self.partition,
+            self.isolate_leader,
+            self.cut_link,
+            self.heal,
+            self.heal,
+            self.crash,
+            self.crash_leader,
+            self.pause,
+            self.pause_leader,
+            self.wipe,
+            self.fill_disk,
+            self.slow_disk,
+            self.transfer,
+            self.snapshot,
+            self.snapshot,
+            self.remove_voter,
+        ]
+        if self.replaces_machines:
+            faults.append(self.replace)
+        fault = self.rng.choice(faults)
         self.event_counts[fault.__name__] += 1
         fault()
 
@@ -477,7 +540,7 @@
         if node is not None:
             self.record_trace(f"crash {node.id}")
             self.stop(node)
-            self.schedule_after(self.rng.uniform(0.0, 0.8), self.restart, node)
+            self._restart_after(node, self.rng.uniform(0.0, 0.8))
 
     def stop(self, node: SimulatedNode) -> None:
         """Stop a process; writes in flight may be lost."""
@@ -514,14 +577,18 @@
 
     def _pause(self, node: SimulatedNode | None) -> None:
         if node is not None:
-            node.paused_until = self.now + self.rng.choice((0.1, 0.5, 1.5, 2.5))
+            pause_s = self.rng.choice((0.1, 0.5, 1.5, 2.5))
+            node.paused_until = self.now + pause_s
+            self._expect_back(pause_s)
             self.record_trace(f"pause {node.id} until {node.paused_until:.4f}")
 
     def wipe(self) -> None:
         """Empty a data folder; the process rejoins as another incarnation."""
         node = self._random_node()
-        if node is None or not self._may_wipe(node):
-            return
+        if node is not None and self._may_wipe(node):
+            self._wipe(node)
+
+    def _wipe(self, node: SimulatedNode) -> None:
         self.record_trace(f"wipe {node.id}")
         self.stop(node)
         self.incarnations += 1
@@ -535,6 +602,42 @@
         del self.nodes[node.id]
         self._add(Member(replica, node.address), configuration)
 
+    def replace(self) -> None:
+        """Lose a machine for good; an empty one starts at another address, before or after."""
+        node = self._random_node()
+        if node is None or not self._may_wipe(node):
+            return
+        if self.rng.random() < 0.7:
+            self._replace(node)
+            return
+        successor = self._new_successor(node)
+        self._add(successor, Configuration())
+        self.schedule_after(self.rng.uniform(0.0, 1.0), self._lose_if_allowed, node)
+
+    def _new_successor(self, node: SimulatedNode) -> Member:
+        self.successors += 1
+        successor = Member(ReplicaId(f"r{self.successors}.0"), f"r{self.successors}")
+        self.record_trace(f"{successor.replica} replaces {node.id}")
+        return successor
+
+    def _replace(self, node: SimulatedNode) -> None:
+        successor = self._new_successor(node)
+        self._lose(node)
+        delay_s = self.rng.uniform(0.0, 1.0)
+        self._expect_back(delay_s)
+        self.schedule_after(delay_s, self._add, successor, Configuration())
+
+    def _lose_if_allowed(self, node: SimulatedNode) -> None:
+        """Lose a machine whose successor has started, unless too many disks are lost meanwhile."""
+        if not self.is_fault_free and self.nodes.get(node.id) is node and self._may_wipe(node):
+            self._lose(node)
+
+    def _lose(self, node: SimulatedNode) -> None:
+        self.record_trace(f"lose {node.id}")
+        self.stop(node)
+        self.wiped[node.id] = self.now
+        del self.nodes[node.id]
+
     def _may_wipe(self, node: SimulatedNode) -> bool:
         """Return whether the remaining disks are a quorum in every configuration in use.
 
@@ -559,7 +662,7 @@
             node.timer_at = float("inf")
             node.replica.take_output()
             node.is_up = False
-            self.schedule_after(self.rng.uniform(0.3, 1.0), self.restart, node)
+            self._restart_after(node, self.rng.uniform(0.3, 1.0))
 
     def slow_disk(self) -> None:
         """Change the write latency of a replica."""
--- a/bench/faults/consensus_checkers.py
+++ b/bench/faults/consensus_checkers.py
@@ -149,3 +149,38 @@
             raise Violation(
                 "stale read", f"{node.id} reads at {index}, {acknowledged} was acknowledged"
             )
+
+    def tolerates_losses(self, simulation: "Simulation") -> bool:
+        """Return whether the group may lose the disks that it has to tolerate the loss of.
+
+        Whichever machines these are, the other voters must have a quorum, and every quorum of them
+        must include one whose disk holds all that was acknowledged.
+        """
+        leaders = [
+            node
+            for node in simulation.nodes.values()
+            if node.is_up and node.replica.role is Role.LEADER
+        ]
+        if not leaders:
+            return False
+        leader = max(leaders, key=lambda node: node.replica.term)
+        log = leader.replica.node.log
+        if log.configured_at > leader.replica.node.commit_index:
+            # If the leader is lost now, the next one may still use the previous configuration.
+            return False
+        configuration = leader.replica.configuration
+        losses = simulation.tolerated_losses
+        usable = [
+            voter
+            for voter in configuration.voter_ids
+            if voter in simulation.nodes and simulation.nodes[voter].is_up
+        ]
+        index = self.highest_acknowledged
+        holders = [
+            voter
+            for voter in usable
+            if not index or simulation.disks[voter].holds(index, self.delivered[index].term)
+        ]
+        survivors = len(usable) - losses
+        lacking = survivors - max(0, len(holders) - losses)
+        return survivors >= configuration.quorum and lacking < configuration.quorum
--- a/tests/core/consensus/test_faults.py
+++ b/tests/core/consensus/test_faults.py
@@ -5,9 +5,11 @@
 """
 
 from collections import Counter
+from dataclasses import replace
 from typing import Any, ClassVar
 
 import testtools
+from marigolddoor_control.group_timing import FLEET_TIMING, GROUP_TIMING
 from marigolddoor_core.consensus import Timing
 from marigolddoor_core.consensus.election import Election
 from marigolddoor_core.consensus.follower import Follower
@@ -26,7 +28,6 @@
 REGRESSION_SEEDS = (726, 209_368)
 # Enough seeds to report each missing guard; most are reported within the first hundred.
 UNGUARDED_SEEDS = 3_000
-
 FIVE_VOTERS = Options(voters=5, spares=0, client_interval_s=0.2)
 # The platform names three founders, however many failures the group has to tolerate.
 GROWING_GROUP = Options(voters=5, founders=3, spares=3)
@@ -44,20 +45,40 @@
 class FaultsTest(testtools.TestCase):
     """Guards against violated invariants, and against groups that don't recover from faults."""
 
-    scenarios = [
-        (f"seeds {first} to {first + BLOCK - 1}", {"seeds": range(first, first + BLOCK)})
-        for first in range(0, SEEDS, BLOCK)
-    ] + [
-        ("regressions", {"seeds": REGRESSION_SEEDS}),
-        ("three founders, five voters", {"seeds": range(BLOCK), "options": GROWING_GROUP}),
-        ("the same, many faults", {"seeds": range(BLOCK), "options": GROWING_GROUP_MANY_FAULTS}),
-    ]
+    scenarios = (
+        [
+            (f"seeds {first} to {first + BLOCK - 1}", {"seeds": range(first, first + BLOCK)})
+            for first in range(0, SEEDS, BLOCK)
+        ]
+        + [
+            ("regressions", {"seeds": REGRESSION_SEEDS}),
+            ("three founders, five voters", {"seeds": range(BLOCK), "options": GROWING_GROUP}),
+            (
+                "the same, many faults",
+                {"seeds": range(BLOCK), "options": GROWING_GROUP_MANY_FAULTS},
+            ),
+            ("machines replaced", {"seeds": range(100), "replaces_machines": True}),
+        ]
+        + [
+            (
+                f"machines replaced, timing of {name}, {options.voters} voters",
+                {"seeds": range(50), "replaces_machines": True, "options": options},
+            )
+            for name, timing in (("the fleet", FLEET_TIMING), ("a group", GROUP_TIMING))
+            for options in (
+                Options(timing=timing),
+                replace(GROWING_GROUP, timing=timing),
+            )
+        ]
+    )
     options: Options | None = None
+    replaces_machines = False
 
     def test_invariants(self) -> None:
         for seed in self.seeds:
+            simulation = Simulation(seed, self.options, replaces_machines=self.replaces_machines)
             try:
-                Simulation(seed, self.options).run()
+                simulation.run()
             except Violation as violation:
                 self.fail(f"seed {seed}: {violation}")
 
@@ -258,16 +279,35 @@
                 "checkers": {"committed entries", "one vote", "synced quorum"},
             },
         ),
+        (
+            "replace a lost voter only after a minute",
+            {
+                "patches": [],
+                "options": Options(timing=Timing(replace_after_s=60.0)),
+                "replaces_machines": True,
+                "checkers": {"tolerance"},
+            },
+        ),
+        (
+            "never promote a learner that has caught up",
+            {
+                "patches": [(Leader, "is_caught_up", lambda *_: False)],
+                "options": Options(),
+                "replaces_machines": True,
+                "checkers": {"tolerance"},
+            },
+        ),
     ]
 
     options: Options | None = None
+    replaces_machines = False
 
     def test_reported(self) -> None:
         for target, name, replacement in self.patches:
             self.patch(target, name, replacement)
         for seed in range(UNGUARDED_SEEDS):
             try:
-                Simulation(seed, self.options).run()
+                Simulation(seed, self.options, replaces_machines=self.replaces_machines).run()
             except Violation as violation:
                 if violation.checker in self.checkers:
                     return
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -6,6 +6,7 @@
   python tools/faults.py --fleet --seed 0 --count 1000
   python tools/faults.py --long-running --seed 0 --count 1000
   python tools/faults.py --growing --seed 0 --count 1000
+  python tools/faults.py --replacing --seed 0 --count 1000
 """
 
 import argparse
@@ -33,13 +34,15 @@
     print(f"{anyio.current_time():9.4f} {message}", end="")
 
 
-def run_group(seed: int, trace: bool, options: Options | None = None) -> int:
+def run_group(
+    seed: int, trace: bool, options: Options | None = None, replaces_machines: bool = False
+) -> int:
     """Run the consensus group; return the number of acknowledged commands.
 
     Raises:
       Violation: an invariant does not hold.
     """
-    simulation = Simulation(seed, options, trace)
+    simulation = Simulation(seed, options, trace, replaces_machines)
     try:
         simulation.run()
     finally:
@@ -53,6 +56,11 @@
     return run_group(seed, trace, GROWING_GROUP)
 
 
+def run_group_of_replaced_machines(seed: int, trace: bool) -> int:
+    """Run a group whose machines are lost for good and replaced, like `run_group`."""
+    return run_group(seed, trace, replaces_machines=True)
+
+
 def run_fleet(seed: int, trace: bool, options: FleetOptions | None = None) -> int:
     """Run the leader of the fleet; return the number of accepted jobs.
 
@@ -84,6 +92,9 @@
     kind.add_argument(
         "--growing", action="store_true", help="run a group that grows to five voters"
     )
+    kind.add_argument(
+        "--replacing", action="store_true", help="also lose machines for good and replace them"
+    )
     arguments = parser.parse_args()
     logger.remove()
     if arguments.trace:
@@ -95,6 +106,8 @@
         run = run_long_running
     elif arguments.growing:
         run = run_growing_group
+    elif arguments.replacing:
+        run = run_group_of_replaced_machines
     started_s = time.monotonic()
     failed = acknowledged = 0
     for seed in range(arguments.seed, arguments.seed + arguments.count):
