Keep an accepted job known when a shorter prefix covers its removed queue

Callers saw 410 for a job that had been accepted and not ended, once its queue was removed while another queue of the host has a shorter prefix of its path: the path was taken for a job of that queue. Only without any queue for the path was the job looked up by its id. It is now in both cases.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -97,14 +97,8 @@
         if configuration is None:
             return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=ELECTION_RETRY_S)
         queue = configuration.find(call.host, call.path)
-        if queue is None:
-            job_record = self._find_job(call)
-            if job_record is None:
-                return QueueReply(QueueOutcome.NO_QUEUE)
-            # A job outlives its queue: its state can still be read and it can be cancelled.
-            return await self._answer_existing(leadership, call, job_record)
-        name = call.path[len(queue.path_prefix) :]
-        if call.method is QueueMethod.READ and not name:
+        name = "" if queue is None else call.path[len(queue.path_prefix) :]
+        if queue is not None and call.method is QueueMethod.READ and not name:
             waiting = sum(
                 1
                 for job in self.table.jobs.values()
@@ -113,13 +107,17 @@
                 and not leadership.dispatch.has_begun(job)
             )
             return QueueReply(QueueOutcome.ANSWERED, pending=waiting)
-        job = JobId(name)
-        job_record = self.table.jobs.get(job)
         if call.method is not QueueMethod.SUBMIT:
-            if job_record is None:
-                return QueueReply(QueueOutcome.NO_JOB)
-            return await self._answer_existing(leadership, call, job_record)
-        if job_record is not None:
+            # A job outlives its queue: its state can still be read and it can be cancelled, also if
+            # another queue has a shorter prefix of its path.
+            job_record = self.table.jobs.get(JobId(call.path.rpartition("/")[2]))
+            if job_record is not None:
+                return await self._answer_existing(leadership, call, job_record)
+            return QueueReply(QueueOutcome.NO_QUEUE if queue is None else QueueOutcome.NO_JOB)
+        if queue is None:
+            return QueueReply(QueueOutcome.NO_QUEUE)
+        job = JobId(name)
+        if job in self.table.jobs:
             return QueueReply(QueueOutcome.ANSWERED)
         if not name or "/" in name or not is_text(name):
             return QueueReply(QueueOutcome.INVALID, detail="the path names no job")
@@ -144,11 +142,6 @@
         )
         return reply
 
-    def _find_job(self, call: QueueCall) -> JobRecord | None:
-        if call.method is QueueMethod.SUBMIT:
-            return None
-        return self.table.jobs.get(JobId(call.path.rpartition("/")[2]))
-
     async def _answer_existing(
         self, leadership: FleetLeadership, call: QueueCall, job: JobRecord
     ) -> QueueReply:
--- a/tests/control/test_fleet_service.py
+++ b/tests/control/test_fleet_service.py
@@ -7,12 +7,37 @@
 from marigolddoor_control.fleet.service import FleetService
 from marigolddoor_core.dispatch import StartOrder
 from marigolddoor_core.jobs import StoreConfiguration
-from marigolddoor_core.queue_calls import QueueCall, QueueMethod
+from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome
 
 from tests.core.dispatch.fakes import Fleet
 from tests.core.jobs.fakes import SERVICE, Log, accept, configuration
 
 
+class RemovedQueueTest(testtools.TestCase):
+    """An accepted job stays known after its queue was removed.
+
+    It was answered as unknown if another queue of the host has a shorter prefix of its path.
+    """
+
+    scenarios = [
+        ("no queue has its path", {"queue": "other", "path": "/views/deep/j", "known": True}),
+        ("a shorter prefix", {"queue": "views", "path": "/views/deep/j", "known": True}),
+        ("another job", {"queue": "views", "path": "/views/deep/k", "known": False}),
+    ]
+
+    def test_read(self) -> None:
+        log = Log()
+        log.apply(StoreConfiguration(1, configuration(1, **{"views/deep": SERVICE})))
+        fleet = Fleet(log)
+        fleet.step(accept("j", {"count": 1}))
+        log.apply(StoreConfiguration(2, configuration(2, **{self.queue: SERVICE})))
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(dispatch=fleet.dispatch, has_ended=False)  # type: ignore[assignment]
+        call = QueueCall(QueueMethod.READ, "a.example", self.path, b"")
+        reply = anyio.run(service.call_queue, call)
+        self.assertEqual(self.known, reply.outcome is QueueOutcome.ANSWERED)
+
+
 class WaitingJobsTest(testtools.TestCase):
     """Jobs on executors that are cut off must be counted among the waiting ones.
 
