Remove the lost voter, not its successor, after a change of the leader

A leader now removes a surplus voter only if every voter has answered it since its election, and never itself. A replica without contact asks to join again after 2 s.

--- a/packages/control/src/marigolddoor_control/replica_driver.py
+++ b/packages/control/src/marigolddoor_control/replica_driver.py
@@ -52,7 +52,8 @@
 # A snapshot is synced in parts of this size, because a sync blocks the loop.
 SYNC_BYTES = 1024 * 1024
 # Without contact from a leader for this time, a replica may have been removed and asks to rejoin.
-REJOIN_AFTER_S = 5.0
+# It exceeds the time of an election, and the group has its spare again before the next failure.
+REJOIN_AFTER_S = 2.0
 # The leader looks for members that no longer answer at this interval, not after each message.
 HEALTH_INTERVAL_S = 0.5
 
@@ -477,7 +478,8 @@
                         group.start_soon(self.pool.post, peer, Join(member))
                 await anyio.sleep(JOIN_INTERVAL_S)
             else:
-                await self._wait_role(REJOIN_AFTER_S)
+                silent_s = self.clock() - self._replica().leader_contact
+                await self._wait_role(max(JOIN_INTERVAL_S, REJOIN_AFTER_S - silent_s))
 
     def _should_join(self) -> bool:
         """Return whether this replica is not in the group, or may have been removed from it."""
--- a/packages/core/src/marigolddoor_core/consensus/leader.py
+++ b/packages/core/src/marigolddoor_core/consensus/leader.py
@@ -226,6 +226,10 @@
     def _has_recent_contact(self, replica: ReplicaId, now: Instant) -> bool:
         return now - self.lease.contact(replica) < self.node.timing.lease_s
 
+    def has_answered(self, replica: ReplicaId) -> bool:
+        """Return whether a member has answered this leader."""
+        return self.lease.contact(replica) >= self.elected_at
+
     def is_address_in_use(self, joining: Member, now: Instant) -> bool:
         """Return whether another member has the address of `joining` and answered recently."""
         return any(
--- a/packages/core/src/marigolddoor_core/consensus/membership_plan.py
+++ b/packages/core/src/marigolddoor_core/consensus/membership_plan.py
@@ -38,11 +38,15 @@
     configuration: Configuration,
     joining: tuple[Member, ...],
     voters: int,
+    leader: ReplicaId,
     is_caught_up: Callable[[ReplicaId], bool],
     is_lost: Callable[[ReplicaId], bool],
+    has_answered: Callable[[ReplicaId], bool],
 ) -> PlannedChange | None:
     """Return the next change towards a group with `voters` voters, or None.
 
+    `has_answered` returns whether a member has answered this leader since its election.
+
     A process has one replica at a time, so a member whose address is used by a later incarnation
     has been wiped. It never votes again, so it is removed at once: a quorum needs the same
     remaining voters as before. A learner that has caught up is promoted while there are too few
@@ -63,8 +67,14 @@
     lost = [voter for voter in configuration.voters if is_lost(voter.replica)]
     excess = len(configuration.voters) - voters
     if excess > 0:
-        # If the lost voter has returned, its replacement is removed and becomes a spare again.
-        return PlannedChange(ChangeKind.REMOVE, (lost or list(configuration.voters[::-1]))[0])
+        if lost:
+            return PlannedChange(ChangeKind.REMOVE, lost[0])
+        others = [voter for voter in configuration.voters if voter.replica != leader]
+        if not all(has_answered(voter.replica) for voter in others):
+            # The voter that was being replaced under the former leader will be lost or answer.
+            return None
+        # The lost voter has returned, so its replacement becomes a spare again.
+        return PlannedChange(ChangeKind.REMOVE, others[-1])
     if excess < 0 or lost:
         for learner in configuration.learners:
             if is_caught_up(learner.replica):
--- a/packages/core/src/marigolddoor_core/consensus/replica.py
+++ b/packages/core/src/marigolddoor_core/consensus/replica.py
@@ -206,8 +206,10 @@
             self.configuration,
             joining,
             voters,
+            self.node.replica,
             lambda replica: leader_state.is_caught_up(replica, now),
             lambda replica: leader_state.is_lost(replica, now),
+            leader_state.has_answered,
         )
 
     def change(self, planned: PlannedChange, now: Instant) -> None:
--- a/packages/core/src/marigolddoor_core/consensus/timing.py
+++ b/packages/core/src/marigolddoor_core/consensus/timing.py
@@ -22,6 +22,6 @@
     resend_s: float = 0.3
     # A voter that is unresponsive for this long is replaced if a learner has caught up. Until then
     # the group survives one failure less, although enough machines are up. A voter that returns
-    # becomes a learner, so replacing it early costs only two log entries. The time exceeds
-    # `quorum_lost_s`, so that a new leader has heard from every voter that is up.
+    # joins again as a learner, so replacing it early costs a few log entries. The time exceeds
+    # `quorum_lost_s`, so that a leader that was itself cut off steps down first.
     replace_after_s: float = 2.0
--- a/tests/control/test_replaced_machines.py
+++ b/tests/control/test_replaced_machines.py
@@ -7,6 +7,7 @@
 import anyio
 import testtools
 from marigolddoor_control.group_timing import FLEET_TIMING, GROUP_TIMING
+from marigolddoor_core.instants import Instant
 from marigolddoor_wire.peers import Address
 
 from bench.faults.virtual_loop import run_in_virtual_time
@@ -34,6 +35,14 @@
     return False
 
 
+async def hand_over_during_replacement(leader: Process) -> None:
+    """Transfer the leadership once the successor is a voter beside the lost one."""
+    while len(leader.voters) == 3:
+        await anyio.sleep(0.0005)
+    leader.replica.transfer(Instant(anyio.current_time()))
+    leader.consensus.wake.set()
+
+
 class ReplacedMachineTest(testtools.TestCase):
     """Lost machines come back with empty disks at other addresses; then others lose their disks.
 
@@ -47,9 +56,15 @@
             ("a follower", {"loses_leader": False, "losses": 1, "processes": 3}),
             ("the leader", {"loses_leader": True, "losses": 1, "processes": 3}),
             ("two of six", {"loses_leader": True, "losses": 2, "processes": 6}),
+            (
+                "a follower, another leader before it is removed",
+                {"loses_leader": False, "losses": 1, "processes": 3, "hands_over": True},
+            ),
         ]
     ]
 
+    hands_over = False
+
     def test_second_loss(self) -> None:
         for seed in range(SEEDS):
             run_in_virtual_time(self.run_case, random.Random(seed))
@@ -79,6 +94,8 @@
         for process in lost[: self.losses]:
             await process.kill()
             network.lost.add(process.settings.address)
+        if self.hands_over:
+            group.tasks.start_soon(hand_over_during_replacement, leader)
         for number in range(self.losses):
             group.addresses.append(Address(f"127.0.0.2:{number + 1}"))
             await group.start(len(group.addresses) - 1)
--- a/tests/core/consensus/test_membership_plan.py
+++ b/tests/core/consensus/test_membership_plan.py
@@ -76,6 +76,15 @@
             {"voters": [*ABC, "d1"], "lost": ["b1"], "expected": ("remove", "b1")},
         ),
         ("lost, then returned", {"voters": [*ABC, "d1"], "expected": ("remove", "d1")}),
+        # Otherwise the new leader removes the replacement and keeps the lost voter.
+        (
+            "being replaced when the leader changed",
+            {"voters": [*ABC, "d1"], "unheard": ["b1"], "expected": None},
+        ),
+        (
+            "returned, its replacement leads",
+            {"voters": [*ABC, "d1"], "leader": "d1", "expected": ("remove", "c1")},
+        ),
         ("lost without a spare", {"voters": ABC, "lost": ["b1"], "expected": None}),
         (
             "lost, spare behind",
@@ -87,14 +96,18 @@
     joining: list[str] = []
     behind: list[str] = []
     lost: list[str] = []
+    unheard: list[str] = []
+    leader = "a1"
 
     def test_next(self) -> None:
         planned = next_change(
             group(self.voters, self.learners),
             tuple(map(member, self.joining)),
             self.required,
+            ReplicaId(self.leader),
             lambda replica: replica not in self.behind,
             lambda replica: replica in self.lost,
+            lambda replica: replica not in self.unheard,
         )
         found = None if planned is None else (planned.kind.value, planned.member.replica)
         self.assertEqual(self.expected, found)
