--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -131,7 +131,7 @@
         ]
 
     def receive_heartbeat(self, heartbeat: Heartbeat, now: Instant) -> Executor | None:
-        """Handle a heartbeat; return the executor if its incarnation was not known before.
+        """Handle a heartbeat; return the executor if its incarnation was not in use.
 
         A heartbeat of another writer does not displace a known executor: one that contradicts what
         its incarnation reported before, or one of a service that is not configured.
@@ -201,7 +201,8 @@
     def _has_returned(self, heartbeat: Heartbeat) -> bool:
         """Return whether an executor that was given up because of its silence reports again.
 
-        It may only have been cut off. Its runs ended with its lease.
+        It may only have been cut off. It was given up after its lease had certainly expired, so
+        none of its runs continues.
         """
         last = self.silent_after.get(heartbeat.executor)
         return last is not None and heartbeat.sequence > last
