--- a/standins/src/marigolddoor_standins/folders.py
+++ b/standins/src/marigolddoor_standins/folders.py
@@ -2,15 +2,15 @@
 
 import hashlib
 import secrets
-import socket
 from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = ["ProcessFiles", "SystemFolder", "example_organisation", "free_ports"]
+from marigolddoor_standins.loopback import free_host, free_port
+
+__all__ = ["ProcessFiles", "SystemFolder", "example_organisation"]
 
 TOKEN = "operator-token-of-a-local-system"
 OPERATOR = "ann"
-HOST = "127.0.0.1"
 
 
 def example_organisation(root: Path) -> Path:
@@ -18,24 +18,6 @@
     return sorted((root / "examples").glob("*/organisation.toml"))[-1]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return currently free ports below the ephemeral port range.
-
-    An outgoing connection could occupy an ephemeral port before the process listens on it.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = secrets.choice(range(12_000, 30_000))
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
-
-
 @dataclass(frozen=True, slots=True)
 class ProcessFiles:
     """A process of a local system: its settings file and addresses (empty for unused roles)."""
@@ -74,13 +56,13 @@
         digest = hashlib.sha256(TOKEN.encode()).hexdigest()
         self._write_private("tokens", f"{OPERATOR} {digest}\n")
         names = [f"dc{number}" for number in range(data_centres)]
-        ports = iter(free_ports(data_centres * (2 + 3 * entries)))
+        self.host = host = free_host()
         self.control_addresses = {
-            name: (f"{HOST}:{next(ports)}", f"{HOST}:{next(ports)}") for name in names
+            name: (f"{host}:{free_port()}", f"{host}:{free_port()}") for name in names
         }
         addresses = {
             name: [
-                (f"{HOST}:{next(ports)}", f"{HOST}:{next(ports)}", f"{HOST}:{next(ports)}")
+                (f"{host}:{free_port()}", f"{host}:{free_port()}", f"{host}:{free_port()}")
                 for _ in range(entries)
             ]
             for name in names
--- a/tests/control/groups.py
+++ b/tests/control/groups.py
@@ -1,7 +1,6 @@
 """A consensus group of control processes in one test process, on real sockets and files."""
 
 import random
-import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -14,6 +13,7 @@
 from marigolddoor_core.ids import ClaimId, IdempotencyKey, LogIndex, ProcessId, ServiceId
 from marigolddoor_core.state.commands import Claim, Command
 from marigolddoor_core.state.results import ClaimGranted, Result
+from marigolddoor_standins.loopback import free_host, free_port
 from marigolddoor_storage import Files, ReplicaStore
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.messages import TargetDelta
@@ -106,11 +106,16 @@
         self.root = root
         self.tasks = tasks
         self.settings = settings
-        self.addresses = [Address(f"127.0.0.1:{port}") for port in free_ports(count)]
+        self.host = free_host()
+        self.addresses = [self.free_address() for _ in range(count)]
         self.processes: list[Process] = []
         self.new_machine: Callable[[], Any] = KeyList
         self.new_process: Callable[..., Process] = Process
 
+    def free_address(self) -> Address:
+        """Return an unused address, which is greater than those returned before."""
+        return Address(f"{self.host}:{free_port()}")
+
     async def start(self, number: int, files: Files | None = None) -> Process:
         """Start or restart the process with this number in its folder."""
         folder = self.root / str(number)
@@ -149,17 +154,6 @@
             await anyio.sleep(0.01)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return unused ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound in sockets:
-        bound.bind(("127.0.0.1", 0))
-    ports = sorted(bound.getsockname()[1] for bound in sockets)
-    for bound in sockets:
-        bound.close()
-    return ports
-
-
 @asynccontextmanager
 async def running_group(
     root: Path, count: int, new_machine: Callable[[], Any] = KeyList, **settings: Any
--- a/tests/control/test_replaced_machines.py
+++ b/tests/control/test_replaced_machines.py
@@ -8,7 +8,6 @@
 import testtools
 from marigolddoor_control.group_timing import FLEET_TIMING, GROUP_TIMING
 from marigolddoor_core.instants import Instant
-from marigolddoor_wire.peers import Address
 
 from bench.faults.virtual_loop import run_in_virtual_time
 from tests.control.groups import Group, Process, claim
@@ -96,8 +95,8 @@
             network.lost.add(process.settings.address)
         if self.hands_over:
             group.tasks.start_soon(hand_over_during_replacement, leader)
-        for number in range(self.losses):
-            group.addresses.append(Address(f"127.0.0.2:{number + 1}"))
+        for _ in range(self.losses):
+            group.addresses.append(group.free_address())
             await group.start(len(group.addresses) - 1)
         self.assertTrue(
             await tolerates(group, self.losses), f"no tolerance {CATCH_UP_S} s after the start"
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -12,12 +12,13 @@
 import anyio
 import httpx
 from anyio.abc import Process, TaskGroup
+from marigolddoor_standins.loopback import free_host, free_port
 from marigolddoor_standins.platform_executor import PlatformExecutor, RunLedger
 
-from tests.platform.system import CONFIGURATION, QUEUE_HOST, free_port
+from tests.platform.system import CONFIGURATION, QUEUE_HOST
 
-CONTROL = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
-ENTRIES = ("127.0.1.4", "127.0.1.5")
+CONTROL = (free_host(), free_host(), free_host())
+ENTRIES = (free_host(), free_host())
 GRACE_S = 6.0
 # The platform checks readiness once a second and takes an entry process out after two misses.
 READINESS_INTERVAL_S = 1.0
@@ -30,10 +31,9 @@
     def __init__(self, group: TaskGroup, folder: Path) -> None:
         self.group = group
         self.folder = folder
-        hosts = CONTROL + ENTRIES
-        self.control_port, self.peer_port = free_port(CONTROL), free_port(hosts)
-        self.callers_port, self.ready_port = free_port(ENTRIES), free_port(ENTRIES)
-        self.metrics_port = free_port(hosts)
+        self.control_port, self.peer_port = free_port(), free_port()
+        self.callers_port, self.ready_port = free_port(), free_port()
+        self.metrics_port = free_port()
         self.ledger = RunLedger()
         self.running: dict[str, Process] = {}
         self.misses = dict.fromkeys(ENTRIES, 0)
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -1,7 +1,6 @@
 """A whole system on loopback addresses: control processes, an entry process and executors."""
 
 import json
-import socket
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -13,11 +12,12 @@
 from marigolddoor_core.consensus import Timing
 from marigolddoor_platform import main
 from marigolddoor_platform.settings import parse_settings
+from marigolddoor_standins.loopback import free_host, free_port
 from marigolddoor_standins.platform_executor import PlatformExecutor, RunLedger
 from marigolddoor_storage import StorageError
 
-HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
-ENTRY_HOST = "127.0.0.4"
+HOSTS = (free_host(), free_host(), free_host())
+ENTRY_HOST = free_host()
 QUEUE_HOST = "queues.example"
 CONFIGURATION = {
     "version": 3,
@@ -42,22 +42,6 @@
 TIMING = Timing(0.2, 1.0, 1.6, 0.9, 2.0)
 
 
-def free_port(hosts: tuple[str, ...]) -> int:
-    """Return a port that is free on all hosts."""
-    for _ in range(50):
-        with socket.socket() as first:
-            first.bind((hosts[0], 0))
-            port = int(first.getsockname()[1])
-            try:
-                for host in hosts[1:]:
-                    with socket.socket() as other:
-                        other.bind((host, port))
-            except OSError:
-                continue
-            return port
-    raise OSError("no port is free on all hosts")
-
-
 def _first_cause(failure: BaseException) -> BaseException:
     while isinstance(failure, BaseExceptionGroup):
         failure = failure.exceptions[0]
@@ -70,11 +54,11 @@
     def __init__(self, group: TaskGroup, folder: Path) -> None:
         self.group = group
         self.folder = folder
-        self.control_port = free_port(HOSTS)
-        self.peer_port = free_port(HOSTS)
-        self.callers_port = free_port((ENTRY_HOST,))
-        self.ready_port = free_port((ENTRY_HOST,))
-        self.metrics_port = free_port((*HOSTS, ENTRY_HOST))
+        self.control_port = free_port()
+        self.peer_port = free_port()
+        self.callers_port = free_port()
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
         self.ledger = RunLedger()
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.executors: dict[str, PlatformExecutor] = {}
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -15,15 +15,15 @@
 from anyio.abc import TaskGroup
 from marigolddoor_platform import main
 from marigolddoor_platform.settings import parse_settings
+from marigolddoor_standins.loopback import free_host, free_port
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.peers import Address, PeerServer
 from marigolddoor_wire.queue_messages import NotLeading
 
-from tests.platform.system import free_port
 from tests.platform.test_settings import settings_text
 
-HOST = "127.0.0.5"
-CONTROL_HOST = "127.0.0.6"
+HOST = free_host()
+CONTROL_HOST = free_host()
 GRACE_S = 6.0
 
 
@@ -34,9 +34,9 @@
         self.group = group
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
-        self.peer_port = free_port((HOST, CONTROL_HOST))
-        self.url = f"http://{HOST}:{free_port((HOST,))}/tasks/{1:016x}"
-        self.ready_url = f"http://{HOST}:{free_port((HOST,))}/readiness"
+        self.peer_port = free_port()
+        self.url = f"http://{HOST}:{free_port()}/tasks/{1:016x}"
+        self.ready_url = f"http://{HOST}:{free_port()}/readiness"
         self.client = httpx.AsyncClient(timeout=30.0)
 
     async def start(self) -> None:
@@ -51,7 +51,7 @@
             listen__frontend=httpx.URL(self.url).netloc.decode(),
             listen__ready=httpx.URL(self.ready_url).netloc.decode(),
             internal_port_range=f"{self.peer_port},{self.peer_port}",
-            metrics_port=str(free_port((HOST,))),
+            metrics_port=str(free_port()),
             seeds=f"{CONTROL_HOST}:8623",
             bounds__grace_s=str(GRACE_S),
         )
--- a/tests/test_run_tests.py
+++ b/tests/test_run_tests.py
@@ -1,4 +1,4 @@
-"""Guards against a list of known failing tests that hides another failure."""
+"""Guards against a run of the tests that hides a failure or leaves out a test."""
 
 import contextlib
 import io
@@ -6,9 +6,10 @@
 import unittest
 from pathlib import Path
 
+import anyio
 import testtools
 
-from tools.run_tests import Outcome, known_red_tests
+from tools.run_tests import Outcome, Runner, discover, known_red_tests, run_one, run_order
 
 
 def always_fails() -> None:
@@ -36,3 +37,38 @@
         with contextlib.redirect_stdout(io.StringIO()):
             test.run(outcome)
         self.assertEqual(self.broken, len(outcome.failed))
+
+
+class RunOrderTest(testtools.TestCase):
+    """A long test that began last would keep the run waiting while the other workers are idle."""
+
+    scenarios = [
+        ("longest first", {"durations": {"b": 3.0, "a": 1.0}, "order": ["b", "a", "c"]}),
+        ("unmeasured", {"durations": {}, "order": ["a", "b", "c"]}),
+    ]
+
+    def test_order(self) -> None:
+        tests = [unittest.FunctionTestCase(always_fails, description=name) for name in "abc"]
+        for test, name in zip(tests, "abc", strict=True):
+            test.id = lambda name=name: name  # type: ignore[method-assign]
+        order = run_order(tests, self.durations)
+        self.assertEqual(self.order, [tests[position].id() for position in order])
+
+
+class WorkerTest(testtools.TestCase):
+    """The workers together run each test once, and a failure in one of them fails the run."""
+
+    scenarios = [("one worker", {"jobs": 1}), ("three workers", {"jobs": 3})]
+
+    def test_counts(self) -> None:
+        names = ["test_run_tests.KnownRedTest", "test_run_tests.RunOrderTest"]
+        tests = discover(names)
+        runner = Runner(names)
+        anyio.run(runner.run, tests, self.jobs)
+        self.assertEqual((len(tests), []), (runner.passed, runner.failed))
+        self.assertEqual({test.id() for test in tests}, set(runner.durations))
+
+    def test_failure(self) -> None:
+        report = run_one(unittest.FunctionTestCase(always_fails), frozenset())
+        self.assertEqual((0, 1), (report.passed, len(report.failed)))
+        self.assertIn("on purpose", report.output)
