Call executors with a parser in C, without tasks and time-out scopes

An idle connection that an executor had closed was used for the next call, which then got no answer. Change: connections are protocols of the event loop with httptools, one timer a call, heads built once for each executor and path. Closed idle connections are dropped, and so are those with unexpected data.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-LIBRARIES = ["anyio", "h11", "hypercorn", "httpx", "thrift", "loguru", "hdrhistogram"]
+LIBRARIES = ["anyio", "httptools", "hypercorn", "httpx", "thrift", "loguru", "hdrhistogram", "uvloop"]
 SOURCES = [
     *(f"packages/{name}/src" for name in ("core", "wire", "storage", "entry", "control")),
     "platform/src",
--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -1,18 +1,21 @@
 """A minimal HTTP/1.1 client for many short calls to many addresses.
 
 An httpx call takes 1.2 ms of processor time, and a leader makes hundreds of calls a second. This
-client reuses connections, sends a call in one write, and leaves the protocol to h11, the library
-that httpx is built on.
+client reuses connections and request heads, sends a call in one write, and leaves answers to
+httptools, a parser in C. Connections are protocols of the event loop, without a task of their own.
 """
 
+import asyncio
+import re
 import socket
 import struct
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from functools import lru_cache
+from typing import cast
 
 import anyio
-import h11
-from anyio.abc import ByteStream, SocketAttribute
+import httptools
 from loguru import logger
 from marigolddoor_core.errors import MarigolddoorError, UnavailableError
 from marigolddoor_core.input_limits import shorten
@@ -22,22 +25,28 @@
 __all__ = ["HttpAnswer", "HttpNoAnswerError", "HttpPool", "HttpUnreachableError"]
 
 CONNECT_TIMEOUT_S = 0.7
-READ_BYTES = 65536
 # Answers have up to a few hundred kB. Without a limit a server could fill the memory before the
 # call times out.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+# A few paths for each of the executors that a leader calls.
+CACHED_HEADS = 4096
 # SO_LINGER enabled with a timeout of 0, so that closing sends a reset.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
-_BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+_TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+_TARGET = re.compile(r"[\x21-\x7e]+")
+_FIELD_VALUE = re.compile(r"([\x21-\x7e]([\t \x21-\x7e]*[\x21-\x7e])?)?")
+# With one of these fields an answer has a known end; without them it ends with the connection.
+_LENGTH_FIELDS = (b"content-length", b"transfer-encoding")
 
 
 class HttpUnreachableError(UnavailableError):
     """There is no connection; the call was not sent."""
 
 
-class _AnswerTooLargeError(MarigolddoorError):
-    """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
+class _AnswerError(MarigolddoorError):
+    """The connection ended before a complete answer, or the answer is unreadable or too large."""
 
 
 class HttpNoAnswerError(MarigolddoorError):
@@ -52,61 +61,138 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class _Connection:
-    stream: ByteStream
-    protocol: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
-
-    async def exchange(self, request: h11.Request, body: bytes) -> HttpAnswer:
-        protocol = self.protocol
-        data = protocol.send(request) or b""
-        if body:
-            data += protocol.send(h11.Data(body)) or b""
-        data += protocol.send(h11.EndOfMessage()) or b""
-        await self.stream.send(data)
-        status, size, parts = 0, 0, []
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                try:
-                    protocol.receive_data(await self.stream.receive(READ_BYTES))
-                except anyio.EndOfStream:
-                    protocol.receive_data(b"")
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > MAX_ANSWER_BYTES:
-                    raise _AnswerTooLargeError(f"a body of more than {MAX_ANSWER_BYTES} bytes")
-            elif isinstance(event, h11.EndOfMessage):
-                return HttpAnswer(status, b"".join(parts))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise anyio.EndOfStream
-
-    async def reset(self) -> None:
+class _Connection(asyncio.Protocol):
+    """A connection, which carries one call at a time.
+
+    `on_...` are the callbacks of the parser. `is_open` is false once the connection can't carry
+    another call.
+    """
+
+    def __init__(self, pool: "HttpPool", address: Address) -> None:
+        self.pool = pool
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.answer: asyncio.Future[HttpAnswer] | None = None
+        self.is_open = True
+        self.is_reading_head = True
+        self.has_length = False
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.parts: list[bytes] = []
+
+    async def exchange(self, data: bytes, timeout_s: float) -> HttpAnswer:
+        """Send a request and return the answer.
+
+        Raises:
+          _AnswerError: no complete answer arrived.
+          TimeoutError: none arrived within `timeout_s` seconds.
+        """
+        assert self.transport is not None
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[HttpAnswer] = loop.create_future()
+        self.answer = answer
+        timer = loop.call_later(timeout_s, _expire, answer)
+        try:
+            self.transport.write(data)
+            return await answer
+        finally:
+            timer.cancel()
+            self.answer = None
+
+    def reset(self) -> None:
         """Close the connection and discard undelivered data.
 
         Data delayed by a partition would otherwise arrive when the partition heals, such as an
         order of a leader that has been deposed in the meantime.
         """
-        raw = self.stream.extra(SocketAttribute.raw_socket)
+        self.is_open = False
+        assert self.transport is not None
+        raw = self.transport.get_extra_info("socket")
         try:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         except OSError as error:
             # The peer closed the connection, so no undelivered data is left on it.
             logger.debug("http: connection is already closed: {}", error)
-        await anyio.aclose_forcefully(self.stream)
-
-    def can_be_reused(self) -> bool:
-        protocol = self.protocol
-        if protocol.trailing_data[0]:
-            # It would be taken for the answer to the next call.
-            return False
-        if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
-            protocol.start_next_cycle()
-            return True
-        return False
+        self.transport.abort()
+
+    def close(self) -> None:
+        """Close the connection, on which no call waits for an answer."""
+        self.is_open = False
+        assert self.transport is not None
+        self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        # The transports of uvloop are not instances of `asyncio.Transport`.
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a part of an answer. Data without a call could be taken for the next answer."""
+        if self.answer is None or self.answer.done():
+            self.pool.discard(self)
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"unreadable: {shorten(str(error))}")
+            return
+        if self.is_reading_head:
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES:
+                self._fail(f"a head of more than {MAX_HEAD_BYTES} bytes")
+        elif self.body_bytes > MAX_ANSWER_BYTES:
+            self._fail(f"a body of more than {MAX_ANSWER_BYTES} bytes")
+
+    def eof_received(self) -> None:
+        """Finish an answer whose end is that of the connection."""
+        if not self.is_reading_head and not self.has_length:
+            self.is_open = False
+            self._finish()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the call in progress."""
+        self._fail(str(exc) if exc else "the connection was closed")
+        self.pool.discard(self)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the answer has a known end."""
+        self.has_length = self.has_length or name.lower() in _LENGTH_FIELDS
+
+    def on_headers_complete(self) -> None:
+        """Note that the body follows."""
+        self.is_reading_head = False
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+        self.parts.append(body)
+        self.body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Finish an answer, unless it is one of the hints that precede the answer."""
+        if self.parser.get_status_code() >= 200:
+            self.is_open = self.is_open and self.parser.should_keep_alive()
+            self._finish()
+        self.is_reading_head, self.has_length = True, False
+        self.head_bytes = self.body_bytes = 0
+        self.parts = []
+
+    def _finish(self) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_result(HttpAnswer(self.parser.get_status_code(), b"".join(self.parts)))
+        else:
+            # An answer to no call, in the same data as the one before.
+            self.is_open = False
+
+    def _fail(self, reason: str) -> None:
+        self.is_open = False
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(_AnswerError(reason))
+
+
+def _expire(answer: asyncio.Future[HttpAnswer]) -> None:
+    if not answer.done():
+        answer.set_exception(TimeoutError("no answer in time"))
 
 
 class HttpPool:
@@ -139,34 +225,39 @@
           HttpUnreachableError: the call was not sent, or can't be sent to this address.
           HttpNoAnswerError: no complete answer to it arrived within `timeout_s` seconds.
         """
-        request = _request(address, path, body, headers, method)
+        head = _head(method, path, (("Host", address), *headers))
+        request = b"%b%d\r\n\r\n%b" % (head, len(body), body)
+        try:
+            self.unused.acquire_nowait()
+        except anyio.WouldBlock:
+            await self._wait_for_unused(address, timeout_s)
+        try:
+            return await self._exchange(address, path, request, timeout_s)
+        finally:
+            self.unused.release()
+
+    async def _wait_for_unused(self, address: Address, timeout_s: float) -> None:
         try:
             with anyio.fail_after(timeout_s):
                 await self.unused.acquire()
         except TimeoutError as error:
             raise HttpUnreachableError(f"no connection to {address}: all are in use") from error
-        try:
-            return await self._exchange(address, path, request, body, timeout_s)
-        finally:
-            self.unused.release()
 
     async def _exchange(
-        self, address: Address, path: str, request: h11.Request, body: bytes, timeout_s: float
+        self, address: Address, path: str, request: bytes, timeout_s: float
     ) -> HttpAnswer:
         connection = await self._connection(address, timeout_s)
-        is_reusable = False
+        is_answered = False
         try:
-            with anyio.fail_after(timeout_s):
-                answer = await connection.exchange(request, body)
-            is_reusable = connection.can_be_reused()
-        except (*_BROKEN, TimeoutError, _AnswerTooLargeError, h11.RemoteProtocolError) as error:
-            detail = str(error) or type(error).__name__
-            raise HttpNoAnswerError(f"{address}{path}: {detail}") from error
+            answer = await connection.exchange(request, timeout_s)
+            is_answered = True
+        except (_AnswerError, TimeoutError) as error:
+            raise HttpNoAnswerError(f"{address}{path}: {error}") from error
         finally:
-            if is_reusable:
-                self._keep(address, connection)
+            if is_answered and connection.is_open:
+                self._keep(connection)
             else:
-                await connection.reset()
+                connection.reset()
         return answer
 
     async def forget(self, address: Address) -> None:
@@ -174,12 +265,22 @@
         connections = self.idle.pop(address, [])
         self.idle_count -= len(connections)
         for connection in connections:
-            await anyio.aclose_forcefully(connection.stream)
-
-    def _keep(self, address: Address, connection: _Connection) -> None:
-        connections = self.idle.pop(address, [])
+            connection.close()
+
+    def discard(self, connection: _Connection) -> None:
+        """Close a connection that its server closed, or used for data without a call."""
+        connection.close()
+        connections = self.idle.get(connection.address, [])
+        if connection in connections:
+            connections.remove(connection)
+            self.idle_count -= 1
+            if not connections:
+                del self.idle[connection.address]
+
+    def _keep(self, connection: _Connection) -> None:
+        connections = self.idle.pop(connection.address, [])
         connections.append(connection)
-        self.idle[address] = connections
+        self.idle[connection.address] = connections
         self.idle_count += 1
 
     def _take_idle(self, address: Address, position: int = -1) -> _Connection:
@@ -195,37 +296,34 @@
             return self._take_idle(address)
         # `unused` counts idle connections too, since no call uses them.
         while self.idle_count > self.unused.value:
-            oldest = self._take_idle(next(iter(self.idle)), 0)
-            await anyio.aclose_forcefully(oldest.stream)
+            self._take_idle(next(iter(self.idle)), 0).close()
         try:
             host, port = parse_address(address)
         except ValueError as error:
             raise HttpUnreachableError(str(error)) from error
+        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, timeout_s)):
-                return _Connection(await anyio.connect_tcp(host, port))
-        except (OSError, TimeoutError) as error:
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self, address), host, port
+                )
+        except (OSError, TimeoutError, UnicodeError) as error:
             raise HttpUnreachableError(f"no connection to {address}: {error}") from error
+        return connection
 
 
-def _request(
-    address: Address, path: str, body: bytes, headers: Sequence[tuple[str, str]], method: str
-) -> h11.Request:
-    """Return the head of a request.
+@lru_cache(maxsize=CACHED_HEADS)
+def _head(method: str, path: str, fields: tuple[tuple[str, str], ...]) -> bytes:
+    """Return the head of a request up to the value of its Content-Length.
 
     Raises:
-      HttpUnreachableError: the address, the path or a header contains characters that HTTP forbids.
+      HttpUnreachableError: the path or a header contains characters that HTTP forbids.
     """
-    try:
-        return h11.Request(
-            method=method,
-            target=path,
-            headers=[
-                ("Host", address),
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-                *headers,
-            ],
-        )
-    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
-        raise HttpUnreachableError(f"{shorten(address)}: {shorten(str(error))}") from error
+    if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(path):
+        raise HttpUnreachableError(f"{shorten(method)} {shorten(path)!r} is not a request")
+    for name, value in fields:
+        if not _TOKEN.fullmatch(name) or not _FIELD_VALUE.fullmatch(value):
+            raise HttpUnreachableError(f"{shorten(name)}: {shorten(value)!r} is not a header")
+    lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in fields)]
+    lines += ["Content-Type: application/json", "Content-Length: "]
+    return "\r\n".join(lines).encode("ascii")
