Reset connections that uvloop has closed already

Change: without a socket there is nothing to reset. Result: the tables of resets run on both loops; two cases of uvloop fail without the change.

--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -110,7 +110,9 @@
         assert self.transport is not None
         raw = self.transport.get_extra_info("socket")
         try:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            # uvloop returns no socket once the connection is closed.
+            if raw is not None:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         except OSError as error:
             # The peer closed the connection, so no undelivered data is left on it.
             logger.debug("http: connection is already closed: {}", error)
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -4,6 +4,7 @@
 import struct
 
 import anyio
+import testscenarios
 import testtools
 from anyio.abc import TaskGroup
 from marigolddoor_wire.http_client import (
@@ -14,6 +15,10 @@
 )
 from marigolddoor_wire.peers import Address
 
+LOOPS = [
+    ("asyncio", {"options": {"use_uvloop": False}}),
+    ("uvloop", {"options": {"use_uvloop": True}}),
+]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -33,6 +38,8 @@
     was delayed by a partition and arrived 1 s after an order of the next leader (ONE).
     """
 
+    scenarios = LOOPS
+
     def test_reset(self) -> None:
         async def run() -> None:
             with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -52,7 +59,7 @@
                     return
             self.fail("the call was answered")
 
-        anyio.run(run)
+        anyio.run(run, backend_options=self.options)
 
 
 class ResetByServerTest(testtools.TestCase):
@@ -62,10 +69,13 @@
     descriptor, because the linger option was set on a socket that was already closed.
     """
 
-    scenarios = [
-        ("reset", {"linger": struct.pack("ii", 1, 0)}),
-        ("closed", {"linger": struct.pack("ii", 0, 0)}),
-    ]
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("reset", {"linger": struct.pack("ii", 1, 0)}),
+            ("closed", {"linger": struct.pack("ii", 0, 0)}),
+        ],
+        LOOPS,
+    )
 
     def test_reset(self) -> None:
         async def run() -> None:
@@ -88,7 +98,7 @@
                     connection.close()
                 self.assertEqual(["HttpNoAnswerError"], errors)
 
-        anyio.run(run)
+        anyio.run(run, backend_options=self.options)
 
 
 class ConnectionReuseTest(testtools.TestCase):
@@ -211,10 +221,7 @@
     A check of the type failed there in each call and ended one leader after the other.
     """
 
-    scenarios = [
-        ("asyncio", {"options": {"use_uvloop": False}}),
-        ("uvloop", {"options": {"use_uvloop": True}}),
-    ]
+    scenarios = LOOPS
 
     def test_calls(self) -> None:
         async def run() -> None:
