--- a/packages/wire/src/marigolddoor_wire/log_sink.py
+++ b/packages/wire/src/marigolddoor_wire/log_sink.py
@@ -42,14 +42,23 @@
         self.unwritten = b""
         os.set_blocking(descriptor, False)
 
-    def write(self, line: str) -> None:
-        """Write a line, or count it as left out."""
+    def admits(self, record: object = None) -> bool:
+        """Return whether a line may be written now; if not, count it as left out.
+
+        As the filter of a handler it saves the formatting of lines that would be left out.
+        """
         now = self.clock()
         refill = (now - self.refilled_at) * self.lines_per_s
         self.tokens = min(float(self.burst), self.tokens + refill)
         self.refilled_at = now
         if self.tokens < 1:
             self.left_out += 1
+            return False
+        return True
+
+    def write(self, line: str) -> None:
+        """Write a line, or count it as left out."""
+        if not self.admits():
             return
         if self.left_out:
             line = f"log: {self.left_out} lines were left out\n{line}"
--- a/tests/wire/test_log_sink.py
+++ b/tests/wire/test_log_sink.py
@@ -1,8 +1,10 @@
 """Guards against a log that blocks the process, exceeds its rate limit or truncates lines."""
 
 import os
+from typing import Any
 
 import testtools
+from loguru import logger
 from marigolddoor_wire.log_sink import BoundedLogSink
 
 
@@ -51,6 +53,34 @@
         self.assertEqual(expected, self.lines())
 
 
+class FilterTest(SinkTest):
+    """Lines beyond the rate limit are not formatted, and are counted once.
+
+    A leader with 700 lines a second formatted 300 of them in vain.
+    """
+
+    scenarios = [
+        ("within the burst", {"lines_written": 5, "formatted": 5, "left_out": 0}),
+        ("beyond the burst", {"lines_written": 8, "formatted": 5, "left_out": 3}),
+    ]
+
+    def test_formatted(self) -> None:
+        self.addCleanup(os.close, self.writer)
+        sink = BoundedLogSink(self.writer, self.clock, lines_per_s=2, burst=5)
+        formatted: list[str] = []
+
+        def format_line(record: Any) -> str:
+            formatted.append(record["message"])
+            return "{message}"
+
+        handler = logger.add(sink.write, format=format_line, filter=sink.admits)
+        self.addCleanup(logger.remove, handler)
+        for number in range(self.lines_written):
+            logger.info("line {}", number)
+        self.assertEqual(self.formatted, len(formatted))
+        self.assertEqual(self.left_out, sink.left_out)
+
+
 class SlowReaderTest(SinkTest):
     """A full pipe drops lines instead of blocking, and later lines are complete."""
 
