--- a/packages/core/src/marigolddoor_core/consensus/lease.py
+++ b/packages/core/src/marigolddoor_core/consensus/lease.py
@@ -64,4 +64,11 @@
 
     def is_valid(self, configuration: Configuration, now: Instant) -> bool:
         """Return whether no other replica can be leader at `now`."""
-        return now < self.quorum_contact(configuration, now) + self.duration_s
+        # Called before each order, so it counts voters instead of sorting their contacts.
+        missing = configuration.quorum
+        for voter in configuration.voters:
+            if voter.replica == self.leader or now < self.contact(voter.replica) + self.duration_s:
+                missing -= 1
+                if missing == 0:
+                    return True
+        return False
--- a/packages/wire/src/marigolddoor_wire/http_server.py
+++ b/packages/wire/src/marigolddoor_wire/http_server.py
@@ -1,8 +1,8 @@
 """A minimal HTTP/1.1 server for many short requests on connections that stay open.
 
-Executors send heartbeats to the leader every 1.5 s. With hypercorn and an ASGI application a request
-takes 0.45 ms of its processor time, here 0.07 ms: the parser is httptools, and connections are
-protocols of the event loop; only a request in progress has a task.
+Executors send heartbeats to the leader every 1.5 s. With hypercorn and an ASGI application a
+request takes 0.45 ms of its processor time, here 0.07 ms: the parser is httptools, and connections
+are protocols of the event loop; only a request in progress has a task.
 """
 
 import asyncio
