Empty surplus machines at once while another service lacks cores

Change: machines with as many cores as other services lack, beyond the standby ones, get no new tasks at once; they move when they are idle.

--- a/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
+++ b/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
@@ -188,7 +188,9 @@
                 deficits.append((max(-surplus, missing * self._typical_cores(pool)), service))
             else:
                 surpluses[service] = surplus
-                self._retire(service, pool, surplus, floors, now)
+        lacking = sum(cores for cores, _ in deficits) - self._available_standby_cores()
+        for service, surplus in surpluses.items():
+            lacking -= self._retire(service, pools[service], surplus, floors, lacking, now)
         moves: list[Move] = []
         for cores, service in sorted(deficits, reverse=True):
             moves += self._acquire_machines(service, cores, pools, surpluses, floors, now)
@@ -219,6 +221,16 @@
         )
         return cpu / 1000
 
+    def _available_standby_cores(self) -> float:
+        return (
+            sum(
+                view.cpu_milli
+                for view in self.standby.values()
+                if not self.is_reserved(view.machine) and self.can_order(view.machine)
+            )
+            / 1000
+        )
+
     def _count_incoming(self, service: ServiceId) -> int:
         return sum(1 for ordered in self.ordered.values() if ordered.move.target == service)
 
@@ -270,9 +282,14 @@
         pool: list[Executor],
         surplus: float,
         floors: Mapping[ServiceId, PoolFloor],
+        lacking: float,
         now: Instant,
-    ) -> None:
-        """Choose machines to leave once the service has had a surplus for `SURPLUS_DELAY_S`."""
+    ) -> float:
+        """Choose machines to leave once the service has had a surplus for `SURPLUS_DELAY_S`.
+
+        Machines with as many cores as other services lack leave without this delay: they run their
+        last tasks meanwhile. Return the cores of these machines.
+        """
         staying = [e for e in pool if e.heartbeat.machine not in self.retiring]
         free = [executor for executor in staying if not _is_pinned(executor)]
         free.sort(key=lambda executor: executor.load)
@@ -285,8 +302,16 @@
             leaving.append(executor)
         if not leaving:
             self.surplus_since.pop(service, None)
-        elif now - self.surplus_since.setdefault(service, now) >= SURPLUS_DELAY_S:
+            return 0.0
+        if now - self.surplus_since.setdefault(service, now) >= SURPLUS_DELAY_S:
             self.retiring.update(executor.heartbeat.machine for executor in leaving)
+        claimed = 0.0
+        for executor in leaving:
+            if claimed >= lacking:
+                break
+            self.retiring.add(executor.heartbeat.machine)
+            claimed += executor.heartbeat.capacity.cpu_milli / 1000
+        return claimed
 
     def _acquire_machines(
         self,
--- a/tests/core/dispatch/test_rebalancing.py
+++ b/tests/core/dispatch/test_rebalancing.py
@@ -1,8 +1,10 @@
 """Guards against moves of busy machines, moves back and forth, and moves against the demand."""
 
+from dataclasses import replace
+
 import testtools
 from marigolddoor_core.dispatch import MachineState, MachineView, Move, MoveOrder
-from marigolddoor_core.ids import JobId, MachineId, ServiceId, WaveId
+from marigolddoor_core.ids import JobId, MachineId, QueueName, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     BeginUpkeep,
@@ -148,6 +150,32 @@
         self.assertTrue(retiring)
 
 
+class DemandElsewhereTest(testtools.TestCase):
+    """Surplus machines must leave at once if another service lacks more cores than are on standby.
+
+    Found on cristalina-sched-grown, quiet-1: when the second queue's peak began, 27 of 42 machines
+    of the first one were surplus, and left three at a time after 1.5 s each.
+    """
+
+    scenarios = [
+        ("no demand", {"tasks": 0, "standby": 0, "retiring": 0}),
+        ("demand for one machine", {"tasks": 6, "standby": 0, "retiring": 1}),
+        ("the standby machines suffice", {"tasks": 6, "standby": 2, "retiring": 0}),
+        ("a flood", {"tasks": 90, "standby": 2, "retiring": 4}),
+    ]
+
+    def test_retiring(self) -> None:
+        fleet = fleet_with(6, other=1, standby=self.standby)
+        # Each machine of the first service runs one task, so none is idle.
+        fleet.step(accept("a", {"count": 6, "estimated_s": 1.0}))
+        if self.tasks:
+            job = accept("b", {"count": self.tasks, "estimated_s": 1.0})
+            fleet.step(replace(job, queue=QueueName("others"), service=OTHER))
+        fleet.at(0.3).step()
+        leaving = fleet.dispatch.rebalancer.retiring - set(fleet.dispatch.rebalancer.ordered)
+        self.assertEqual(self.retiring, len(leaving))
+
+
 class MinimumPoolTest(testtools.TestCase):
     """Every service keeps a minimum of machines, since none moves while there is no leader.
 
