Send no order whose leadership ended while it waited for a connection

Cause: the leader checks its lease before a call, and the call may then wait 0.8 s for a free connection and 0.7 s for a new one. Change: calls carry the token of their leadership, and the client asks right before it writes whether that leadership still holds its lease. Adviser and list of machines change nothing and are not asked.

--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -146,6 +146,13 @@
         await anyio.sleep(FAILED_DISK_PAUSE_S)
         raise consensus.failure
 
+    def holds_lease(self, token: FencingToken) -> bool:
+        """Return whether this process leads with `token` and no other one can lead now."""
+        consensus = self.consensus
+        if consensus is None or consensus.replica is None or not consensus.is_leader:
+            return False
+        return FencingToken(consensus.replica.term) == token
+
     def metrics_page(self) -> str:
         """Return the counters and gauges of this process as text."""
         leadership = None if self.service is None else self.service.leadership
--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -9,7 +9,7 @@
 import re
 import socket
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import cast
@@ -220,9 +220,13 @@
         timeout_s: float,
         headers: Sequence[tuple[str, str]] = (),
         method: str = "POST",
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpAnswer:
         """Return the answer of the process at `address`.
 
+        `may_send` returns whether the call is still permitted. It is asked right before the call is
+        written, since a permission may expire while the call waits for a connection.
+
         Raises:
           HttpUnreachableError: the call was not sent, or can't be sent to this address.
           HttpNoAnswerError: no complete answer to it arrived within `timeout_s` seconds.
@@ -234,7 +238,7 @@
         except anyio.WouldBlock:
             await self._wait_for_unused(address, timeout_s)
         try:
-            return await self._exchange(address, path, request, timeout_s)
+            return await self._exchange(address, path, request, timeout_s, may_send)
         finally:
             self.unused.release()
 
@@ -246,9 +250,17 @@
             raise HttpUnreachableError(f"no connection to {address}: all are in use") from error
 
     async def _exchange(
-        self, address: Address, path: str, request: bytes, timeout_s: float
+        self,
+        address: Address,
+        path: str,
+        request: bytes,
+        timeout_s: float,
+        may_send: Callable[[], bool] | None,
     ) -> HttpAnswer:
         connection = await self._connection(address, timeout_s)
+        if may_send is not None and not may_send():
+            self._keep(connection)
+            raise HttpUnreachableError(f"{address}{path}: no longer permitted")
         is_answered = False
         try:
             answer = await connection.exchange(request, timeout_s)
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from typing import Any
 
 import anyio
 import testscenarios
@@ -318,6 +319,47 @@
         anyio.run(run)
 
 
+class ExpiredPermissionTest(testtools.TestCase):
+    """A call must not be sent whose permission expired while it waited for a connection.
+
+    The leader checked its lease before the call; the call then waited up to 0.8 s for a free
+    connection and 0.7 s for a new one, while the next leader could send orders already.
+    """
+
+    scenarios = [
+        ("valid", {"valid_s": 5.0, "statuses": [200, 200]}),
+        ("expired while all connections were in use", {"valid_s": 0.1, "statuses": [200, None]}),
+        ("expired before", {"valid_s": -1.0, "statuses": [200, None]}),
+    ]
+
+    def test_sent(self) -> None:
+        async def run() -> None:
+            pool = HttpPool(max_connections=1)
+            servers = EchoServers(2, delay_s=0.3)
+            statuses: list[int | None] = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(servers.run)
+                expires_at = anyio.current_time() + self.valid_s
+
+                async def call(number: int, may_send: Any) -> None:
+                    try:
+                        address = servers.address(number)
+                        answer = await pool.call(address, "/x", b"", 2.0, may_send=may_send)
+                        statuses.append(answer.status)
+                    except HttpUnreachableError:
+                        statuses.append(None)
+
+                async with anyio.create_task_group() as calls:
+                    calls.start_soon(call, 0, None)
+                    await anyio.sleep(0.02)
+                    calls.start_soon(call, 1, lambda: anyio.current_time() < expires_at)
+                group.cancel_scope.cancel()
+            self.assertEqual(self.statuses, statuses)
+            self.assertEqual(1, pool.unused.value)
+
+        anyio.run(run)
+
+
 class AllInUseTest(testtools.TestCase):
     """A call that gets no connection in time is not sent, and counts as such."""
 
