--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -18,7 +18,7 @@
     NoAnswerError,
     WrongIncarnationError,
 )
-from marigolddoor_core.dispatch import Executor, LeaseTiming
+from marigolddoor_core.dispatch import Executor, ExecutorState, LeaseTiming
 from marigolddoor_core.ids import FencingToken
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import JobChange, JobTable, RecordChanges
@@ -288,5 +288,24 @@
         self.group.start_soon(self._end_after_deregistration, executor)
 
     async def _end_after_deregistration(self, executor: Executor) -> None:
+        """End an incarnation that deregistered, unless the call came late from a former one.
+
+        An executor that drained before has told of its end. Any other one gets no new tasks, and is
+        kept if it still answers holds when it should have exited.
+        """
+        expected_end = self.now() + DEREGISTRATION_DELAY_S
+        given_up_at = Instant(expected_end + IDLE_HOLD_WAIT_S + RETRY_S)
+        if executor.heartbeat.state is ExecutorState.READY:
+            self.dispatch.suspend(executor, self.now(), given_up_at)
         await anyio.sleep(DEREGISTRATION_DELAY_S)
+        while executor.heartbeat.state is ExecutorState.READY and self.now() < given_up_at:
+            if executor.contact_at is not None and executor.contact_at > expected_end:
+                logger.info(
+                    "fleet: executor {} deregistered and still answers; it is kept",
+                    executor.incarnation,
+                )
+                self.dispatch.resume(executor)
+                self.wake.set()
+                return
+            await anyio.sleep(RETRY_S)
         self._end_incarnation(executor, "it deregistered")
