Keep the floors of pools while executors have not reported yet

Cause: floors were shares of the executors that had reported. Change: the floors count the machines that the platform lists.

--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -194,7 +194,9 @@
         leader, and as many machines as its long-running steps must be spread over, also while their
         tasks wait.
         """
-        machines = len(self.by_machine) + len(self.rebalancer.standby)
+        machines = max(
+            len(self.by_machine) + len(self.rebalancer.standby), self.rebalancer.listed_count
+        )
         even_share = math.ceil(MIN_EVEN_SHARE * machines / max(1, len(configuration.services)))
         spread: dict[ServiceId, int] = {}
         for job in list(self.long_running.values()):
--- a/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
+++ b/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
@@ -112,6 +112,8 @@
         self.can_order = can_order
         self.standby: dict[MachineId, MachineView] = {}
         self.ordered: dict[MachineId, _OrderedMove] = {}
+        # The machines of all services in the platform's latest list.
+        self.listed_count = 0
         # The latest balance of each service.
         self.balances: dict[ServiceId, PoolBalance] = {}
         self.surplus_since: dict[ServiceId, Instant] = {}
@@ -122,6 +124,8 @@
         self, machines: Iterable[MachineView], configuration: FleetConfiguration
     ) -> None:
         """Apply the platform's list of machines."""
+        machines = list(machines)
+        self.listed_count = len(machines)
         self.standby = {
             view.machine: view
             for view in machines
--- a/tests/core/dispatch/test_rebalancing.py
+++ b/tests/core/dispatch/test_rebalancing.py
@@ -194,6 +194,36 @@
         self.assertEqual(4, len(leaving))
 
 
+class UnreportedMachinesTest(testtools.TestCase):
+    """Machines must not leave because the executors of the others have not reported yet.
+
+    Found on cristalina-sched-grown, quiet-1: the floors were computed from the executors that had
+    reported in the first second, so pools of 32 to 44 machines kept 6 to 10, and each queue's first
+    peak began with a tenth of the cores that it needed.
+    """
+
+    scenarios = [
+        ("all have reported", {"listed": 6, "leaving": 4}),
+        ("half have reported", {"listed": 12, "leaving": 3}),
+        ("few have reported", {"listed": 30, "leaving": 0}),
+    ]
+
+    def test_leaving(self) -> None:
+        fleet = fleet_with(6)
+        configuration = fleet.log.table.configuration
+        assert configuration is not None
+        machines = [
+            MachineView(MachineId(f"m-{number}"), ServiceId("desk"), MachineState.UP, 4000)
+            for number in range(1, 1 + self.listed)
+        ]
+        fleet.dispatch.rebalancer.apply_machine_list(machines, configuration)
+        for tenth in range(0, 40, 2):
+            for executor in list(fleet.dispatch.executors.values()):
+                fleet.at(tenth / 10).hold(executor)
+            fleet.step()
+        self.assertEqual(self.leaving, len(moves(fleet)))
+
+
 class HopelessDemandTest(testtools.TestCase):
     """Work that can't meet its deadline must not draw machines away from work that can."""
 
