Let checks of the simulations pass the handlers of unexpected errors, and count these errors

Change: a violation is no Exception. Contained errors are counted, the counter is on the operators' page, and the fleet simulation fails if there was one, so that handlers hide no fault from it.

--- a/bench/faults/consensus_checkers.py
+++ b/bench/faults/consensus_checkers.py
@@ -15,8 +15,12 @@
     from bench.faults.consensus import SimulatedNode, Simulation
 
 
-class Violation(Exception):  # noqa: N818 (an observation, not an error of the code that raises it)
-    """An invariant is violated."""
+class Violation(BaseException):  # noqa: N818 (an observation, not an error)
+    """An invariant is violated.
+
+    Not an `Exception`, since checks raise it in calls of the code under test, which contains
+    unexpected errors.
+    """
 
     def __init__(self, checker: str, detail: str) -> None:
         super().__init__(f"{checker}: {detail}")
--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -42,7 +42,7 @@
     TaskSize,
     parse_task_name,
 )
-from marigolddoor_core.metrics import Counters
+from marigolddoor_core.metrics import CounterKind, Counters
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome
 
@@ -174,6 +174,7 @@
         self.service: FleetService | None = None
         self.consensus: VirtualConsensus | None = None
         self.leader_scope: anyio.CancelScope | None = None
+        self.counters = Counters()
         self.tasks: TaskGroup
         self.calls: VirtualCalls
         self.platform: VirtualMachines
@@ -243,7 +244,7 @@
                 MACHINE_LEASE_S,
                 FencingToken(consensus.replica.term),
                 anyio.current_time,
-                Counters(),
+                self.counters,
             )
             service = self.service = FleetService(
                 consensus.table, consensus  # type: ignore[arg-type]
@@ -533,6 +534,7 @@
                 raise Violation("progress", f"{open_jobs} and {open_waves} never end")
             await anyio.sleep(0.5)
         self._check_free_capacity()
+        self._check_unexpected_errors()
         await self._wait_for_contact()
         self.checks.check_reported_states()
         for wave in self.waves:
@@ -567,6 +569,12 @@
             if incarnation not in known or not known[incarnation].is_in_contact(now)
         ]
 
+    def _check_unexpected_errors(self) -> None:
+        """Check that no fault of the program was contained, which would hide it from this run."""
+        for key, count in self.counters.values.items():
+            if key[0] is CounterKind.UNEXPECTED_ERRORS:
+                raise Violation("unexpected error", f"{count} in {key[1].reason}")
+
     def _check_free_capacity(self) -> None:
         """Check that the leader has no capacity allocated on executors without runs."""
         leadership = None if self.service is None else self.service.leadership
--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -228,6 +228,7 @@
             except Exception as error:
                 # It must not end the leadership: the next leader would call this executor as well.
                 logger.exception("fleet: hold of {} failed: {}", executor.incarnation, error)
+                self._count_unexpected_error("hold")
                 await self._handle_unanswered_hold(executor, sent_at)
                 continue
             is_first = not executor.lease.is_known
--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -84,6 +84,9 @@
     def _count_unanswered(self, order: str) -> None:
         self.counters.add(CounterKind.ORDERS_UNANSWERED, Labels(reason=order))
 
+    def _count_unexpected_error(self, place: str) -> None:
+        self.counters.add(CounterKind.UNEXPECTED_ERRORS, Labels(reason=place))
+
     async def _send(self, order: Order) -> None:
         """Carry out an order; an unexpected error affects this order only.
 
@@ -96,7 +99,7 @@
                 return
             except Exception as error:
                 logger.exception("fleet: order {} failed: {}", remaining, error)
-                self._count_unanswered("failed")
+                self._count_unexpected_error("order")
             await anyio.sleep(FAILED_ORDER_PAUSE_S)
             remaining = _remaining_order(remaining)
 
--- a/tests/control/test_order_sender.py
+++ b/tests/control/test_order_sender.py
@@ -26,7 +26,7 @@
 )
 from marigolddoor_core.ids import FencingToken, RunNumber, TaskName
 from marigolddoor_core.jobs import RecordChanges, StoreConfiguration
-from marigolddoor_core.metrics import Counters
+from marigolddoor_core.metrics import CounterKind, Counters
 
 from bench.faults.fleet_group import VirtualGroup
 from bench.faults.virtual_loop import run_in_virtual_time
@@ -323,7 +323,13 @@
             await anyio.sleep(4.0)
             self.assertFalse(leadership.has_ended)
 
-        await lead(executor, scenario)
+        leadership = await lead(executor, scenario)
         self.assertEqual([], executor.faults)
+        unexpected = sum(
+            count
+            for (kind, _), count in leadership.counters.values.items()
+            if kind is CounterKind.UNEXPECTED_ERRORS
+        )
+        self.assertEqual(len(self.faults), unexpected)
         self.assertEqual(self.runs, [number for number, _ in executor.started][: len(self.runs)])
         self.assertEqual(self.stopped, executor.stopped)
--- a/tests/platform/test_operations_page.py
+++ b/tests/platform/test_operations_page.py
@@ -55,6 +55,7 @@
             CounterKind.JOBS,
             CounterKind.RUNS,
             CounterKind.ORDERS_UNANSWERED,
+            CounterKind.UNEXPECTED_ERRORS,
             CounterKind.MOVES,
             CounterKind.FAILOVERS,
         )
