Count the bytes of a head from its own beginning, and resume reading only when both reasons are gone

Cause: 3,000 pipelined requests ended with status 431: a chunk whose last request was incomplete counted as head as a whole, up to 256 KB on uvloop. The client counted large answers against the next head. The end of a response resumed the reading that a slow client had paused. Change: bytes count before they are parsed, and a complete message resets them; one place decides whether to read.

--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -134,15 +134,14 @@
         if self.answer is None or self.answer.done():
             self.pool.discard(self)
             return
+        self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"unreadable: {shorten(str(error))}")
             return
-        if self.is_reading_head:
-            self.head_bytes += len(data)
-            if self.head_bytes > MAX_HEAD_BYTES:
-                self._fail(f"a head of more than {MAX_HEAD_BYTES} bytes")
+        if self.is_reading_head and self.head_bytes > MAX_HEAD_BYTES:
+            self._fail(f"a head of more than {MAX_HEAD_BYTES} bytes")
         elif self.body_bytes > MAX_ANSWER_BYTES:
             self._fail(f"a body of more than {MAX_ANSWER_BYTES} bytes")
 
--- a/packages/wire/src/marigolddoor_wire/http_server.py
+++ b/packages/wire/src/marigolddoor_wire/http_server.py
@@ -118,6 +118,7 @@
         self.waiting: deque[tuple[HttpRequest, bool]] = deque()
         self.is_answering = False
         self.is_paused = False
+        self.is_write_paused = False
         self.idle = anyio.Event()
         # The status with which the connection ends after the requests before it are answered.
         self.refusal: HTTPStatus | None = None
@@ -170,16 +171,15 @@
         """Parse a part of a request."""
         if self.refusal is not None:
             return
+        self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             logger.debug("http: unreadable request: {}", error)
             self._refuse(HTTPStatus.BAD_REQUEST)
             return
-        if self.is_reading_head:
-            self.head_bytes += len(data)
-            if self.head_bytes > MAX_HEAD_BYTES:
-                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        if self.is_reading_head and self.head_bytes > MAX_HEAD_BYTES:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target of the request."""
@@ -220,26 +220,28 @@
 
     def pause_writing(self) -> None:
         """Stop reading requests while the client does not read the responses."""
-        self._pause_reading()
+        self.is_write_paused = True
+        self._update_reading()
 
     def resume_writing(self) -> None:
         """Read requests again."""
-        self._resume_reading()
+        self.is_write_paused = False
+        self._update_reading()
 
-    def _pause_reading(self) -> None:
-        if not self.is_paused and self.transport is not None:
-            self.is_paused = True
-            self.transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self.is_paused and self.transport is not None:
-            self.is_paused = False
-            self.transport.resume_reading()
+    def _update_reading(self) -> None:
+        """Read only while the client reads its responses and few of its requests wait."""
+        assert self.transport is not None
+        should_pause = self.is_write_paused or len(self.waiting) > MAX_WAITING_REQUESTS
+        if should_pause != self.is_paused and not self.transport.is_closing():
+            self.is_paused = should_pause
+            if should_pause:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
 
     def _answer_next(self) -> None:
         assert self.server.group is not None
-        if len(self.waiting) > MAX_WAITING_REQUESTS:
-            self._pause_reading()
+        self._update_reading()
         if self.waiting and not self.is_answering:
             self.is_answering = True
             self.server.group.start_soon(self._answer_waiting)
@@ -250,11 +252,11 @@
                 request, is_kept_open = self.waiting.popleft()
                 response = await self.server.answer(request)
                 self._write(response, request.method, is_kept_open)
+                self._update_reading()
         finally:
             self.is_answering = False
             self.idle.set()
             self.idle = anyio.Event()
-        self._resume_reading()
         if self.refusal is not None:
             self._write(HttpResponse(self.refusal), "", False)
 
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -183,6 +183,30 @@
         anyio.run(run)
 
 
+class ManyRequestsTest(testtools.TestCase):
+    """A client that sends many requests at once gets all responses, in order.
+
+    The server stops reading while more than a few of them wait.
+    """
+
+    scenarios = [("some", {"count": 20}), ("many", {"count": 400}), ("thousands", {"count": 3000})]
+
+    def test_all_answered(self) -> None:
+        async def run() -> None:
+            async with connected() as stream:
+                requests = b"".join(
+                    GET.replace(b"/y", b"/%d" % number) for number in range(self.count)
+                )
+                async with anyio.create_task_group() as group:
+                    group.start_soon(stream.send, requests)
+                    data, is_closed = await receive_all(stream)
+                numbers = [int(part.split()[0]) for part in data.split(b"GET /")[1:]]
+                self.assertEqual(list(range(self.count)), numbers)
+                self.assertFalse(is_closed)
+
+        anyio.run(run)
+
+
 class CancelledServerTest(testtools.TestCase):
     """Requests in progress are answered when the server is cancelled."""
 
