--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -171,6 +171,7 @@
 
     async def _run_worker(self, tests: list[unittest.TestCase], queue: Iterator[int]) -> None:
         command = [sys.executable, str(Path(__file__)), "--worker", *self.names]
+        # Error output goes to that of this process, as it would without workers.
         async with await anyio.open_process(command, stderr=None) as process:
             assert process.stdin is not None and process.stdout is not None
             reports = BufferedByteReceiveStream(process.stdout)
