Fail a call at once whose connection was lost before it was written

Change: the call is not sent and says so; resetting a closed connection does nothing. Result: the case fails before on both loops and passes after; 29 cases of the client pass.

--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -110,10 +110,11 @@
         assert self.transport is not None
         raw = self.transport.get_extra_info("socket")
         try:
-            # uvloop returns no socket once the connection is closed.
+            # Once the connection is closed, uvloop returns no socket, or one without a descriptor,
+            # which raises `ValueError`.
             if raw is not None:
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             # The peer closed the connection, so no undelivered data is left on it.
             logger.debug("http: connection is already closed: {}", error)
         self.transport.abort()
@@ -257,6 +258,8 @@
         may_send: Callable[[], bool] | None,
     ) -> HttpAnswer:
         connection = await self._connection(address, timeout_s)
+        if not connection.is_open:
+            raise HttpUnreachableError(f"no connection to {address}: it was closed at once")
         if may_send is not None and not may_send():
             self._keep(connection)
             raise HttpUnreachableError(f"{address}{path}: no longer permitted")
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -102,6 +102,32 @@
         anyio.run(run, backend_options=self.options)
 
 
+class ClosedBeforeCallTest(testtools.TestCase):
+    """A connection that is lost before the call is written fails the call at once, as not sent.
+
+    asyncio drops what is written to a lost connection, so the call would time out; uvloop raises
+    an error that nothing expects.
+    """
+
+    scenarios = LOOPS
+
+    def test_not_sent(self) -> None:
+        async def run() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+                pool = HttpPool(8)
+                connection = await pool._connection(address, 1.0)
+                connection.reset()
+                await anyio.sleep(0.05)
+                connection.reset()
+                pool._keep(connection)
+                with testtools.ExpectedException(HttpUnreachableError):
+                    await pool.call(address, "/x", b"{}", 0.5)
+                self.assertEqual(0, pool.idle_count)
+
+        anyio.run(run, backend_options=self.options)
+
+
 class ConnectionReuseTest(testtools.TestCase):
     """A connection is reused only after a complete answer."""
 
