Review: end each script by itself, also if a stand-in's task doesn't end

Cause: in one run of case 5 the loop's own shutdown waited for a stand-in after the verdict was written. Change: one runner for all scripts, with a limit of 110 s; an unexpected error gives status 2.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -11,7 +11,15 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
-from standins import Executor, Ledger, Record, System, configuration, http, job_id  # noqa: E402
+from standins import (
+    Executor,
+    Ledger,
+    System,
+    configuration,
+    http,
+    job_id,
+    run_script,
+)  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DARK_S = 9.5  # herd_kill on the core, power: `for_s` of the site file
@@ -168,10 +176,4 @@
 
 
 if __name__ == "__main__":
-    record = Record(FOLDER / "record.txt")
-    try:
-        code = asyncio.run(asyncio.wait_for(main(record), 115))
-    except TimeoutError:
-        record("not finished in time")
-        code = 2
-    sys.exit(code)
+    run_script(main, FOLDER)
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -9,7 +9,14 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
-from standins import Executor, Ledger, Record, System, configuration, job_id  # noqa: E402
+from standins import (
+    Executor,
+    Ledger,
+    System,
+    configuration,
+    job_id,
+    run_script,
+)  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # By PROTOCOL.md, `limits.max-body-bytes` of the configuration is 262,144.
@@ -118,10 +125,4 @@
 
 
 if __name__ == "__main__":
-    record = Record(FOLDER / "record.txt")
-    try:
-        code = asyncio.run(asyncio.wait_for(main(record), 115))
-    except TimeoutError:
-        record("not finished in time")
-        code = 2
-    sys.exit(code)
+    run_script(main, FOLDER)
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -14,10 +14,10 @@
     QUEUE_HOST,
     Executor,
     Ledger,
-    Record,
     System,
     configuration,
     job_id,
+    run_script,
 )  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -115,10 +115,4 @@
 
 
 if __name__ == "__main__":
-    record = Record(FOLDER / "record.txt")
-    try:
-        code = asyncio.run(asyncio.wait_for(main(record), 115))
-    except TimeoutError:
-        record("not finished in time")
-        code = 2
-    sys.exit(code)
+    run_script(main, FOLDER)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import threading
 import time
 from pathlib import Path
 
@@ -106,10 +107,42 @@
         self.file.flush()
 
 
+SYSTEMS = []
+TIMEOUT_S = 110.0
+
+
+def run_script(main, folder):
+    """Run `main(record)` and exit with its status: 0 held, 1 broken, 2 the case couldn't run."""
+    record = Record(folder / "record.txt")
+
+    def end(code):
+        for system in SYSTEMS:
+            system.close()
+        # Not by the loop's own shutdown, which waits for each task of the stand-ins.
+        os._exit(code)
+
+    def give_up():
+        record("not finished in time")
+        end(2)
+
+    async def run():
+        try:
+            end(await main(record))
+        except Exception as error:
+            record(f"failed: {type(error).__name__}: {error}")
+            end(2)
+
+    timer = threading.Timer(TIMEOUT_S, give_up)
+    timer.daemon = True
+    timer.start()
+    asyncio.run(run())
+
+
 class System:
     """Control and entry processes of a small deployment, each a process of its own."""
 
     def __init__(self, folder, record, control=3, entries=2, losses=1, machines=None, adviser=None):
+        SYSTEMS.append(self)
         self.folder, self.record, self.losses = Path(folder), record, losses
         block = host_block()
         self.control = [f"{block}.{10 + i}" for i in range(control)]
@@ -203,11 +236,12 @@
 
     def close(self):
         """End all processes that were started."""
-        for process in self.processes.values():
+        processes = list(self.processes.values())
+        for process in processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
-        for process in self.processes.values():
+        for process in processes:
             process.wait()
 
     async def operator(self, method, path, body=b"", tries=80, timeout=1.0):
