Review, case 3: judge by the quoted rule only

Cause: the script also counted accepted jobs without an answer; under other load this broke a run with TROUBLE=0 in which no process had ended.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -117,7 +117,7 @@
     watch.cancel()
     # Fault: on half of the core, processes end by themselves three times.
     failing = sum(1 for count in ends.values() if count >= 3)
-    if 2 * failing >= len(system.control) or lost:
+    if 2 * failing >= len(system.control):
         record("BROKEN")
         return 1
     record("held")
