--- a/review/3/run.py
+++ b/review/3/run.py
@@ -22,14 +22,15 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FREEZE_S = 1.6  # node_freeze; the site's largest is 4 s and more
-CLIENTS = 24
+# Clients of one moment at the frontend that freezes, how often, and when after their requests.
+CLIENTS, ROUNDS, FREEZE_AFTER_S = 4, 10, 0.006
 OTHER_PREFIX = "/puxa400/"
 REJECTIONS = (400, 404, 409, 429, 503)
 
 
 async def main(record):
     with tempfile.TemporaryDirectory() as folder:
-        system = System(folder, record)
+        system = System(folder, record, entries=10)
         try:
             return await play(system, Ledger(record), record)
         finally:
@@ -59,45 +60,45 @@
     await asyncio.sleep(2)
     frozen = system.entries[0]
     attempts = {}
-    is_over = False
     job_body = json.dumps({"spec": "w", "steps": [{"count": 1, "cpu": 100, "mem-mb": 64}]}).encode()
 
     async def client():
-        """Hand in one job after the other; ask again after no answer, 502, 503, 504 or 429."""
-        while not is_over:
-            job = job_id()
-            attempts[job] = []
-            for attempt in range(5):
-                entry = system.entries[attempt % 2]
-                status, _ = await system.call(
-                    "POST", job, job_body, 3.0, entry=entry, prefix=OTHER_PREFIX
-                )
-                attempts[job].append(status)
-                record(f"POST {job} to {entry}: {status}")
-                if status not in (0, 429, 502, 503, 504):
-                    break
-                await asyncio.sleep(0.3)
-            if status == 404:
-                # The queue is gone: the client stops.
+        """Hand one job in; ask again at another node after no answer, 429, 502, 503 or 504."""
+        job = job_id()
+        attempts[job] = []
+        for attempt in range(5):
+            entry = system.entries[attempt % len(system.entries)]
+            status, _ = await system.call(
+                "POST", job, job_body, 3.0, entry=entry, prefix=OTHER_PREFIX
+            )
+            attempts[job].append(status)
+            record(f"POST {job} to {entry}: {status}")
+            if status not in (0, 429, 502, 503, 504):
                 return
+            await asyncio.sleep(0.3)
 
-    clients = [asyncio.create_task(client()) for _ in range(CLIENTS)]
-    await asyncio.sleep(1.0)
-    if TROUBLE:
-        system.signal(frozen, signal.SIGSTOP)
-    await asyncio.sleep(0.2)
-    body = json.dumps(configuration(8)).encode()
-    status, _, host = await system.operator("POST", "/configuration/replace", body)
-    record(f"configuration 8, without {OTHER_PREFIX}: {status} by {host}")
-    if status != 200:
-        return 2
-    await asyncio.sleep(FREEZE_S - 0.3)
-    if TROUBLE:
-        system.signal(frozen, signal.SIGCONT)
-    await asyncio.sleep(6)
-    is_over = True
-    await asyncio.gather(*clients)
-    await asyncio.sleep(3)
+    version = 7
+    for _ in range(ROUNDS):
+        clients = [asyncio.create_task(client()) for _ in range(CLIENTS)]
+        await asyncio.sleep(FREEZE_AFTER_S)
+        if TROUBLE:
+            system.signal(frozen, signal.SIGSTOP)
+        await asyncio.sleep(0.3)
+        for routes in ([], [route]):
+            version += 1
+            body = json.dumps(configuration(version, routes)).encode()
+            status, _, host = await system.operator("POST", "/configuration/replace", body)
+            record(f"configuration {version}, {len(routes) + 1} routes: {status} by {host}")
+            if status != 200:
+                return 2
+            if not routes:
+                await asyncio.sleep(FREEZE_S - 0.3)
+                if TROUBLE:
+                    system.signal(frozen, signal.SIGCONT)
+                await asyncio.gather(*clients)
+                await asyncio.sleep(1.0)
+        # Longer than `contact-ms`, with the round before it.
+        await asyncio.sleep(2.5)
     started = {task.split(".")[0] for _, task, _, _ in ledger.starts}
     accepted = [job for job, statuses in attempts.items() if statuses[-1] == 200]
     broken = [
@@ -109,7 +110,7 @@
     for job in broken:
         record(f"REFUSED: {job} ran; all attempts were rejected: {attempts[job]}")
     record("BROKEN" if broken else "held")
-    if len(accepted) < 20:
+    if len(attempts) < CLIENTS * ROUNDS:
         return 2
     return 1 if broken else 0
 
