--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -52,10 +52,11 @@
 class FleetProcessSettings:
     """Settings of a control process, read once at its start.
 
-    `founders` are the peer addresses that form the group at its first start. `longest_lease_s` is
-    the longest lease that executors grant. For `machine_lease_s` after an election the platform may
-    still carry out machine orders of the previous leader. Nothing that was acknowledged may be lost
-    if `losses` control machines lose their disks at once.
+    `founders` are the peer addresses that form the group at its first start; at any other start
+    there are none, since all `peers` may then be new as well. `longest_lease_s` is the longest
+    lease that executors grant. For `machine_lease_s` after an election the platform may still carry
+    out machine orders of the previous leader. Nothing that was acknowledged may be lost if `losses`
+    control machines lose their disks at once.
     """
 
     name: str
--- a/packages/control/src/marigolddoor_control/joining.py
+++ b/packages/control/src/marigolddoor_control/joining.py
@@ -26,20 +26,24 @@
     peers: tuple[Address, ...],
     pool: PeerPool,
     rng: random.Random,
-    founders: tuple[Address, ...] = (),
+    founders: tuple[Address, ...] | None = None,
 ) -> Identity:
     """Return the identity in the data folder; an empty folder gets that of a new replica.
 
-    A wiped replica must not form a second group, and cannot detect that it was wiped. So only the
-    process with the lowest address forms a group, after every peer has answered that it belongs to
-    none. It starts as the only voter; the others join it.
+    A wiped replica must not form a second group, and cannot detect that it was wiped. If `founders`
+    is given, only these form a group, and every other replica waits until a peer belongs to one.
+
+    With None, `peers` must be all other replicas. Then the one with the lowest address forms a
+    group, after every peer has answered that it belongs to none. It starts as the only voter; the
+    others join it. Peers that are a part of the replicas could all be new ones that wait to join an
+    existing group, and they answer the same.
     """
     identity = store.identity()
     if identity is not None:
         return identity
-    if address in founders:
+    if founders is not None and address in founders:
         # Every founder writes the same configuration, so the group has all its voters from the
-        # first entry. A founder that is wiped later is started without `founders` and joins.
+        # first entry. A founder that is wiped later is started with no founders and joins.
         members = tuple(Member(ReplicaId(founder), founder) for founder in sorted(founders))
         identity = Identity(ReplicaId(address), Configuration(members))
         store.initialise(identity)
@@ -47,14 +51,20 @@
         return identity
     # The random suffix makes a wiped replica a new member.
     replica = ReplicaId(f"{name}.{rng.getrandbits(64):016x}")
-    own_group = Configuration((Member(replica, address),))
-    configuration = own_group if not peers else Configuration()
-    while peers:
+    may_form_group = founders is None and all(address < peer for peer in peers)
+    configuration = Configuration()
+    logger.info(
+        "agreement: {} has an empty data folder, asks {} and {}",
+        replica,
+        ", ".join(peers) or "nobody",
+        "may form a group" if may_form_group else "joins a group",
+    )
+    while True:
         answers = await _ask_peers(pool, peers)
         if True in answers:
             break
-        if len(answers) == len(peers) and address < min(peers):
-            configuration = own_group
+        if may_form_group and len(answers) == len(peers):
+            configuration = Configuration((Member(replica, address),))
             break
         await anyio.sleep(ASK_INTERVAL_S)
     identity = Identity(replica, configuration)
@@ -74,6 +84,8 @@
     don't delay a joining replica.
     """
     answers: list[bool] = []
+    if not peers:
+        return answers
     asked = 0
     is_decided = anyio.Event()
 
--- a/tests/control/test_joining.py
+++ b/tests/control/test_joining.py
@@ -43,9 +43,15 @@
 
 
 class EstablishTest(testtools.TestCase):
-    """An empty folder forms a group or joins one after the expected number of polling rounds."""
+    """An empty folder forms a group or joins one after the expected number of polling rounds.
 
-    scenarios = [
+    Peers that wait to join a group answer like peers of a system that starts for the first time. A
+    new machine whose seeds were such peers formed a second group. Given the founders of the group,
+    possibly none, no other replica forms one.
+    """
+
+    founders: tuple[Address, ...] | None = None
+    scenarios: list[tuple[str, dict[str, Any]]] = [
         ("alone", {"answers": {}, "forms": True, "rounds": 0}),
         (
             "lowest address",
@@ -87,6 +93,28 @@
                 "rounds": 3,
             },
         ),
+        (
+            "lowest address, the peers wait to join as well",
+            {
+                "answers": {HIGHER: [FRESH, FRESH, MEMBER], HIGHEST: [FRESH]},
+                "founders": (),
+                "forms": False,
+                "rounds": 3,
+            },
+        ),
+        (
+            "lowest address, founders that haven't begun",
+            {
+                "answers": {HIGHER: [FRESH, MEMBER], HIGHEST: [FRESH]},
+                "founders": (HIGHER, HIGHEST),
+                "forms": False,
+                "rounds": 2,
+            },
+        ),
+        (
+            "a founder",
+            {"answers": {HIGHER: [FRESH]}, "founders": (OWN, HIGHER), "forms": True, "rounds": 0},
+        ),
     ]
 
     def test_identity(self) -> None:
@@ -96,7 +124,14 @@
         pool: Any = ScriptedPool(self.answers)
         peers = tuple(self.answers)
         identity = anyio.run(
-            joining.establish_identity, store, "r", OWN, peers, pool, random.Random(1)
+            joining.establish_identity,
+            store,
+            "r",
+            OWN,
+            peers,
+            pool,
+            random.Random(1),
+            self.founders,
         )
         self.assertEqual(self.forms, bool(identity.configuration.voters))
         self.assertEqual(self.rounds * len(peers), pool.asked)
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -1,5 +1,6 @@
 """Guards against lost or duplicate runs when processes end, on real sockets and files."""
 
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -7,6 +8,7 @@
 from marigolddoor_storage import StorageError
 
 from tests.platform.system import HOSTS, PlatformSystem, run_system
+from tests.storage.folders import temporary_folder
 
 SECOND_STEP = {"count": 2, "cpu": 500, "estimated-ms": 100, "depends-on": [0]}
 STEPS: list[dict[str, Any]] = [{"count": 4, "cpu": 500, "estimated-ms": 300}, SECOND_STEP]
@@ -133,3 +135,34 @@
             await system.wait_state(JOBS[1], "completed")
 
         run_system(scenario)
+
+
+class FirstStartTest(testtools.TestCase):
+    """A group is formed only when the whole system starts for the first time.
+
+    Machines that were added while the group had no power, with each other as seeds, formed a second
+    one, which acknowledged configurations that the first group never had.
+    """
+
+    # Machines without founders formed their group, and elected a leader, within 2 s.
+    ELECTION_S = 4.0
+    scenarios = [
+        ("the first start", {"is_first": True}),
+        ("machines that are added later", {"is_first": False}),
+    ]
+
+    def test_group(self) -> None:
+        anyio.run(self.start_machines, temporary_folder(self))
+
+    async def start_machines(self, folder: Path) -> None:
+        leader = None
+        async with anyio.create_task_group() as group:
+            system = PlatformSystem(group, folder)
+            for host in HOSTS:
+                system.start_control(host, self.is_first)
+            with anyio.move_on_after(self.ELECTION_S):
+                await system.configure()
+                leader = await system.leader()
+            await system.client.aclose()
+            group.cancel_scope.cancel()
+        self.assertEqual(self.is_first, leader is not None)
