--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -107,18 +107,25 @@
                 and not leadership.dispatch.has_begun(job)
             )
             return QueueReply(QueueOutcome.ANSWERED, pending=waiting)
-        if call.method is not QueueMethod.SUBMIT:
-            # A job outlives its queue: its state can still be read and it can be cancelled, also if
-            # another queue has a shorter prefix of its path.
-            job_record = self.table.jobs.get(JobId(call.path.rpartition("/")[2]))
-            if job_record is not None:
-                return await self._answer_existing(leadership, call, job_record)
-            return QueueReply(QueueOutcome.NO_QUEUE if queue is None else QueueOutcome.NO_JOB)
+        # A job outlives its queue: it is known by its id, also if no queue, or a queue with another
+        # prefix, has its path now. A repeated submission is acknowledged after that as well.
+        job = JobId(call.path.rpartition("/")[2])
+        known = self.table.jobs.get(job)
+        if known is not None:
+            return await self._answer_existing(leadership, call, known)
         if queue is None:
+            # Entry processes read an empty path to find out who leads.
+            if call.method is not QueueMethod.READ:
+                logger.info(
+                    "fleet: {} {}{}: no queue in configuration {}",
+                    call.method.value,
+                    call.host,
+                    call.path,
+                    configuration.version,
+                )
             return QueueReply(QueueOutcome.NO_QUEUE)
-        job = JobId(name)
-        if job in self.table.jobs:
-            return QueueReply(QueueOutcome.ANSWERED)
+        if call.method is not QueueMethod.SUBMIT:
+            return QueueReply(QueueOutcome.NO_JOB)
         if not name or "/" in name or not is_text(name):
             return QueueReply(QueueOutcome.INVALID, detail="the path names no job")
         try:
@@ -149,7 +156,7 @@
             return QueueReply(
                 QueueOutcome.ANSWERED, phase=job.phase.value, has_started=job.has_started
             )
-        if job.phase is not JobPhase.ACTIVE:
+        if call.method is QueueMethod.SUBMIT or job.phase is not JobPhase.ACTIVE:
             return QueueReply(QueueOutcome.ANSWERED)
         return await self._record(leadership, CancelJob(job.job))
 
--- a/tests/control/test_fleet_service.py
+++ b/tests/control/test_fleet_service.py
@@ -16,27 +16,42 @@
 class RemovedQueueTest(testtools.TestCase):
     """An accepted job stays known after its queue was removed.
 
-    It was answered as unknown if another queue of the host has a shorter prefix of its path.
+    A read was answered as unknown if another queue of the host has a shorter prefix of its path. A
+    submission that was repeated after its answer was lost was answered with "no queue", so that the
+    caller took a job that ran for a rejected one.
     """
 
     scenarios = [
-        ("no queue has its path", {"queue": "other", "path": "/views/deep/j", "known": True}),
-        ("a shorter prefix", {"queue": "views", "path": "/views/deep/j", "known": True}),
-        ("another job", {"queue": "views", "path": "/views/deep/k", "known": False}),
+        (
+            f"{method.value}, {name}",
+            {"method": method, "queue": queue, "path": f"/views/deep/{job}", "known": job == "j"},
+        )
+        for method in QueueMethod
+        for name, queue, job in (
+            ("no queue has its path", "other", "j"),
+            ("a shorter prefix", "views", "j"),
+            ("another job", "views", "k"),
+            ("another job, no queue", "other", "k"),
+        )
     ]
 
-    def test_read(self) -> None:
+    def test_call(self) -> None:
         log = Log()
         log.apply(StoreConfiguration(1, configuration(1, **{"views/deep": SERVICE})))
         fleet = Fleet(log)
         fleet.step(accept("j", {"count": 1}))
         log.apply(StoreConfiguration(2, configuration(2, **{self.queue: SERVICE})))
         service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
-        service.leadership = SimpleNamespace(dispatch=fleet.dispatch, has_ended=False)  # type: ignore[assignment]
-        call = QueueCall(QueueMethod.READ, "a.example", self.path, b"")
+        service.leadership = SimpleNamespace(  # type: ignore[assignment]
+            dispatch=fleet.dispatch, has_ended=False, record=self.nothing, settle=self.nothing
+        )
+        call = QueueCall(self.method, "a.example", self.path, b"")
         reply = anyio.run(service.call_queue, call)
         self.assertEqual(self.known, reply.outcome is QueueOutcome.ANSWERED)
 
+    async def nothing(self, *_: object) -> None:
+        """Commit without a consensus group."""
+
 
 class WaitingJobsTest(testtools.TestCase):
     """Jobs on executors that are cut off must be counted among the waiting ones.
