Don't take the rejection of a repeated submission for that of the first

Cause: after an attempt that may have arrived, the gateway of the entry process withheld the outcome "unavailable" only. "No queue", "invalid" and "refused" of a later attempt were passed on, although they tell nothing about the first one, which may have been accepted, or may still be on its way.

Change: a submission that is rejected after such an attempt ends as unknown (504), at once: the caller's next request gets an answer of its own. The gateway logs the rejection that it withholds. Reads and cancels are passed on as before.

Result: RepeatedAttemptTest, 4 of 9 cases fail on the code before, none after.

--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -45,6 +45,10 @@
     QueueOutcome.UNKNOWN: Outcome.UNKNOWN,
 }
 
+# With these a leader has not accepted a submission. That holds for one attempt, not for others that
+# were sent before it.
+NOT_ACCEPTED = (QueueOutcome.NO_QUEUE, QueueOutcome.INVALID, QueueOutcome.REFUSED)
+
 
 class QueueGateway:
     """Sends calls to the leader and retries them until the caller's deadline.
@@ -105,7 +109,9 @@
         """Retry until the caller's deadline passes or this process is partitioned.
 
         A submission may be sent again, since a job is accepted once. If an attempt may have reached
-        a leader, the outcome is `UNKNOWN`, else `UNAVAILABLE`, after which nothing runs.
+        a leader, the outcome is `UNKNOWN`, else `UNAVAILABLE`, after which nothing runs. Nor does
+        the rejection of a later attempt tell that the first one was not accepted: the queue may
+        have been removed between the two.
         """
         deadline = self.clock() + timeout_s
         may_have_arrived = False
@@ -133,9 +139,22 @@
                 continue
             self._apply_answer(address, answer)
             if isinstance(answer, QueueAnswer):
-                if answer.reply.outcome is QueueOutcome.UNKNOWN:
+                outcome = answer.reply.outcome
+                if outcome is QueueOutcome.UNKNOWN:
                     may_have_arrived = True
-                elif not (may_have_arrived and answer.reply.outcome is QueueOutcome.UNAVAILABLE):
+                elif not may_have_arrived:
+                    return answer.reply
+                elif call.method is QueueMethod.SUBMIT and outcome in NOT_ACCEPTED:
+                    logger.info(
+                        "entry: {} {}{}: {}, but an earlier attempt may have been accepted",
+                        call.method.value,
+                        call.host,
+                        call.path,
+                        outcome.value,
+                    )
+                    # The caller's next request gets an answer of its own.
+                    break
+                elif outcome is not QueueOutcome.UNAVAILABLE:
                     return answer.reply
                 await anyio.sleep(min(ELECTION_RETRY_S, remaining_s))
         if may_have_arrived and call.method is not QueueMethod.READ:
--- a/tests/entry/test_queue_gateway.py
+++ b/tests/entry/test_queue_gateway.py
@@ -11,6 +11,7 @@
 import anyio
 import testtools
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
+from marigolddoor_entry import queue_gateway
 from marigolddoor_entry.queue_gateway import QueueGateway
 from marigolddoor_wire.errors import PeerRefusedError, PeerTimeoutError, PeerUnreachableError
 from marigolddoor_wire.peers import Address
@@ -44,6 +45,25 @@
         return reply
 
 
+class AttemptsPool(FakePool):
+    """Answers the attempts of one caller in order, and probes at once. None is no answer."""
+
+    def __init__(self, *attempts: Any) -> None:
+        super().__init__(a=ANSWERED, b=TO_B, c=TO_B)
+        self.attempts = list(attempts)
+
+    async def call(self, address: Address, message: AskQueue, timeout_s: float) -> Any:
+        if message is queue_gateway.PROBE:
+            return ANSWERED
+        attempt = self.attempts.pop(0)
+        if attempt is None:
+            await anyio.sleep(timeout_s)
+            raise PeerTimeoutError(f"no reply from {address}")
+        if isinstance(attempt, Exception):
+            raise attempt
+        return QueueAnswer(QueueReply(attempt), MEMBERS)
+
+
 UNREACHABLE = PeerUnreachableError("no connection")
 REFUSED = PeerRefusedError("connection refused")
 TO_B = NotLeading(B, MEMBERS)
@@ -224,3 +244,50 @@
 
         pool = FakePool(delay_s=0.2, a=ANSWERED, b=TO_B, c=TO_B)
         anyio.run(run_with_gateway, pool, scenario)
+
+
+class RepeatedAttemptTest(testtools.TestCase):
+    """The rejection of a repeated submission doesn't tell that the first attempt was rejected.
+
+    An entry process that froze while a queue was removed lost the leader's answers, asked again and
+    answered "no queue" to callers whose jobs had been accepted and ran.
+    """
+
+    scenarios = [
+        (
+            f"{method.value}, {name}, then {outcome.value}",
+            {
+                "method": method,
+                "attempts": (first, outcome),
+                "expected": QueueOutcome.UNKNOWN if is_uncertain else outcome,
+            },
+        )
+        for method, name, first, outcome, is_uncertain in [
+            *(
+                (QueueMethod.SUBMIT, "no answer", None, outcome, True)
+                for outcome in (QueueOutcome.NO_QUEUE, QueueOutcome.INVALID, QueueOutcome.REFUSED)
+            ),
+            (QueueMethod.SUBMIT, "unknown", QueueOutcome.UNKNOWN, QueueOutcome.NO_QUEUE, True),
+            (QueueMethod.SUBMIT, "no answer", None, QueueOutcome.ANSWERED, False),
+            (QueueMethod.SUBMIT, "not sent", UNREACHABLE, QueueOutcome.NO_QUEUE, False),
+            (
+                QueueMethod.SUBMIT,
+                "not accepted",
+                QueueOutcome.UNAVAILABLE,
+                QueueOutcome.UNAVAILABLE,
+                False,
+            ),
+            (QueueMethod.READ, "no answer", None, QueueOutcome.NO_QUEUE, False),
+            (QueueMethod.CANCEL, "no answer", None, QueueOutcome.NO_JOB, False),
+        ]
+    ]
+
+    def test_outcome(self) -> None:
+        self.patch(queue_gateway, "ATTEMPT_TIMEOUT_S", 0.1)
+
+        async def scenario(gateway: QueueGateway, _: FakePool) -> QueueReply:
+            call = QueueCall(self.method, "queues.example", "/tasks/0123456789abcdef", b"{}")
+            return await gateway.call(call, CALLER_TIMEOUT_S)
+
+        reply = anyio.run(run_with_gateway, AttemptsPool(*self.attempts), scenario)
+        self.assertEqual(self.expected, reply.outcome)
