Wait for a job that is being committed before a call for it is refused

While the sync of a disk outlasts an attempt, the job isn't in the table yet. A repeated submission to a queue removed meanwhile was answered with "no queue", and a cancel with "no job"; then the job ran.

Cause: both answers come from the table alone, and not from the changes that the leader is committing.

Change: before such an answer the leader waits for the changes that were recorded until then. Batches are committed one after the other, so the next one ends after them. If they fail, the leadership ends and the answer is "unavailable". Nothing waits while no change is being committed.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -88,6 +88,7 @@
         self.group: TaskGroup | None = None
         self.submitted: list[JobChange] = []
         self.batch = _Batch()
+        self.is_committing = False
         self.has_ended = False
 
     async def run(self) -> None:
@@ -139,6 +140,17 @@
         if batch.error is not None:
             raise batch.error
 
+    async def settle(self) -> None:
+        """Wait until the changes that were recorded before this call are committed.
+
+        Raises:
+          NotRecordedError: some of them were not committed.
+          RecordingUnknownError: some of them may not have been committed.
+        """
+        if self.submitted or self.is_committing:
+            # Batches are committed one after the other, so the next one ends after these changes.
+            await self.flush()
+
     async def _commit_batches(self) -> None:
         while True:
             with anyio.move_on_after(TIMER_INTERVAL_S):
@@ -168,6 +180,7 @@
         changes = submitted + self.dispatch.take_changes(
             self.now(), self.consensus.consensus_time()
         )
+        self.is_committing = True
         try:
             if changes:
                 await self.consensus.propose_here(RecordChanges(tuple(changes)), RECORD_TIMEOUT_S)
@@ -175,6 +188,8 @@
             batch.error = NotRecordedError(str(error))
         except ProposalOutcomeUnknownError as error:
             batch.error = RecordingUnknownError(str(error))
+        finally:
+            self.is_committing = False
         batch.done.set()
         if batch.error is not None:
             logger.warning("fleet: committing {} changes failed: {}", len(changes), batch.error)
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -110,6 +110,15 @@
         # A job outlives its queue: it is known by its id, also if no queue, or a queue with another
         # prefix, has its path now. A repeated submission is acknowledged after that as well.
         job = JobId(call.path.rpartition("/")[2])
+        may_be_uncommitted = queue is None or call.method is QueueMethod.CANCEL
+        if job not in self.table.jobs and may_be_uncommitted:
+            # The caller would be told that there is no such job, while an earlier attempt to submit
+            # it is being committed.
+            try:
+                await leadership.settle()
+            except (NotRecordedError, RecordingUnknownError) as error:
+                logger.info("fleet: whether job {} is known is not certain: {}", job, error)
+                return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=ELECTION_RETRY_S)
         known = self.table.jobs.get(job)
         if known is not None:
             return await self._answer_existing(leadership, call, known)
--- a/tests/control/test_fleet_leadership.py
+++ b/tests/control/test_fleet_leadership.py
@@ -1,4 +1,4 @@
-"""Guards against a leadership that outlives its term."""
+"""Guards against a leadership that outlives its term, and answers that precede its commits."""
 
 from types import SimpleNamespace
 from typing import Any
@@ -6,11 +6,15 @@
 import anyio
 import testtools
 from marigolddoor_control.fleet.fleet_leadership import FleetLeadership
+from marigolddoor_control.fleet.service import FleetService
 from marigolddoor_core.dispatch import LeaseTiming
 from marigolddoor_core.ids import FencingToken
-from marigolddoor_core.jobs import JobTable
+from marigolddoor_core.jobs import JobTable, RecordChanges, StoreConfiguration
 from marigolddoor_core.metrics import Counters
-from marigolddoor_platform.documents import JsonDocuments
+from marigolddoor_core.ports import NoQuorumError
+from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome
+
+from tests.core.jobs.fakes import SERVICE, Log, configuration, document
 
 TERM = 3
 
@@ -26,6 +30,24 @@
         return 0.0
 
 
+def create_leadership(table: JobTable, consensus: Any) -> FleetLeadership:
+    ports: Any = SimpleNamespace(machines=SimpleNamespace(list_machines=no_machines))
+    return FleetLeadership(
+        table,
+        consensus,
+        ports,
+        LeaseTiming(6.0),
+        3.0,
+        FencingToken(TERM),
+        anyio.current_time,
+        Counters(),
+    )
+
+
+async def no_machines() -> tuple[Any, ...]:
+    return ()
+
+
 class TermTest(testtools.TestCase):
     """A leadership goes on without the lease, and ends with its term.
 
@@ -45,17 +67,7 @@
 
     async def _run(self) -> None:
         consensus: Any = FakeConsensus()
-        ports: Any = None
-        leadership = FleetLeadership(
-            JobTable(JsonDocuments()),
-            consensus,
-            ports,
-            LeaseTiming(6.0),
-            3.0,
-            FencingToken(TERM),
-            anyio.current_time,
-            Counters(),
-        )
+        leadership = create_leadership(Log().table, consensus)
         async with anyio.create_task_group() as group:
             group.start_soon(leadership.run)
             await anyio.sleep(0.05)
@@ -64,3 +76,69 @@
             await anyio.sleep(1.0)
             self.assertEqual(self.ends, leadership.has_ended)
             group.cancel_scope.cancel()
+
+
+class SlowConsensus(FakeConsensus):
+    """Commits proposals, or loses the leadership, when `decided` is set."""
+
+    def __init__(self, log: Log, commits: bool) -> None:
+        super().__init__()
+        self.log = log
+        self.commits = commits
+        self.decided = anyio.Event()
+
+    async def propose_here(self, command: RecordChanges, timeout_s: float) -> None:
+        await self.decided.wait()
+        if not self.commits:
+            raise NoQuorumError("this replica lost the leadership")
+        self.log.apply(*command.changes)
+
+
+class UncommittedJobTest(testtools.TestCase):
+    """A call for a job waits while an earlier attempt to submit it is being committed.
+
+    The sync of a disk outlasted the caller's patience and the queue was removed meanwhile: the next
+    attempt was answered with "no queue", or a cancel with "no job", and then the job ran.
+    """
+
+    scenarios = [
+        (
+            f"{method.value}, {name}",
+            {"method": method, "commits": commits, "expected": expected},
+        )
+        for method in (QueueMethod.SUBMIT, QueueMethod.CANCEL)
+        for name, commits, expected in (
+            ("committed", True, QueueOutcome.ANSWERED),
+            ("not committed", False, QueueOutcome.UNAVAILABLE),
+        )
+    ]
+
+    def test_call(self) -> None:
+        anyio.run(self._run)
+
+    async def _run(self) -> None:
+        log = Log()
+        log.apply(StoreConfiguration(1, configuration(1, views=SERVICE)))
+        consensus: Any = SlowConsensus(log, self.commits)
+        leadership = create_leadership(log.table, consensus)
+        service = FleetService(log.table, consensus)
+        service.leadership = leadership
+        outcomes: list[QueueOutcome] = []
+
+        async def call(method: QueueMethod) -> None:
+            content = document({"count": 1})
+            reply = await service.call_queue(QueueCall(method, "a.example", "/views/j", content))
+            outcomes.append(reply.outcome)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(leadership.run)
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(call, QueueMethod.SUBMIT)
+                await anyio.sleep(0.05)
+                log.apply(StoreConfiguration(2, configuration(2, other=SERVICE)))
+                calls.start_soon(call, self.method)
+                await anyio.sleep(0.05)
+                self.assertEqual([], outcomes)
+                consensus.decided.set()
+            group.cancel_scope.cancel()
+        self.assertEqual(self.expected, outcomes[-1])
