--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -162,9 +162,8 @@
         self, leadership: FleetLeadership, call: QueueCall, job: JobRecord
     ) -> QueueReply:
         if call.method is QueueMethod.READ:
-            return QueueReply(
-                QueueOutcome.ANSWERED, phase=job.phase.value, has_started=job.has_started
-            )
+            has_begun = leadership.dispatch.has_begun(job)
+            return QueueReply(QueueOutcome.ANSWERED, phase=job.phase.value, has_started=has_begun)
         if call.method is QueueMethod.SUBMIT or job.phase is not JobPhase.ACTIVE:
             return QueueReply(QueueOutcome.ANSWERED)
         return await self._record(leadership, CancelJob(job.job))
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -88,8 +88,8 @@
         # Runs on executors that have not reported to this leader yet.
         self.unreported: dict[ExecutorIncarnation, dict[TaskName, TaskRecord]] = {}
         self.unconfirmed = UnconfirmedStarts()
-        # Jobs of which an executor has confirmed a run, or of which an earlier leader placed one.
-        self.begun: set[JobId] = {job.job for job in table.jobs.values() if job.has_started}
+        # Jobs of which an executor has confirmed a run to this leader.
+        self.begun: set[JobId] = set()
         self.changes: list[JobChange] = []
         self.orders: list[Order] = []
         self.is_planning_due = True
@@ -118,9 +118,10 @@
     def has_begun(self, job: JobRecord) -> bool:
         """Return whether a task of a job is known to have started.
 
-        A placement alone does not count: its executor may be out of reach.
+        A placement alone does not count: its executor may have rejected the start, or be out of
+        reach.
         """
-        return job.job in self.begun
+        return job.has_started or job.job in self.begun
 
     def executors_of(self, service: ServiceId) -> list[Executor]:
         """Return the executors of a service."""
@@ -275,7 +276,7 @@
                 # The run was abandoned. The executor discards the end once `seen` reaches it, so
                 # the end must be committed as well.
                 end = OUTCOMES.get(finished.outcome, RunEnd.LOST)
-                self.changes.append(EndRun(finished.task, finished.run, end))
+                self.changes.append(EndRun(finished.task, finished.run, end, has_begun=True))
         for running in report.running:
             placed = executor.runs.get(running.task)
             if placed is None or placed.run != running.run:
@@ -283,9 +284,10 @@
                 continue
             listed.add(running.task)
             self.unconfirmed.listed(executor.heartbeat.executor, running.task, running.run)
+            # A run of an earlier leader counts as confirmed before the executor lists it.
+            self.begun.add(placed.task.step.job.job)
             if placed.confirmed_at is None:
                 placed.confirmed_at = now
-                self.begun.add(placed.task.step.job.job)
             placed.percent = running.percent
             placed.load = running.load
         for placed, percent in plan_pace(executor, now):
@@ -373,7 +375,8 @@
             executor.failed_jobs.add(task.step.job.job)
             if len(executor.failed_jobs) >= FAILED_JOBS_LIMIT:
                 self.block(executor, now)
-        self.changes.append(EndRun(task.name, finished.run, end, finished.checkpoint))
+        change = EndRun(task.name, finished.run, end, finished.checkpoint, has_begun=True)
+        self.changes.append(change)
 
     def block(self, executor: Executor, now: Instant) -> None:
         """Block new tasks on an executor; the time doubles with each call up to the limit."""
@@ -481,7 +484,8 @@
             self._end_run(task, RunEnd.LOST)
 
     def _end_run(self, task: TaskRecord, end: RunEnd) -> None:
-        self.changes.append(EndRun(task.name, task.run, end))
+        has_begun = self.has_begun(task.step.job)
+        self.changes.append(EndRun(task.name, task.run, end, has_begun=has_begun))
 
     def _order_stop(self, executor: Executor, task: TaskRecord) -> None:
         placed = executor.runs.get(task.name)
--- a/packages/core/src/marigolddoor_core/jobs/changes.py
+++ b/packages/core/src/marigolddoor_core/jobs/changes.py
@@ -67,12 +67,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EndRun:
-    """A run ended. Committed before the executor may discard the end."""
+    """A run ended. Committed before the executor may discard the end.
+
+    `has_begun` is true if an executor has confirmed a run of the job. Some ends don't show it.
+    """
 
     task: TaskName
     run: RunNumber
     end: RunEnd
     checkpoint: str = ""
+    has_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/jobs/phases.py
+++ b/packages/core/src/marigolddoor_core/jobs/phases.py
@@ -26,7 +26,8 @@
     """How a run of a task ended.
 
     `REJECTED`: the executor did not start it. `LOST`: the executor's incarnation ended, or the
-    executor does not know the run. Only `FAILED` counts as an attempt.
+    executor does not know the run; it may not have started either. Only `FAILED` counts as an
+    attempt.
     """
 
     DONE = "done"
@@ -37,3 +38,8 @@
     ALONE = "alone"
     REJECTED = "rejected"
     LOST = "lost"
+
+    @property
+    def shows_start(self) -> bool:
+        """Return whether a run that ended so had certainly started."""
+        return self not in (RunEnd.REJECTED, RunEnd.LOST)
--- a/packages/core/src/marigolddoor_core/jobs/records.py
+++ b/packages/core/src/marigolddoor_core/jobs/records.py
@@ -91,7 +91,11 @@
 
 
 class JobRecord:
-    """An accepted job."""
+    """An accepted job.
+
+    `has_started` is true once the end of a run has shown that a task of it had started. While the
+    first run goes on only its executor and the leader know of it.
+    """
 
     __slots__ = (
         "accepted_s",
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -223,7 +223,6 @@
         task.run = change.run
         task.incarnation = change.life
         step.placed += 1
-        step.job.has_started = True
         if self.observer is not None:
             self.observer.run_placed(task)
 
@@ -231,6 +230,10 @@
         task = self.task(change.task)
         if task is None or not 0 < change.run <= task.run:
             return
+        # A placement isn't enough: it is committed before the executor is called, which may reject
+        # the start or be out of reach.
+        if change.has_begun or change.end.shows_start:
+            task.step.job.has_started = True
         if change.end is RunEnd.FAILED and change.run not in task.failed_runs:
             task.failed_runs += (change.run,)
         if task.phase is TaskPhase.PLACED and task.run == change.run:
--- a/packages/wire/idl/jobs.thrift
+++ b/packages/wire/idl/jobs.thrift
@@ -6,7 +6,7 @@
 struct AcceptJob { 1: string job, 2: string queue, 3: string service_id, 4: i64 max_attempts, 5: binary document }
 struct CancelJob { 1: string job }
 struct PlaceRun { 1: string task, 2: i64 run, 3: string life }
-struct EndRun { 1: string task, 2: i64 run, 3: string end, 4: string checkpoint }
+struct EndRun { 1: string task, 2: i64 run, 3: string end, 4: string checkpoint, 5: bool has_begun }
 struct EnrolledExecutor { 1: string executor, 2: i64 born_ms, 3: string service_id, 4: string address, 5: string data_centre, 6: string machine, 7: string rack, 8: list<string> labels, 9: i64 cpu_milli, 10: i64 memory_mb, 11: i64 accelerators, 12: bool is_draining }
 struct EnrolExecutor { 1: EnrolledExecutor executor }
 struct DropExecutor { 1: string life }
--- a/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
@@ -300,6 +300,7 @@
      - run
      - end
      - checkpoint
+     - has_begun
 
     """
 
@@ -308,14 +309,16 @@
         'run',
         'end',
         'checkpoint',
+        'has_begun',
     )
 
 
-    def __init__(self, task=None, run=None, end=None, checkpoint=None,):
+    def __init__(self, task=None, run=None, end=None, checkpoint=None, has_begun=None,):
         self.task = task
         self.run = run
         self.end = end
         self.checkpoint = checkpoint
+        self.has_begun = has_begun
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -346,6 +349,11 @@
                     self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.has_begun = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -372,6 +380,10 @@
             oprot.writeFieldBegin('checkpoint', TType.STRING, 4)
             oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
             oprot.writeFieldEnd()
+        if self.has_begun is not None:
+            oprot.writeFieldBegin('has_begun', TType.BOOL, 5)
+            oprot.writeBool(self.has_begun)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2526,6 +2538,7 @@
     (2, TType.I64, 'run', None, None, ),  # 2
     (3, TType.STRING, 'end', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'has_begun', None, None, ),  # 5
 )
 all_structs.append(EnrolledExecutor)
 EnrolledExecutor.thrift_spec = (
--- a/tests/control/test_fleet_service.py
+++ b/tests/control/test_fleet_service.py
@@ -7,7 +7,7 @@
 from marigolddoor_control.fleet.service import FleetService
 from marigolddoor_core.dispatch import StartOrder
 from marigolddoor_core.jobs import StoreConfiguration
-from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome
+from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
 
 from tests.core.dispatch.fakes import Fleet
 from tests.core.jobs.fakes import SERVICE, Log, accept, configuration
@@ -54,18 +54,25 @@
 
 
 class WaitingJobsTest(testtools.TestCase):
-    """Jobs on executors that are cut off must be counted among the waiting ones.
+    """Jobs of which no executor has confirmed a run must be counted among the waiting ones.
 
     They were left out as soon as they were placed: while 4 jobs had waited for 5 s, callers were
-    told that none did.
+    told that none did. Later they were left out after a change of the leader, and shown as active.
     """
 
     scenarios = [
-        ("placed", {"is_answered": False, "expected": 1}),
-        ("started", {"is_answered": True, "expected": 0}),
+        ("placed", {"is_answered": False, "leaders": 1, "expected": 1}),
+        ("started", {"is_answered": True, "leaders": 1, "expected": 0}),
+        ("placed by an earlier leader", {"is_answered": False, "leaders": 2, "expected": 1}),
     ]
 
     def test_pending(self) -> None:
+        self.assertEqual(self.expected, self.read("/views/").pending)
+
+    def test_state(self) -> None:
+        self.assertEqual(self.expected == 0, self.read("/views/j").has_started)
+
+    def read(self, path: str) -> QueueReply:
         log = Log()
         log.apply(StoreConfiguration(1, configuration(1, views=SERVICE)))
         fleet = Fleet(log)
@@ -75,8 +82,8 @@
         assert isinstance(start, StartOrder)
         if self.is_answered:
             fleet.dispatch.started(start, fleet.now)
+        if self.leaders > 1:
+            fleet = Fleet(log)
         service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
         service.leadership = SimpleNamespace(dispatch=fleet.dispatch, has_ended=False)  # type: ignore[assignment]
-        call = QueueCall(QueueMethod.READ, "a.example", "/views/", b"")
-        reply = anyio.run(service.call_queue, call)
-        self.assertEqual(self.expected, reply.pending)
+        return anyio.run(service.call_queue, QueueCall(QueueMethod.READ, "a.example", path, b""))
--- a/tests/core/dispatch/test_dispatch.py
+++ b/tests/core/dispatch/test_dispatch.py
@@ -61,7 +61,8 @@
     """A job whose placed runs were never confirmed must count as one that waits.
 
     While executors were cut off, jobs that had been placed on them were left out of the number of
-    waiting jobs, also after these runs had been declared lost.
+    waiting jobs, also after these runs had been declared lost. After a change of the leader so were
+    jobs whose starts had all been rejected.
     """
 
     scenarios = [
@@ -71,23 +72,54 @@
         ("ended", {"events": ("ended",), "has_begun": True}),
         ("lost without an answer", {"events": ("lost",), "has_begun": False}),
         ("lost after an answer", {"events": ("answered", "lost"), "has_begun": True}),
-        ("placed by an earlier leader", {"events": ("other leader",), "has_begun": True}),
+        ("rejected", {"events": ("rejected",), "has_begun": False}),
+        ("placed by an earlier leader", {"events": ("other leader",), "has_begun": False}),
+        ("listed to the next leader", {"events": ("other leader", "listed"), "has_begun": True}),
+        ("ended at the next leader", {"events": ("other leader", "ended"), "has_begun": True}),
+        (
+            "missing at the next leader",
+            {"events": ("other leader", "missing"), "has_begun": False},
+        ),
+        (
+            "rejected at an earlier leader",
+            {"events": ("rejected", "other leader"), "has_begun": False},
+        ),
+        (
+            "lost at an earlier leader without an answer",
+            {"events": ("lost", "other leader"), "has_begun": False},
+        ),
+        (
+            "lost at an earlier leader after an answer",
+            {"events": ("answered", "lost", "other leader"), "has_begun": True},
+        ),
+        (
+            "ended at an earlier leader",
+            {"events": ("ended", "other leader"), "has_begun": True},
+        ),
     ]
 
     def test_begun(self) -> None:
-        fleet = self.fleet
+        fleet, executor = self.fleet, self.executor
         for event in self.events:
             if event == "answered":
                 fleet.dispatch.started(self.start, fleet.at(1.0).now)
+            elif event == "rejected":
+                fleet.dispatch.rejected(self.start, fleet.at(1.0).now)
+                fleet.step()
             elif event == "listed":
-                fleet.at(1.0).hold(self.executor, running("j.0.0.0"))
+                fleet.at(1.0).hold(executor, running("j.0.0.0"))
+            elif event == "missing":
+                fleet.at(1.0).hold(executor)
+                fleet.step()
             elif event == "ended":
-                fleet.at(1.0).hold(self.executor, ends=(finished(1, "j.0.0.0", "failed"),))
+                fleet.at(1.0).hold(executor, ends=(finished(1, "j.0.0.0", "failed"),))
+                fleet.step()
             elif event == "lost":
                 fleet.dispatch.expire(fleet.at(7.0).now)
                 fleet.step()
             else:
                 fleet = Fleet(fleet.log)
+                executor = next(iter(fleet.dispatch.executors.values()), executor)
         job = fleet.log.table.jobs[JobId("j")]
         self.assertEqual(self.has_begun, fleet.dispatch.has_begun(job))
 
--- a/tests/core/jobs/test_table.py
+++ b/tests/core/jobs/test_table.py
@@ -1,10 +1,13 @@
 """Guards against jobs that run twice, end too early or are lost on a replica."""
 
+from typing import Any
+
 import testtools
-from marigolddoor_core.ids import JobId, LogIndex, MachineId, WaveId
+from marigolddoor_core.ids import JobId, LogIndex, MachineId, RunNumber, TaskName, WaveId
 from marigolddoor_core.jobs import (
     BeginUpkeep,
     CancelJob,
+    EndRun,
     FinishWave,
     JobPhase,
     JobTable,
@@ -23,6 +26,7 @@
 LONG_RUNNING = {"count": 1, "is_long_running": True}
 GANG = {"count": 2, "is_gang": True}
 DONE, FAILED, LOST = RunEnd.DONE, RunEnd.FAILED, RunEnd.LOST
+REJECTED = RunEnd.REJECTED
 
 
 class PhaseTest(testtools.TestCase):
@@ -208,12 +212,52 @@
         self.assertEqual(self.accepted, is_placed)
 
 
+class StartedJobTest(testtools.TestCase):
+    """A job has started once the end of a run shows it, not when a task was placed.
+
+    A placement is committed before the executor is called, which may reject it.
+    """
+
+    scenarios: list[tuple[str, dict[str, Any]]] = [
+        ("placed", {"ends": (), "has_started": False}),
+        *(
+            (
+                how.value,
+                {"ends": (end("j.0.0.0", how),), "has_started": how not in (REJECTED, LOST)},
+            )
+            for how in RunEnd
+        ),
+        (
+            "lost after another run of the job was confirmed",
+            {
+                "ends": (EndRun(TaskName("j.0.0.0"), RunNumber(1), LOST, has_begun=True),),
+                "has_started": True,
+            },
+        ),
+        (
+            "rejected after an earlier run had failed",
+            {
+                "ends": (end("j.0.0.0", FAILED), place("j.0.0.0", 2), end("j.0.0.0", REJECTED, 2)),
+                "has_started": True,
+            },
+        ),
+    ]
+
+    def test_started(self) -> None:
+        log = Log()
+        log.apply(accept("j", TWO), place("j.0.0.0"), *self.ends)
+        restored = JobTable(TestDocuments())
+        restored.restore(log.table.snapshot())
+        for table in (log.table, restored):
+            self.assertEqual(self.has_started, table.jobs[JobId("j")].has_started)
+
+
 class DuplicateChangeTest(testtools.TestCase):
     """Guards against a repeated change that resets a job or a wave."""
 
     def test_job(self) -> None:
         log = Log()
-        log.apply(accept("j", ONE), place("j.0.0.0"))
+        log.apply(accept("j", ONE), place("j.0.0.0"), end("j.0.0.0", RunEnd.LAPSED))
         log.apply(accept("j", TWO))
         self.assertEqual(1, log.table.jobs[JobId("j")].spec.task_count)
         self.assertTrue(log.table.jobs[JobId("j")].has_started)
