--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -102,6 +102,23 @@
             ("heartbeat", "sequence of the wrong type", {**HEARTBEAT, "sequence": "4"}),
             ("heartbeat", "labels of the wrong type", {**HEARTBEAT, "labels": "a"}),
             ("heartbeat", "capacity of the wrong type", {**HEARTBEAT, "capacity": 3}),
+            ("heartbeat", "slots of the wrong type", {**HEARTBEAT, "slots": "8"}),
+            *(
+                (
+                    "heartbeat",
+                    f"no {name}",
+                    {key: HEARTBEAT[key] for key in HEARTBEAT if key != name},
+                )
+                for name in (
+                    "address",
+                    "zone",
+                    "version",
+                    "slots",
+                    "state",
+                    "cold-remaining-ms",
+                    "sequence",
+                )
+            ),
             ("heartbeat", "start after the year 2100", {**HEARTBEAT, "born": 2**52}),
             ("hold", "start after the year 2100", {"clock-ms": 1, "born": 2**52}),
             ("wave", "no machines", {**WAVE, "machines": None}),
