Ask an executor before it displaces another one

What callers could see: a task that runs twice at the same time. The executor that ran it first is up, but no longer used until the next leader.

Cause: an incarnation with a newer birth at the address, on the machine or under the id of an executor ended it by its heartbeat alone, and its runs counted as lost at once. Nobody had asked the executor, and its lease goes on for up to 6 s.

Change: the leader sends the new one a hold, which neither extends a lease nor discards an end, and uses it once it has answered under its own id and birth. Its last heartbeat counts, so that one that drains meanwhile gets no task. An executor that displaces nobody is used at once, as before.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -18,8 +18,8 @@
     NoAnswerError,
     WrongIncarnationError,
 )
-from marigolddoor_core.dispatch import Executor, ExecutorState, LeaseTiming
-from marigolddoor_core.ids import FencingToken
+from marigolddoor_core.dispatch import Executor, ExecutorState, Heartbeat, LeaseTiming
+from marigolddoor_core.ids import ExecutorIncarnation, FencingToken
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import JobChange, JobTable, RecordChanges
 from marigolddoor_core.metrics import Counters
@@ -89,6 +89,8 @@
         self.submitted: list[JobChange] = []
         self.batch = _Batch()
         self.is_committing = False
+        # The last heartbeats of executors that are asked whether they exist.
+        self.identifying: dict[ExecutorIncarnation, Heartbeat] = {}
         self.has_ended = False
 
     async def run(self) -> None:
@@ -211,6 +213,48 @@
         assert self.group is not None
         self.group.start_soon(self._hold_until_end, executor)
 
+    def identify(self, heartbeat: Heartbeat) -> None:
+        """Ask the executor that a heartbeat names whether it exists, and use it if so.
+
+        Any process may send a heartbeat with the address or the machine of an executor, whose runs
+        would be started elsewhere while they go on.
+        """
+        assert self.group is not None
+        earlier = self.identifying.get(heartbeat.incarnation)
+        if earlier is None or heartbeat.sequence > earlier.sequence:
+            self.identifying[heartbeat.incarnation] = heartbeat
+        if earlier is None:
+            self.group.start_soon(self._identify, heartbeat)
+
+    async def _identify(self, heartbeat: Heartbeat) -> None:
+        candidate = self.dispatch.candidate(heartbeat, self.now())
+        # It neither extends a lease nor discards an end, whoever answers.
+        request = HoldRequest(0, 0, 0.0, self.token)
+        try:
+            await self.ports.executors.hold(candidate, request)
+        except (NoAnswerError, WrongIncarnationError) as error:
+            # An executor that has just begun is asked again after its next heartbeat.
+            logger.info(
+                "fleet: heartbeat of {} at {} on machine {} ignored, which would displace {}: {}",
+                heartbeat.incarnation,
+                heartbeat.address,
+                heartbeat.machine,
+                ", ".join(other.incarnation for other in self.dispatch.displaced_by(heartbeat)),
+                error,
+            )
+            return
+        except Exception as error:
+            # It must not end the leadership: the next leader would call this executor as well.
+            logger.exception("fleet: hold of {} failed: {}", heartbeat.incarnation, error)
+            self._count_unexpected_error("hold")
+            return
+        finally:
+            heartbeat = self.identifying.pop(heartbeat.incarnation)
+        executor = self.dispatch.receive_heartbeat(heartbeat, self.now())
+        if executor is not None:
+            self.watch(executor)
+        self.wake.set()
+
     async def _hold_until_end(self, executor: Executor) -> None:
         heartbeat = executor.heartbeat
         logger.info(
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -184,6 +184,8 @@
     async def heartbeat(self, heartbeat: Heartbeat) -> None:
         """Process a heartbeat. A change to draining is committed before this returns.
 
+        An executor that would displace others is used after it has answered a call.
+
         Raises:
           NotLeadingError: this process is not the leader.
           NotRecordedError: the change to draining was not committed.
@@ -197,6 +199,9 @@
                 heartbeat.incarnation,
             )
             return
+        if leadership.dispatch.displaced_by(heartbeat):
+            leadership.identify(heartbeat)
+            return
         was_ready = known is not None and known.heartbeat.state is ExecutorState.READY
         executor = leadership.dispatch.receive_heartbeat(heartbeat, leadership.now())
         if executor is not None:
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -135,9 +135,10 @@
         """Handle a heartbeat; return the executor if its incarnation was not in use.
 
         A heartbeat of another writer does not displace a known executor: one that contradicts what
-        its incarnation reported before, or one of a service that is not configured.
+        its incarnation reported before, or one of a service that is not configured. The caller
+        checks with the sender that it exists if `displaced_by` returns any executor, since the runs
+        of those count as lost.
         """
-        newest = self.newest_incarnation.get(heartbeat.executor, 0)
         known = self.executors.get(heartbeat.incarnation)
         if known is not None:
             if not known.heartbeat.is_same_executor(heartbeat):
@@ -149,25 +150,8 @@
                 known.heartbeat = heartbeat
             known.last_heartbeat_at = now
             return None
-        if heartbeat.born_ms < newest or (
-            heartbeat.born_ms == newest and not self._has_returned(heartbeat)
-        ):
-            # A late heartbeat of an ended incarnation.
-            return None
-        at_address = self.by_address.get(heartbeat.address)
-        on_machine = self.by_machine.get(heartbeat.machine) if heartbeat.machine else None
-        if any(
-            other is not None and other.heartbeat.born_ms > heartbeat.born_ms
-            for other in (at_address, on_machine)
-        ):
-            # A late heartbeat of an executor that was replaced at its address or on its machine.
-            return None
-        displaced = [
-            previous
-            for previous in (self.current.get(heartbeat.executor), at_address, on_machine)
-            if previous is not None
-        ]
-        if displaced and not self._is_configured(heartbeat.service):
+        displaced = self._displaced_by(heartbeat)
+        if displaced is None:
             return None
         self.newest_incarnation[heartbeat.executor] = heartbeat.born_ms
         self.silent_after.pop(heartbeat.executor, None)
@@ -199,6 +183,39 @@
         self.orders += [StopOrder(executor, name, run) for name, run in unconfirmed]
         return executor
 
+    def displaced_by(self, heartbeat: Heartbeat) -> list[Executor]:
+        """Return the executors that `receive_heartbeat` would end because of a heartbeat."""
+        if heartbeat.incarnation in self.executors:
+            return []
+        return self._displaced_by(heartbeat) or []
+
+    def _displaced_by(self, heartbeat: Heartbeat) -> list[Executor] | None:
+        """Return the executors that another incarnation displaces; None if it is not accepted."""
+        newest = self.newest_incarnation.get(heartbeat.executor, 0)
+        if heartbeat.born_ms < newest or (
+            heartbeat.born_ms == newest and not self._has_returned(heartbeat)
+        ):
+            # A late heartbeat of an ended incarnation.
+            return None
+        at_address = self.by_address.get(heartbeat.address)
+        on_machine = self.by_machine.get(heartbeat.machine) if heartbeat.machine else None
+        if any(
+            other is not None and other.heartbeat.born_ms > heartbeat.born_ms
+            for other in (at_address, on_machine)
+        ):
+            # A late heartbeat of an executor that was replaced at its address or on its machine.
+            return None
+        displaced = [
+            previous
+            for previous in (self.current.get(heartbeat.executor), at_address, on_machine)
+            if previous is not None
+        ]
+        return None if displaced and not self._is_configured(heartbeat.service) else displaced
+
+    def candidate(self, heartbeat: Heartbeat, now: Instant) -> Executor:
+        """Return the executor that a heartbeat tells of, without using it."""
+        return Executor(heartbeat, ExecutorLease(self.lease_timing, now), now)
+
     def _has_returned(self, heartbeat: Heartbeat) -> bool:
         """Return whether an executor that was given up because of its silence reports again.
 
