Keep a process whose peer resets a connection right after it opens

What operators could see: a control or entry process that ends with an AttributeError and is started again, here and there when other processes are killed.

Cause: set_timeouts asks anyio for the socket of a connection. A transport of uvloop that was closed meanwhile has none, which anyio doesn't expect, and nothing caught the AttributeError.

Change: it counts as a closed connection. A client link whose connection is closed at that moment is closed as well, as after a failed handshake.

HTTP clients and servers use protocols of the loop, where a closed transport is expected.

--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -74,8 +74,17 @@
 
 
 def set_timeouts(stream: ByteStream) -> None:
-    """Make the connection fail if the peer stops acknowledging, as during a partition."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    """Make the connection fail if the peer stops acknowledging, as during a partition.
+
+    Raises:
+      anyio.BrokenResourceError: the connection was closed already.
+      OSError: the same.
+    """
+    try:
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    except AttributeError as error:
+        # A closed transport of uvloop has no socket, which anyio doesn't expect.
+        raise anyio.BrokenResourceError from error
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGEMENT_TIMEOUT_MS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
@@ -328,8 +337,8 @@
     async def _connect(self, address: Address) -> _Link:
         host, port = parse_address(address)
         raw: ByteStream = await anyio.connect_tcp(host, port)
-        set_timeouts(raw)
         try:
+            set_timeouts(raw)
             stream = await self._wrap(raw)
             reader = FrameReader(stream)
             await initiate(stream, reader, self.key)
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -1,6 +1,7 @@
 """Guards against replies to the wrong call, unauthenticated peers and calls that hang."""
 
 import socket
+import struct
 from typing import Any
 
 import anyio
@@ -159,3 +160,34 @@
 
     def test_parse_error(self) -> None:
         self.assertRaises(ValueError, parse_address, Address(self.text))
+
+
+class ResetConnectionTest(testtools.TestCase):
+    """Connections that are reset right after they open end neither the server nor a later call.
+
+    The accepting process met a transport that was closed already, and ended.
+    """
+
+    scenarios = [
+        ("uvloop", {"use_uvloop": True}),
+        ("asyncio", {"use_uvloop": False}),
+    ]
+    CONNECTIONS = 300
+
+    def test_server(self) -> None:
+        anyio.run(self.reset_connections, backend_options={"use_uvloop": self.use_uvloop})
+
+    async def reset_connections(self) -> None:
+        async with anyio.create_task_group() as group, PeerPool(KEY) as pool:
+            address = await group.start(PeerServer(KEY, echo).run, LOOPBACK)
+            for number in range(self.CONNECTIONS):
+                with socket.socket() as client:
+                    # Close sends a reset.
+                    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    client.connect(parse_address(address))
+                # Some are accepted one by one, others several at once.
+                if number % 3 == 0:
+                    await anyio.sleep(0.001)
+            message = CancelTask(TaskId("now"))
+            self.assertEqual(message, await pool.call(address, message, 5.0))
+            group.cancel_scope.cancel()
