Ask an executor that displaces another one on a new connection

Change: the idle connections to the address are closed before the check; calls in progress go on.

Result: SilentConnectionTest, 1 of 2 cases fails without the change, none with it.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -231,6 +231,8 @@
         # It neither extends a lease nor discards an end, whoever answers.
         request = HoldRequest(0, 0, 0.0, self.token)
         try:
+            # An idle connection may lead to an executor that lost its power, and answers no more.
+            await self.ports.executors.forget(candidate)
             await self.ports.executors.hold(candidate, request)
         except (NoAnswerError, WrongIncarnationError) as error:
             # An executor that has just begun is asked again after its next heartbeat.
--- a/tests/control/test_identification.py
+++ b/tests/control/test_identification.py
@@ -26,13 +26,22 @@
 
 
 class RunningExecutor(ScriptedExecutor):
-    """Lists its run, and answers calls that name it. `others` are addresses that answer as well."""
+    """Lists its run, and answers calls that name it.
 
-    def __init__(self, others: tuple[str, ...]) -> None:
+    `others` are addresses that answer as well, `stale` those where only new connections do.
+    """
+
+    def __init__(self, others: tuple[str, ...], stale: tuple[str, ...] = ()) -> None:
         super().__init__([], ())
         self.others = others
+        self.stale = stale
         # The last run that was started on each incarnation.
         self.runs: dict[ExecutorIncarnation, int] = {}
+        # Addresses whose idle connections were closed since the last call there.
+        self.forgotten: set[str] = set()
+
+    async def forget(self, executor: Executor) -> None:
+        self.forgotten.add(executor.heartbeat.address)
 
     async def start(self, executor: Executor, request: StartRequest) -> StartOutcome:
         self.runs[executor.incarnation] = request.run
@@ -40,7 +49,11 @@
 
     async def hold(self, executor: Executor, request: HoldRequest) -> HoldReport:
         named = executor.heartbeat
+        is_fresh = named.address in self.forgotten
+        self.forgotten.discard(named.address)
         await anyio.sleep(HOLD_S)
+        if named.address in self.stale and not is_fresh:
+            raise NoAnswerError("the connection is silent")
         if named.address not in (OWN.address, *self.others):
             raise NoAnswerError("no connection")
         if named.address == OWN.address and named.incarnation != OWN.incarnation:
@@ -129,3 +142,23 @@
             self.assertIs(ExecutorState.DRAINING, executor.heartbeat.state)
 
         await lead(RunningExecutor((heartbeat(2).address,)), scenario)
+
+
+class SilentConnectionTest(testtools.TestCase):
+    """An executor is found although its predecessor lost its power and left silent connections."""
+
+    scenarios = [
+        ("new connections only", {"stale": ("a:1",)}),
+        ("all connections", {"stale": ()}),
+    ]
+
+    def test_displaced(self) -> None:
+        run_in_virtual_time(self.run_scenario)
+
+    async def run_scenario(self) -> None:
+        async def scenario(leadership: FleetLeadership) -> None:
+            known = next(iter(leadership.dispatch.executors.values()))
+            await call_service(leadership, heartbeat(2, 200, address="a:1", machine="m-1"))
+            self.assertTrue(known.has_ended)
+
+        await lead(RunningExecutor(("a:1",), self.stale), scenario)
