Keep a process that sends a message too large for a frame

Cause: the error of `frame` is raised in the task that sends messages to a peer, and nothing caught it.

Change: the pool logs it and reports that the message was not sent, as its callers expect.

Result: LargeMessageTest, 1 of 2 cases fails on the code before, none now.

--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -296,6 +296,10 @@
     def _enqueue(self, link: _Link, address: Address, body: bytes) -> None:
         try:
             link.outbox.send_nowait(frame(body))
+        except FrameError as error:
+            # Another attempt would fail as well, so this is a fault of the sender.
+            logger.error("peers: a message to {} was not sent: {}", address, error)
+            raise PeerUnreachableError(f"a message to {address} is too large") from error
         except (anyio.WouldBlock, anyio.ClosedResourceError, anyio.BrokenResourceError) as error:
             raise PeerUnreachableError(f"the link to {address} takes no more frames") from error
 
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -10,6 +10,7 @@
 from marigolddoor_core.ids import TaskId
 from marigolddoor_core.state.commands import CancelTask
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
+from marigolddoor_wire.frames import MAX_FRAME_BYTES
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.messages import Acknowledgement, ErrorKind
 from marigolddoor_wire.peers import Address, PeerPool, PeerServer, parse_address
@@ -162,6 +163,36 @@
         self.assertRaises(ValueError, parse_address, Address(self.text))
 
 
+class LargeMessageTest(testtools.TestCase):
+    """A message that is too large for a frame costs itself only.
+
+    It ended the process that sent it, and each one that led the group after it.
+    """
+
+    scenarios = [
+        ("the largest", {"size": MAX_FRAME_BYTES - 200, "is_sent": True}),
+        ("too large", {"size": MAX_FRAME_BYTES + 1, "is_sent": False}),
+    ]
+
+    def test_call(self) -> None:
+        anyio.run(self.send)
+
+    async def send(self) -> None:
+        async with anyio.create_task_group() as group, PeerPool(KEY) as pool:
+            address = await group.start(PeerServer(KEY, echo).run, LOOPBACK)
+            large = CancelTask(TaskId("x" * self.size))
+            is_answered = True
+            try:
+                await pool.call(address, large, 5.0)
+            except PeerUnreachableError:
+                is_answered = False
+            self.assertEqual(self.is_sent, is_answered)
+            self.assertEqual(self.is_sent, await pool.post(address, large))
+            message = CancelTask(TaskId("now"))
+            self.assertEqual(message, await pool.call(address, message, 5.0))
+            group.cancel_scope.cancel()
+
+
 class ResetConnectionTest(testtools.TestCase):
     """Connections that are reset right after they open end neither the server nor a later call.
 
