Bound the documents of one entry of the log

Cause: the leader put everything that had been submitted into one entry, whatever its size, and an entry over 4 MiB fits in no message to a peer.

Change: batches are committed in order, each with at most 1 MiB of documents, or one document that is larger.

No load inside the limits of the site files is known to make such an entry.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -4,6 +4,7 @@
 placement before its executor is called, the end of a run before the executor may discard it.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 import anyio
@@ -21,7 +22,13 @@
 from marigolddoor_core.dispatch import Executor, ExecutorState, Heartbeat, LeaseTiming
 from marigolddoor_core.ids import ExecutorIncarnation, FencingToken
 from marigolddoor_core.instants import Instant
-from marigolddoor_core.jobs import JobChange, JobTable, RecordChanges
+from marigolddoor_core.jobs import (
+    AcceptJob,
+    JobChange,
+    JobTable,
+    RecordChanges,
+    StoreConfiguration,
+)
 from marigolddoor_core.metrics import Counters
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 
@@ -41,6 +48,9 @@
 RECORD_TIMEOUT_S = 20.0
 # An executor sends a heartbeat every 1.5 s, and one heartbeat may be lost.
 SUCCESSOR_REPORT_S = 3.5
+# A batch is one entry of the log, which has to fit in one message to a peer (4 MiB). Documents are
+# its only large parts; placements and ends take some 60 bytes each.
+MAX_BATCH_DOCUMENT_BYTES = 1024 * 1024
 # The deregistration is the last call of an executor, which exits shortly after it.
 DEREGISTRATION_DELAY_S = 1.0
 
@@ -64,9 +74,25 @@
     """A batch of changes that is committed in one command."""
 
     def __init__(self) -> None:
+        self.changes: list[JobChange] = []
+        self.document_bytes = 0
         self.done = anyio.Event()
         self.error: Exception | None = None
 
+    def has_room(self, change: JobChange) -> bool:
+        """Return whether the batch stays within its limit; the first change always fits."""
+        size = self.document_bytes + _document_bytes(change)
+        return not self.document_bytes or size <= MAX_BATCH_DOCUMENT_BYTES
+
+    def add(self, change: JobChange) -> None:
+        """Add a change."""
+        self.changes.append(change)
+        self.document_bytes += _document_bytes(change)
+
+
+def _document_bytes(change: JobChange) -> int:
+    return len(change.document) if isinstance(change, AcceptJob | StoreConfiguration) else 0
+
 
 class FleetLeadership(OrderSender):
     """Leads the fleet for one term; each election won begins a new one."""
@@ -86,8 +112,8 @@
             table, consensus, ports, lease_timing, machine_lease_s, token, clock, counters
         )
         self.group: TaskGroup | None = None
-        self.submitted: list[JobChange] = []
-        self.batch = _Batch()
+        # Batches to commit, in order. The last one takes further changes.
+        self.batches: deque[_Batch] = deque([_Batch()])
         self.is_committing = False
         # The last heartbeats of executors that are asked whether they exist.
         self.identifying: dict[ExecutorIncarnation, Heartbeat] = {}
@@ -113,12 +139,13 @@
         finally:
             self.has_ended = True
             self.table.observer = None
-            self.batch.error = self.batch.error or RecordingUnknownError("the leadership ended")
-            self.batch.done.set()
+            for batch in self.batches:
+                batch.error = RecordingUnknownError("the leadership ended")
+                batch.done.set()
             logger.info("fleet: leadership ended (token {})", self.token)
 
     async def record(self, change: JobChange) -> None:
-        """Commit a change with the next batch.
+        """Commit a change with the next batch that has room for it.
 
         Raises:
           NotRecordedError: it was not committed and never will be.
@@ -126,7 +153,9 @@
         """
         if self.has_ended:
             raise NotRecordedError("this process is no longer the leader")
-        self.submitted.append(change)
+        if not self.batches[-1].has_room(change):
+            self.batches.append(_Batch())
+        self.batches[-1].add(change)
         await self.flush()
 
     async def flush(self) -> None:
@@ -136,7 +165,7 @@
           NotRecordedError: none of them was committed.
           RecordingUnknownError: they may have been committed.
         """
-        batch = self.batch
+        batch = self.batches[-1]
         self.wake.set()
         await batch.done.wait()
         if batch.error is not None:
@@ -149,8 +178,8 @@
           NotRecordedError: some of them were not committed.
           RecordingUnknownError: some of them may not have been committed.
         """
-        if self.submitted or self.is_committing:
-            # Batches are committed one after the other, so the next one ends after these changes.
+        if self.batches[-1].changes or self.is_committing:
+            # Batches are committed one after the other, so the last one ends after these changes.
             await self.flush()
 
     async def _commit_batches(self) -> None:
@@ -177,9 +206,10 @@
         )
 
     async def _commit_batch(self) -> bool:
-        batch, self.batch = self.batch, _Batch()
-        submitted, self.submitted = self.submitted, []
-        changes = submitted + self.dispatch.take_changes(
+        batch = self.batches.popleft()
+        if not self.batches:
+            self.batches.append(_Batch())
+        changes = batch.changes + self.dispatch.take_changes(
             self.now(), self.consensus.consensus_time()
         )
         self.is_committing = True
@@ -198,7 +228,8 @@
             return False
         log_changes(changes, self.table, self.dispatch, self.now())
         self._send_orders()
-        if self.dispatch.changes or self.dispatch.is_planning_due:
+        is_next_waiting = bool(self.batches[0].changes)
+        if is_next_waiting or self.dispatch.changes or self.dispatch.is_planning_due:
             self.wake.set()
         return True
 
--- a/tests/control/test_fleet_leadership.py
+++ b/tests/control/test_fleet_leadership.py
@@ -1,11 +1,11 @@
-"""Guards against a leadership that outlives its term, and answers that precede its commits."""
+"""Guards against a leadership that outlives its term or commits wrongly sized batches."""
 
 from types import SimpleNamespace
 from typing import Any
 
 import anyio
 import testtools
-from marigolddoor_control.fleet.fleet_leadership import FleetLeadership
+from marigolddoor_control.fleet.fleet_leadership import TIMER_INTERVAL_S, FleetLeadership
 from marigolddoor_control.fleet.service import FleetService
 from marigolddoor_core.dispatch import LeaseTiming
 from marigolddoor_core.ids import FencingToken
@@ -13,8 +13,11 @@
 from marigolddoor_core.metrics import Counters
 from marigolddoor_core.ports import NoQuorumError
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome
+from marigolddoor_wire.codec import encode
+from marigolddoor_wire.frames import MAX_FRAME_BYTES
 
-from tests.core.jobs.fakes import SERVICE, Log, configuration, document
+from bench.faults.virtual_loop import run_in_virtual_time
+from tests.core.jobs.fakes import SERVICE, Log, accept, configuration, document
 
 TERM = 3
 
@@ -86,9 +89,11 @@
         self.log = log
         self.commits = commits
         self.decided = anyio.Event()
+        self.commands: list[RecordChanges] = []
 
     async def propose_here(self, command: RecordChanges, timeout_s: float) -> None:
         await self.decided.wait()
+        self.commands.append(command)
         if not self.commits:
             raise NoQuorumError("this replica lost the leadership")
         self.log.apply(*command.changes)
@@ -142,3 +147,40 @@
                 consensus.decided.set()
             group.cancel_scope.cancel()
         self.assertEqual(self.expected, outcomes[-1])
+
+
+class LargeJobsTest(testtools.TestCase):
+    """Large jobs that come at once are committed in entries that fit in a message to a peer.
+
+    26 jobs of 262,144 bytes made one entry of 6.8 MB, which ended the leader and each next one.
+    """
+
+    scenarios = [
+        ("the largest jobs", {"size": 262_144, "jobs": 26, "at_most": 26}),
+        ("small jobs", {"size": 4_800, "jobs": 26, "at_most": 2}),
+        ("larger than a batch", {"size": 2_000_000, "jobs": 3, "at_most": 3}),
+    ]
+
+    def test_entries(self) -> None:
+        run_in_virtual_time(self._run)
+
+    async def _run(self) -> None:
+        log = Log()
+        consensus: Any = SlowConsensus(log, commits=True)
+        leadership = create_leadership(log.table, consensus)
+        async with anyio.create_task_group() as group:
+            group.start_soon(leadership.run)
+            async with anyio.create_task_group() as calls:
+                for number in range(self.jobs):
+                    job = accept(f"j-{number}", {"count": 1}, payload="x" * self.size)
+                    calls.start_soon(leadership.record, job)
+                await anyio.sleep(0.05)
+                decided_at = anyio.current_time()
+                consensus.decided.set()
+            # No batch waits for the timer, as the syncs take no time here.
+            self.assertTrue(anyio.current_time() - decided_at < TIMER_INTERVAL_S)
+            group.cancel_scope.cancel()
+        self.assertEqual(self.jobs, len(log.table.jobs))
+        self.assertTrue(len(consensus.commands) <= self.at_most)
+        for command in consensus.commands:
+            self.assertTrue(len(encode(command)) < MAX_FRAME_BYTES)
