Split the platform's documents by their senders

Change: fields.py, documents.py, executor_documents.py and machine_documents.py. Functions moved; the readers of fields lose their underscore, since other modules use them now. No behaviour changes.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,13 +6,9 @@
 from marigolddoor_core.dispatch import ExecutorState
 from marigolddoor_core.errors import InvalidInputError
 from marigolddoor_core.jobs import TaskSize
-from marigolddoor_platform.documents import (
-    JsonDocuments,
-    read_advice,
-    read_heartbeat,
-    read_hold_report,
-    read_wave,
-)
+from marigolddoor_platform.documents import JsonDocuments
+from marigolddoor_platform.executor_documents import read_heartbeat, read_hold_report
+from marigolddoor_platform.machine_documents import read_advice, read_wave
 
 STEP = {"count": 4, "cpu": 500, "mem-mb": 256, "estimated-ms": 900, "affinity": "r1-3"}
 ROUTE = {
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -25,15 +25,10 @@
     RunEnd,
     StoreConfiguration,
 )
-from marigolddoor_platform.documents import (
-    JsonDocuments,
-    read_advice,
-    read_heartbeat,
-    read_hold_report,
-    read_machines,
-    read_wave,
-    write_object,
-)
+from marigolddoor_platform.documents import JsonDocuments
+from marigolddoor_platform.executor_documents import read_heartbeat, read_hold_report
+from marigolddoor_platform.fields import write_object
+from marigolddoor_platform.machine_documents import read_advice, read_machines, read_wave
 from marigolddoor_wire.codec import decode, encode
 from marigolddoor_wire.peers import Address, parse_address
 
