Answer calls of callers by the key of their team

Cause: keys were not read anywhere; the model had no teams.

Change: a configuration has teams with keys, a weight and a quota; a call carries the digest of its key to the leader, which answers 401 (not run) if no team has it, and treats another team's job as unknown. The leader decides since it alone holds a lease on a clock that counts suspended time: a view at an entry process would need a lease of its own. Without a list of teams nothing changes, unless the settings say that keys are in force.

Result: TeamCallTest, 27 cases; TeamsTest and the new invalid configurations pass.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -16,16 +16,19 @@
 )
 from marigolddoor_core.dispatch import ExecutorState, Heartbeat
 from marigolddoor_core.errors import UnavailableError
-from marigolddoor_core.ids import ExecutorId, JobId, MachineId, WaveId
+from marigolddoor_core.ids import ExecutorId, JobId, MachineId, TeamId, WaveId
 from marigolddoor_core.input_limits import is_text
 from marigolddoor_core.jobs import (
+    NO_TEAM,
     AcceptJob,
     CancelJob,
+    FleetConfiguration,
     InvalidJobError,
     JobPhase,
     JobRecord,
     JobTable,
     OpenWave,
+    QueueSettings,
     StoreConfiguration,
 )
 from marigolddoor_core.queue_calls import (
@@ -98,6 +101,15 @@
             return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=ELECTION_RETRY_S)
         queue = configuration.find(call.host, call.path)
         name = "" if queue is None else call.path[len(queue.path_prefix) :]
+        if not call.path and call.method is QueueMethod.READ:
+            # Entry processes read an empty path to find out who leads.
+            return QueueReply(QueueOutcome.NO_QUEUE)
+        team = _team_of(configuration, queue, call)
+        if team is None and not (queue is None and self._is_unowned(call)):
+            logger.info(
+                "fleet: {} {}{}: no team has this key", call.method.value, call.host, call.path
+            )
+            return QueueReply(QueueOutcome.UNAUTHORIZED)
         if queue is not None and call.method is QueueMethod.READ and not name:
             waiting = sum(
                 1
@@ -120,18 +132,20 @@
                 logger.info("fleet: whether job {} is known is not certain: {}", job, error)
                 return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=ELECTION_RETRY_S)
         known = self.table.jobs.get(job)
+        if known is not None and not _may_know(configuration, team, queue, known):
+            logger.info("fleet: {} of job {} refused: another team's", call.method.value, job)
+            is_submission = call.method is QueueMethod.SUBMIT
+            return QueueReply(QueueOutcome.REFUSED if is_submission else QueueOutcome.NO_JOB)
         if known is not None:
             return await self._answer_existing(leadership, call, known)
         if queue is None:
-            # Entry processes read an empty path to find out who leads.
-            if call.method is not QueueMethod.READ:
-                logger.info(
-                    "fleet: {} {}{}: no queue in configuration {}",
-                    call.method.value,
-                    call.host,
-                    call.path,
-                    configuration.version,
-                )
+            logger.info(
+                "fleet: {} {}{}: no queue in configuration {}",
+                call.method.value,
+                call.host,
+                call.path,
+                configuration.version,
+            )
             return QueueReply(QueueOutcome.NO_QUEUE)
         if call.method is not QueueMethod.SUBMIT:
             return QueueReply(QueueOutcome.NO_JOB)
@@ -142,7 +156,9 @@
         except InvalidJobError as error:
             logger.info("fleet: job {} is invalid: {}", job, error)
             return QueueReply(QueueOutcome.INVALID, detail=str(error))
-        change = AcceptJob(job, queue.name, queue.service, queue.max_attempts, call.document)
+        change = AcceptJob(
+            job, queue.name, queue.service, queue.max_attempts, call.document, team or NO_TEAM
+        )
         reply = await self._record(leadership, change)
         logger.info(
             "fleet: job {} in {} for {}, configuration {}: {}, {} tasks, {} steps, critical path"
@@ -158,6 +174,16 @@
         )
         return reply
 
+    def _is_unowned(self, call: QueueCall) -> bool:
+        """Return whether a call without a key names a job that was submitted without one.
+
+        Such a job stays known to its callers after its public queue was removed.
+        """
+        if call.key:
+            return False
+        known = self.table.jobs.get(JobId(call.path.rpartition("/")[2]))
+        return known is not None and not known.team
+
     async def _answer_existing(
         self, leadership: FleetLeadership, call: QueueCall, job: JobRecord
     ) -> QueueReply:
@@ -286,3 +312,28 @@
         if record is None:
             return None
         return WaveState.COMPLETED if record.is_finished else WaveState.ACTIVE
+
+
+def _team_of(
+    configuration: FleetConfiguration, queue: QueueSettings | None, call: QueueCall
+) -> TeamId | None:
+    """Return the team of a call, `NO_TEAM` if it needs none, or None if it is not authorised."""
+    if configuration.teams is None:
+        return NO_TEAM
+    team = configuration.team_of_key(call.key)
+    if team is None and queue is not None and queue.is_public:
+        return NO_TEAM
+    return team
+
+
+def _may_know(
+    configuration: FleetConfiguration,
+    team: TeamId | None,
+    queue: QueueSettings | None,
+    job: JobRecord,
+) -> bool:
+    """Return whether a caller may learn of a job: not if another team submitted it."""
+    if configuration.teams is None or not job.team or job.team == team:
+        return True
+    # A caller without a key may ask a public queue for any of its jobs.
+    return not team and queue is not None and queue.name == job.queue
--- a/packages/core/src/marigolddoor_core/jobs/__init__.py
+++ b/packages/core/src/marigolddoor_core/jobs/__init__.py
@@ -34,9 +34,12 @@
     parse_task_name,
 )
 from marigolddoor_core.jobs.table import DocumentReader, JobTable, TableObserver
+from marigolddoor_core.jobs.teams import NO_KEY, NO_TEAM, KeyDigest, TeamSettings, digest_key
 from marigolddoor_core.jobs.waves import WaveRecord
 
 __all__ = [
+    "NO_KEY",
+    "NO_TEAM",
     "AcceptJob",
     "BeginUpkeep",
     "CancelJob",
@@ -55,6 +58,7 @@
     "JobRecord",
     "JobSpec",
     "JobTable",
+    "KeyDigest",
     "OpenWave",
     "OrderMove",
     "PlaceRun",
@@ -70,7 +74,9 @@
     "TaskPhase",
     "TaskRecord",
     "TaskSize",
+    "TeamSettings",
     "WaveRecord",
+    "digest_key",
     "parse_incarnation",
     "parse_task_name",
 ]
--- a/packages/core/src/marigolddoor_core/jobs/changes.py
+++ b/packages/core/src/marigolddoor_core/jobs/changes.py
@@ -14,10 +14,12 @@
     RunNumber,
     ServiceId,
     TaskName,
+    TeamId,
     WaveId,
 )
 from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import RunEnd
+from marigolddoor_core.jobs.teams import NO_TEAM
 
 __all__ = [
     "AcceptJob",
@@ -39,13 +41,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptJob:
-    """Accept a job. `document` is the caller's description, exactly as received."""
+    """Accept a job. `document` is the caller's description, exactly as received.
+
+    `team` is the team that submitted it, empty if none is known.
+    """
 
     job: JobId
     queue: QueueName
     service: ServiceId
     max_attempts: int
     document: bytes
+    team: TeamId = NO_TEAM
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/jobs/configuration.py
+++ b/packages/core/src/marigolddoor_core/jobs/configuration.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 
 from marigolddoor_core.errors import InvalidInputError
-from marigolddoor_core.ids import QueueName, ServiceId
+from marigolddoor_core.ids import QueueName, ServiceId, TeamId
+from marigolddoor_core.jobs.teams import KeyDigest, TeamSettings
 
 __all__ = ["FleetConfiguration", "InvalidConfigurationError", "QueueSettings", "ServiceSettings"]
 
@@ -19,7 +20,8 @@
 
     `priority` 0 is the most urgent. A task that failed `max_attempts` times fails its job. A job is
     on time if it takes at most `slack_factor` times its critical path plus `latency_target_s`. If
-    `needs_advice` is set, an adviser decides which executors may run a step.
+    `needs_advice` is set, an adviser decides which executors may run a step. Callers of a public
+    queue need no key.
     """
 
     name: QueueName
@@ -32,6 +34,7 @@
     latency_target_s: float = 0.0
     timeout_s: float = 0.0
     needs_advice: bool = False
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,8 @@
 class FleetConfiguration:
     """One version of the configuration.
 
+    `teams` is None if callers need no key. With an empty tuple no key is valid.
+
     Example:
       >>> service = ServiceId("s")
       >>> queue = QueueSettings(QueueName("q"), "a.example", "/jobs/", service, timeout_s=60.0)
@@ -58,15 +63,22 @@
     version: int
     queues: tuple[QueueSettings, ...]
     services: tuple[ServiceSettings, ...]
+    teams: tuple[TeamSettings, ...] | None = None
     by_name: dict[QueueName, QueueSettings] = field(init=False, repr=False, compare=False)
     by_place: dict[tuple[str, str], QueueSettings] = field(init=False, repr=False, compare=False)
     service_by_name: dict[ServiceId, ServiceSettings] = field(init=False, repr=False, compare=False)
+    team_by_name: dict[TeamId, TeamSettings] = field(init=False, repr=False, compare=False)
+    team_by_key: dict[KeyDigest, TeamId] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "by_name", {queue.name: queue for queue in self.queues})
         places = {(queue.host, queue.path_prefix): queue for queue in self.queues}
         object.__setattr__(self, "by_place", places)
         object.__setattr__(self, "service_by_name", {item.name: item for item in self.services})
+        teams = self.teams or ()
+        object.__setattr__(self, "team_by_name", {team.name: team for team in teams})
+        keys = {key: team.name for team in teams for key in team.keys}
+        object.__setattr__(self, "team_by_key", keys)
         self._check()
 
     def _check(self) -> None:
@@ -76,6 +88,11 @@
             raise InvalidConfigurationError("two queues share a name")
         if len(self.service_by_name) < len(self.services):
             raise InvalidConfigurationError("two services share a name")
+        teams = self.teams or ()
+        if len(self.team_by_name) < len(teams):
+            raise InvalidConfigurationError("two teams share a name")
+        if len(self.team_by_key) < sum(len(set(team.keys)) for team in teams):
+            raise InvalidConfigurationError("two teams share a key")
         for queue in self.queues:
             if queue.service not in self.service_by_name:
                 raise InvalidConfigurationError(
@@ -84,6 +101,10 @@
             if queue.timeout_s <= 0:
                 raise InvalidConfigurationError(f"{queue.name}: the timeout must be positive")
 
+    def team_of_key(self, key: KeyDigest) -> TeamId | None:
+        """Return the team that a key belongs to, or None if no team has it."""
+        return self.team_by_key.get(key)
+
     def find(self, host: str, path: str) -> QueueSettings | None:
         """Return the queue on `host` with the longest prefix of `path`, or None."""
         for prefix in _prefixes(path):
--- a/packages/core/src/marigolddoor_core/jobs/records.py
+++ b/packages/core/src/marigolddoor_core/jobs/records.py
@@ -9,9 +9,11 @@
     RunNumber,
     ServiceId,
     TaskName,
+    TeamId,
 )
 from marigolddoor_core.jobs.phases import JobPhase, TaskPhase
 from marigolddoor_core.jobs.specs import JobSpec, StepSpec, TaskKey
+from marigolddoor_core.jobs.teams import NO_TEAM
 
 __all__ = ["JobRecord", "StepRecord", "TaskRecord"]
 
@@ -95,6 +97,7 @@
 
     `has_started` is true once the end of a run has shown that a task of it had started. While the
     first run goes on only its executor and the leader know of it.
+    `team` is empty if none submitted it.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "service",
         "spec",
         "steps",
+        "team",
     )
 
     def __init__(
@@ -121,6 +125,7 @@
         document: bytes,
         spec: JobSpec,
         accepted_s: float,
+        team: TeamId = NO_TEAM,
     ) -> None:
         self.job = job
         self.queue = queue
@@ -129,6 +134,7 @@
         self.document = document
         self.spec = spec
         self.accepted_s = accepted_s
+        self.team = team
         self.ended_s = 0.0
         self.phase = JobPhase.ACTIVE
         self.has_started = False
--- a/packages/core/src/marigolddoor_core/jobs/stored.py
+++ b/packages/core/src/marigolddoor_core/jobs/stored.py
@@ -10,10 +10,12 @@
     RunNumber,
     ServiceId,
     TaskName,
+    TeamId,
     WaveId,
 )
 from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, TaskPhase
+from marigolddoor_core.jobs.teams import NO_TEAM
 
 __all__ = ["JobTableSnapshot", "StoredJob", "StoredMachineOrder", "StoredTask", "StoredWave"]
 
@@ -45,6 +47,7 @@
     phase: JobPhase
     has_started: bool
     tasks: tuple[StoredTask, ...]
+    team: TeamId = NO_TEAM
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -202,6 +202,7 @@
             change.document,
             spec,
             self.time_s,
+            change.team,
         )
         if self.observer is not None:
             self.observer.job_accepted(job)
@@ -402,6 +403,7 @@
             stored.document,
             self.reader.read_job(stored.document),
             stored.accepted_s,
+            stored.team,
         )
         job.ended_s = stored.ended_s
         job.phase = stored.phase
@@ -441,4 +443,5 @@
             for task in step.tasks
             if task.run
         ),
+        job.team,
     )
--- a/packages/core/src/marigolddoor_core/queue_calls.py
+++ b/packages/core/src/marigolddoor_core/queue_calls.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from marigolddoor_core.jobs.teams import NO_KEY, KeyDigest
+
 __all__ = ["QueueCall", "QueueMethod", "QueueOutcome", "QueueReply"]
 
 
@@ -17,8 +19,8 @@
 class QueueOutcome(Enum):
     """The outcome of a request.
 
-    After `REFUSED` and `UNAVAILABLE` the job was not accepted and never runs; after `UNKNOWN` it
-    may have been accepted.
+    After `REFUSED`, `UNAVAILABLE` and `UNAUTHORIZED` the job was not accepted and never runs; after
+    `UNKNOWN` it may have been accepted. `UNAUTHORIZED` means that the call's key is of no team.
     """
 
     ANSWERED = "answered"
@@ -28,16 +30,21 @@
     REFUSED = "refused"
     UNAVAILABLE = "unavailable"
     UNKNOWN = "unknown"
+    UNAUTHORIZED = "unauthorized"
 
 
 @dataclass(frozen=True, slots=True)
 class QueueCall:
-    """A caller's request. `document` describes the job of a submission."""
+    """A caller's request. `document` describes the job of a submission.
+
+    `key` is the digest of the caller's key, so that the key itself is in no message.
+    """
 
     method: QueueMethod
     host: str
     path: str
     document: bytes = b""
+    key: KeyDigest = NO_KEY
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -43,11 +43,17 @@
     QueueOutcome.REFUSED: Outcome.NOT_RUN,
     QueueOutcome.UNAVAILABLE: Outcome.NOT_RUN,
     QueueOutcome.UNKNOWN: Outcome.UNKNOWN,
+    QueueOutcome.UNAUTHORIZED: Outcome.NOT_RUN,
 }
 
 # With these a leader has not accepted a submission. That holds for one attempt, not for others that
 # were sent before it.
-NOT_ACCEPTED = (QueueOutcome.NO_QUEUE, QueueOutcome.INVALID, QueueOutcome.REFUSED)
+NOT_ACCEPTED = (
+    QueueOutcome.NO_QUEUE,
+    QueueOutcome.INVALID,
+    QueueOutcome.REFUSED,
+    QueueOutcome.UNAUTHORIZED,
+)
 
 
 class QueueGateway:
--- a/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
+++ b/packages/wire/src/marigolddoor_wire/gen/jobs/ttypes.py
@@ -25,6 +25,7 @@
      - service_id
      - max_attempts
      - document
+     - team
 
     """
 
@@ -34,15 +35,17 @@
         'service_id',
         'max_attempts',
         'document',
+        'team',
     )
 
 
-    def __init__(self, job=None, queue=None, service_id=None, max_attempts=None, document=None,):
+    def __init__(self, job=None, queue=None, service_id=None, max_attempts=None, document=None, team=None,):
         self.job = job
         self.queue = queue
         self.service_id = service_id
         self.max_attempts = max_attempts
         self.document = document
+        self.team = team
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -78,6 +81,11 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -108,6 +116,10 @@
             oprot.writeFieldBegin('document', TType.STRING, 5)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 6)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1450,6 +1462,7 @@
      - phase
      - has_started
      - tasks
+     - team
 
     """
 
@@ -1464,10 +1477,11 @@
         'phase',
         'has_started',
         'tasks',
+        'team',
     )
 
 
-    def __init__(self, job=None, queue=None, service_id=None, max_attempts=None, document=None, accepted_s=None, ended_s=None, phase=None, has_started=None, tasks=None,):
+    def __init__(self, job=None, queue=None, service_id=None, max_attempts=None, document=None, accepted_s=None, ended_s=None, phase=None, has_started=None, tasks=None, team=None,):
         self.job = job
         self.queue = queue
         self.service_id = service_id
@@ -1478,6 +1492,7 @@
         self.phase = phase
         self.has_started = has_started
         self.tasks = tasks
+        self.team = team
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1544,6 +1559,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1597,6 +1617,10 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 11)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2041,6 +2065,7 @@
      - host
      - path
      - document
+     - key
 
     """
 
@@ -2049,14 +2074,16 @@
         'host',
         'path',
         'document',
+        'key',
     )
 
 
-    def __init__(self, method=None, host=None, path=None, document=None,):
+    def __init__(self, method=None, host=None, path=None, document=None, key=None,):
         self.method = method
         self.host = host
         self.path = path
         self.document = document
+        self.key = key
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2087,6 +2114,11 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2113,6 +2145,10 @@
             oprot.writeFieldBegin('document', TType.STRING, 4)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 5)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2518,6 +2554,7 @@
     (3, TType.STRING, 'service_id', 'UTF8', None, ),  # 3
     (4, TType.I64, 'max_attempts', None, None, ),  # 4
     (5, TType.STRING, 'document', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'team', 'UTF8', None, ),  # 6
 )
 all_structs.append(CancelJob)
 CancelJob.thrift_spec = (
@@ -2628,6 +2665,7 @@
     (8, TType.STRING, 'phase', 'UTF8', None, ),  # 8
     (9, TType.BOOL, 'has_started', None, None, ),  # 9
     (10, TType.LIST, 'tasks', (TType.STRUCT, [StoredTask, None], False), None, ),  # 10
+    (11, TType.STRING, 'team', 'UTF8', None, ),  # 11
 )
 all_structs.append(StoredWave)
 StoredWave.thrift_spec = (
@@ -2664,6 +2702,7 @@
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'path', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
+    (5, TType.STRING, 'key', 'BINARY', None, ),  # 5
 )
 all_structs.append(QueueReply)
 QueueReply.thrift_spec = (
--- /dev/null
+++ b/tests/control/test_team_calls.py
@@ -0,0 +1,116 @@
+"""Guards against calls that are served without the key of a team, or to another team."""
+
+from types import SimpleNamespace
+
+import anyio
+import testtools
+from marigolddoor_control.fleet.service import FleetService
+from marigolddoor_core.ids import JobId, QueueName, TeamId
+from marigolddoor_core.jobs import NO_KEY, AcceptJob, JobChange, StoreConfiguration, digest_key
+from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome
+
+from tests.core.dispatch.fakes import Fleet
+from tests.core.jobs.fakes import SERVICE, Log, configuration, document, with_teams
+
+TEAMS = {"red": {"keys": ["r1", "r2"]}, "blue": {"keys": ["b1"]}}
+SUBMIT, READ, CANCEL = QueueMethod.SUBMIT, QueueMethod.READ, QueueMethod.CANCEL
+ANSWERED, UNAUTHORIZED = QueueOutcome.ANSWERED, QueueOutcome.UNAUTHORIZED
+NO_JOB, REFUSED, NO_QUEUE = QueueOutcome.NO_JOB, QueueOutcome.REFUSED, QueueOutcome.NO_QUEUE
+
+
+class TeamCallTest(testtools.TestCase):
+    """Keys were not read: a call with an unknown or withdrawn key was answered with success.
+
+    Job `r` was submitted by team red, `p` without a key to the public queue `open`.
+    """
+
+    scenarios = [
+        (
+            f"{method.value} {path} with {key or 'no key'}{', ' if changes else ''}{changes}",
+            {
+                "method": method,
+                "path": path,
+                "key": digest_key(key) if key else NO_KEY,
+                "changes": changes,
+                "expected": expected,
+            },
+        )
+        for method, path, key, changes, expected in (
+            (SUBMIT, "/views/n", "r1", "", ANSWERED),
+            (SUBMIT, "/views/n", "x", "", UNAUTHORIZED),
+            (SUBMIT, "/views/n", "", "", UNAUTHORIZED),
+            (SUBMIT, "/views/r", "r2", "", ANSWERED),
+            (SUBMIT, "/views/r", "b1", "", REFUSED),
+            (SUBMIT, "/open/n", "", "", ANSWERED),
+            (SUBMIT, "/open/n", "x", "", ANSWERED),
+            (READ, "/views/r", "r1", "", ANSWERED),
+            (READ, "/views/r", "b1", "", NO_JOB),
+            (READ, "/views/r", "x", "", UNAUTHORIZED),
+            (READ, "/views/", "b1", "", ANSWERED),
+            (READ, "/views/", "x", "", UNAUTHORIZED),
+            (READ, "/open/p", "", "", ANSWERED),
+            (CANCEL, "/views/r", "r1", "", ANSWERED),
+            (CANCEL, "/views/r", "b1", "", NO_JOB),
+            (CANCEL, "/views/r", "x", "", UNAUTHORIZED),
+            (READ, "/views/p", "", "", UNAUTHORIZED),
+            (READ, "", "", "", NO_QUEUE),
+            (READ, "/views/r", "r1", "key withdrawn", UNAUTHORIZED),
+            (READ, "/views/r", "r2", "key withdrawn", ANSWERED),
+            (SUBMIT, "/views/r", "r2", "key withdrawn", ANSWERED),
+            (READ, "/views/r", "r3", "key added", ANSWERED),
+            (READ, "/views/r", "r2", "team removed", UNAUTHORIZED),
+            (READ, "/views/r", "r2", "queue removed", ANSWERED),
+            (READ, "/open/p", "", "queue removed", ANSWERED),
+            (READ, "/open/p", "x", "queue removed", UNAUTHORIZED),
+            (READ, "/views/r", "", "teams disabled", ANSWERED),
+        )
+    ]
+
+    def test_call(self) -> None:
+        log = Log()
+        queues = configuration(1, views=SERVICE, open=SERVICE)
+        log.apply(StoreConfiguration(1, with_teams(queues, TEAMS, ("open",))))
+        fleet = Fleet(log)
+        fleet.step(self.accepted("r", "views", "red"), self.accepted("p", "open", ""))
+        if self.changes:
+            log.apply(StoreConfiguration(2, self.changed()))
+        self.recorded: list[JobChange] = []
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(  # type: ignore[assignment]
+            dispatch=fleet.dispatch, has_ended=False, record=self.record, settle=self.settle
+        )
+        call = QueueCall(self.method, "a.example", self.path, document({"count": 1}), self.key)
+        reply = anyio.run(service.call_queue, call)
+        self.assertEqual(self.expected, reply.outcome)
+        if reply.outcome is not ANSWERED:
+            self.assertEqual([], self.recorded)
+        if self.path == "/views/n" and reply.outcome is ANSWERED:
+            (change,) = self.recorded
+            assert isinstance(change, AcceptJob)
+            self.assertEqual("red", change.team)
+
+    def accepted(self, job: str, queue: str, team: str) -> AcceptJob:
+        return AcceptJob(
+            JobId(job), QueueName(queue), SERVICE, 3, document({"count": 1}), TeamId(team)
+        )
+
+    def changed(self) -> bytes:
+        queues = configuration(2, views=SERVICE, open=SERVICE)
+        if self.changes == "teams disabled":
+            return queues
+        teams = dict(TEAMS)
+        if self.changes == "key withdrawn":
+            teams["red"] = {"keys": ["r2"]}
+        elif self.changes == "key added":
+            teams["red"] = {"keys": ["r1", "r2", "r3"]}
+        elif self.changes == "team removed":
+            del teams["red"]
+        elif self.changes == "queue removed":
+            queues = configuration(2, other=SERVICE)
+        return with_teams(queues, teams, ("open",))
+
+    async def record(self, change: JobChange) -> None:
+        self.recorded.append(change)
+
+    async def settle(self) -> None:
+        """Wait for no changes."""
--- a/tests/core/jobs/fakes.py
+++ b/tests/core/jobs/fakes.py
@@ -1,6 +1,7 @@
 """A table of jobs with a reader of small JSON documents."""
 
 import json
+from typing import Any
 
 from marigolddoor_core.ids import (
     ExecutorIncarnation,
@@ -10,6 +11,7 @@
     RunNumber,
     ServiceId,
     TaskName,
+    TeamId,
 )
 from marigolddoor_core.jobs import (
     AcceptJob,
@@ -26,6 +28,8 @@
     ServiceSettings,
     StepSpec,
     TaskSize,
+    TeamSettings,
+    digest_key,
 )
 
 SERVICE = ServiceId("desk")
@@ -70,6 +74,7 @@
                     slack_factor=1.6,
                     latency_target_s=0.6,
                     needs_advice=name in fields.get("advised", ()),
+                    is_public=name in fields.get("public", ()),
                 )
                 for name, service in fields["queues"].items()
             ),
@@ -81,9 +86,24 @@
                 )
                 for name in fields["services"]
             ),
+            _teams(fields),
         )
 
 
+def _teams(fields: dict[str, Any]) -> tuple[TeamSettings, ...] | None:
+    if "teams" not in fields:
+        return None
+    return tuple(
+        TeamSettings(
+            TeamId(name),
+            tuple(digest_key(key) for key in team.get("keys", ())),
+            team.get("weight", 1.0),
+            TaskSize(team.get("cpu", 0), team.get("memory", 0)),
+        )
+        for name, team in fields["teams"].items()
+    )
+
+
 def document(*steps: dict[str, object], **fields: object) -> bytes:
     return json.dumps({"steps": list(steps), **fields}).encode()
 
@@ -105,6 +125,13 @@
     return json.dumps(fields).encode()
 
 
+def with_teams(
+    document: bytes, teams: dict[str, dict[str, Any]], public: tuple[str, ...] = ()
+) -> bytes:
+    """Return a configuration with teams: `keys`, `weight` and a quota of `cpu` and `memory`."""
+    return json.dumps({**json.loads(document), "teams": teams, "public": list(public)}).encode()
+
+
 def accept(job: str, *steps: dict[str, object], attempts: int = 3, **fields: object) -> AcceptJob:
     return AcceptJob(JobId(job), QUEUE, SERVICE, attempts, document(*steps, **fields))
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,7 +5,7 @@
 import testtools
 from marigolddoor_core.dispatch import ExecutorState
 from marigolddoor_core.errors import InvalidInputError
-from marigolddoor_core.jobs import TaskSize
+from marigolddoor_core.jobs import TaskSize, digest_key
 from marigolddoor_platform.documents import JsonDocuments
 from marigolddoor_platform.executor_documents import read_heartbeat, read_hold_report
 from marigolddoor_platform.machine_documents import read_advice, read_wave
@@ -51,6 +51,9 @@
 }
 
 
+TEAM = {"name": "red", "api-keys": ["r1"], "weight": 3, "max-count": {"cpu": 8000, "mem-mb": 0}}
+
+
 class InvalidTest(testtools.TestCase):
     """A document that can't be parsed in full is rejected with an error, not partially applied."""
 
@@ -92,6 +95,18 @@
                     "routes": [{key: ROUTE[key] for key in ROUTE if key != "timeout-ms"}],
                 },
             ),
+            *(
+                ("configuration", name, {**CONFIGURATION, "tenants": teams})
+                for name, teams in (
+                    ("teams of the wrong type", {"name": "red"}),
+                    ("a team without keys", [{"name": "red"}]),
+                    ("a team without a name", [{"api-keys": ["r1"]}]),
+                    ("a quota of the wrong type", [{**TEAM, "max-count": 3}]),
+                    ("a negative quota", [{**TEAM, "max-count": {"cpu": -1}}]),
+                    ("two teams share a name", [TEAM, {**TEAM, "api-keys": ["b1"]}]),
+                    ("two teams share a key", [TEAM, {**TEAM, "name": "blue"}]),
+                )
+            ),
             ("heartbeat", "not UTF-8", b"\xff\xfe\x00"),
             ("heartbeat", "no service", {**HEARTBEAT, "service": None}),
             ("heartbeat", "unknown state", {**HEARTBEAT, "state": "asleep"}),
@@ -208,6 +223,28 @@
         self.assertEqual((58, "done"), (finished.number, finished.outcome))
 
 
+class TeamsTest(testtools.TestCase):
+    """A document without teams must not open queues that need a key, nor close the others."""
+
+    scenarios = [
+        ("teams", {"teams": [TEAM], "requires_keys": True, "expected": "red"}),
+        ("teams, not required", {"teams": [TEAM], "requires_keys": False, "expected": "red"}),
+        ("missing", {"teams": None, "requires_keys": True, "expected": None}),
+        ("missing, not required", {"teams": None, "requires_keys": False, "expected": "open"}),
+        ("no team", {"teams": [], "requires_keys": False, "expected": None}),
+    ]
+
+    def test_key(self) -> None:
+        fields = {**CONFIGURATION, **({} if self.teams is None else {"tenants": self.teams})}
+        documents = JsonDocuments(requires_keys=self.requires_keys)
+        parsed = documents.read_configuration(json.dumps(fields).encode())
+        found = "open" if parsed.teams is None else parsed.team_of_key(digest_key("r1"))
+        self.assertEqual(self.expected, found)
+        if self.expected == "red":
+            (team,) = parsed.teams
+            self.assertEqual((3.0, TaskSize(8000)), (team.weight, team.quota))
+
+
 class LongestPrefixTest(testtools.TestCase):
     """A path belongs to the queue with the longest prefix, on its own host only."""
 
