Split the incarnations of executors from the fleet view

These rules and the indexes they need move to dispatch/incarnations.py; nothing else changes. The fault test that removes a guard names it at its new place.

--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -14,6 +14,7 @@
     HoldReport,
     PlacedRun,
 )
+from marigolddoor_core.dispatch.incarnations import Incarnations
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
 from marigolddoor_core.dispatch.orders import Order, PaceOrder, StartOrder, StopOrder
 from marigolddoor_core.dispatch.pacing import plan_pace
@@ -22,10 +23,8 @@
 from marigolddoor_core.dispatch.unconfirmed_starts import MAX_START_DELAY_S, UnconfirmedStarts
 from marigolddoor_core.dispatch.value_order import ValueOrder
 from marigolddoor_core.ids import (
-    ExecutorId,
     ExecutorIncarnation,
     JobId,
-    MachineId,
     RunNumber,
     ServiceId,
     TaskName,
@@ -78,13 +77,10 @@
         self.began_at = now
         self.durations = DurationEstimates()
         self.value_order = ValueOrder(self.queue_of, self.durations)
-        self.executors: dict[ExecutorIncarnation, Executor] = {}
-        self.current: dict[ExecutorId, Executor] = {}
-        self.by_address: dict[str, Executor] = {}
-        self.by_machine: dict[MachineId, Executor] = {}
-        self.newest_incarnation: dict[ExecutorId, int] = {}
-        # The last heartbeat's number of each executor that was given up because of its silence.
-        self.silent_after: dict[ExecutorId, int] = {}
+        self.incarnations = Incarnations(self._is_configured)
+        self.executors = self.incarnations.executors
+        self.current = self.incarnations.current
+        self.by_machine = self.incarnations.by_machine
         # Runs on executors that have not reported to this leader yet.
         self.unreported: dict[ExecutorIncarnation, dict[TaskName, TaskRecord]] = {}
         self.unconfirmed = UnconfirmedStarts()
@@ -150,11 +146,9 @@
                 known.heartbeat = heartbeat
             known.last_heartbeat_at = now
             return None
-        displaced = self._displaced_by(heartbeat)
+        displaced = self.incarnations.displaced_by(heartbeat)
         if displaced is None:
             return None
-        self.newest_incarnation[heartbeat.executor] = heartbeat.born_ms
-        self.silent_after.pop(heartbeat.executor, None)
         unconfirmed = self.unconfirmed.starts_of(heartbeat.executor, now)
         inherited = self._unconfirmed_runs(self.current.get(heartbeat.executor), unconfirmed)
         for previous in displaced:
@@ -163,11 +157,7 @@
         lease = ExecutorLease(self.lease_timing, now if unconfirmed else self.began_at)
         executor = Executor(heartbeat, lease, now)
         self.changes.append(EnrolExecutor(heartbeat.enrolment()))
-        self.executors[heartbeat.incarnation] = executor
-        self.current[heartbeat.executor] = executor
-        self.by_address[heartbeat.address] = executor
-        if heartbeat.machine:
-            self.by_machine[heartbeat.machine] = executor
+        self.incarnations.add(executor)
         for task in self.unreported.pop(heartbeat.incarnation, {}).values():
             # An order of the previous leader is not carried out after the first call of this one,
             # so the first answer shows whether the run is there. A later incarnation may carry it
@@ -187,44 +177,12 @@
         """Return the executors that `receive_heartbeat` would end because of a heartbeat."""
         if heartbeat.incarnation in self.executors:
             return []
-        return self._displaced_by(heartbeat) or []
-
-    def _displaced_by(self, heartbeat: Heartbeat) -> list[Executor] | None:
-        """Return the executors that another incarnation displaces; None if it is not accepted."""
-        newest = self.newest_incarnation.get(heartbeat.executor, 0)
-        if heartbeat.born_ms < newest or (
-            heartbeat.born_ms == newest and not self._has_returned(heartbeat)
-        ):
-            # A late heartbeat of an ended incarnation.
-            return None
-        at_address = self.by_address.get(heartbeat.address)
-        on_machine = self.by_machine.get(heartbeat.machine) if heartbeat.machine else None
-        if any(
-            other is not None and other.heartbeat.born_ms > heartbeat.born_ms
-            for other in (at_address, on_machine)
-        ):
-            # A late heartbeat of an executor that was replaced at its address or on its machine.
-            return None
-        displaced = [
-            previous
-            for previous in (self.current.get(heartbeat.executor), at_address, on_machine)
-            if previous is not None
-        ]
-        return None if displaced and not self._is_configured(heartbeat.service) else displaced
+        return self.incarnations.displaced_by(heartbeat) or []
 
     def candidate(self, heartbeat: Heartbeat, now: Instant) -> Executor:
         """Return the executor that a heartbeat tells of, without using it."""
         return Executor(heartbeat, ExecutorLease(self.lease_timing, now), now)
 
-    def _has_returned(self, heartbeat: Heartbeat) -> bool:
-        """Return whether an executor that was given up because of its silence reports again.
-
-        It may only have been cut off. It was given up after its lease had certainly expired, so
-        none of its runs continues.
-        """
-        last = self.silent_after.get(heartbeat.executor)
-        return last is not None and heartbeat.sequence > last
-
     def _unconfirmed_runs(
         self, previous: Executor | None, unconfirmed: Iterable[tuple[TaskName, RunNumber]]
     ) -> list[TaskRecord]:
@@ -460,15 +418,8 @@
         if executor.has_ended:
             return
         executor.has_ended = True
-        heartbeat = executor.heartbeat
-        del self.executors[executor.incarnation]
+        self.incarnations.remove(executor)
         self.changes.append(DropExecutor(executor.incarnation))
-        if self.current.get(heartbeat.executor) is executor:
-            del self.current[heartbeat.executor]
-        if self.by_address.get(heartbeat.address) is executor:
-            del self.by_address[heartbeat.address]
-        if self.by_machine.get(heartbeat.machine) is executor:
-            del self.by_machine[heartbeat.machine]
         self._end_as_lost(placed.task for placed in executor.runs.values())
         self.is_planning_due = True
 
@@ -485,7 +436,7 @@
             )
             is_unresponsive = now - last_contact_at > self.lease_timing.certain_expiry_s
             if now >= executor.lease.over_at and is_unresponsive:
-                self.silent_after[executor.heartbeat.executor] = executor.heartbeat.sequence
+                self.incarnations.given_up(executor)
                 self.end_incarnation(executor, now)
                 ended.append(executor)
             elif now >= executor.lease.over_at:
--- a/tests/control/test_fleet_faults.py
+++ b/tests/control/test_fleet_faults.py
@@ -9,7 +9,7 @@
 
 import testtools
 from marigolddoor_core.dispatch import Executor, LeaseTiming
-from marigolddoor_core.dispatch.fleet_view import FleetView
+from marigolddoor_core.dispatch.incarnations import Incarnations
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.unconfirmed_starts import UnconfirmedStarts
 from marigolddoor_core.jobs import RecordChanges, StepRecord
@@ -180,14 +180,14 @@
         (
             "executors that were out of contact are not used again",
             {
-                "patches": [(FleetView, "_has_returned", lambda *_: False)],
+                "patches": [(Incarnations, "_has_returned", lambda *_: False)],
                 "checkers": {"unused"},
             },
         ),
         (
             "executors that were cut off are not used again",
             {
-                "patches": [(FleetView, "_has_returned", lambda *_: False)],
+                "patches": [(Incarnations, "_has_returned", lambda *_: False)],
                 "options": CUTS,
                 "checkers": {"waiting"},
             },
