Count what the runs of each team hold

A quota needs to know what a team has running, and the capacity of executors does not say it: a speculative run that is given up, a start that a later incarnation carries out late and a superseded run may go on after their ends are committed. TeamUsage counts runs as executors reserve and release them, and UncertainEnds keeps those counted until a report or an expired lease shows their end. A new leader counts the placed runs of the table before it places anything.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -192,8 +192,12 @@
     def run_ended(self, task: TaskRecord, end: RunEnd) -> None:
         """Release the capacity of a run, and index the steps that may start now."""
         executor = self.holder_of(task)
-        if executor is not None:
+        placed = None if executor is None else executor.runs.get(task.name)
+        if executor is not None and placed is not None:
             executor.release(task)
+            if placed.is_given_up and end is RunEnd.LOST:
+                sent_at = self.late_starts(executor, self.now).get((task.name, placed.run))
+                self.uncertain_ends.given_up(executor, placed, sent_at, self.now)
         step = task.step
         self._count(CounterKind.RUNS, step.job, end.value)
         if step.is_done:
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from marigolddoor_core.dispatch.leases import ExecutorLease
+from marigolddoor_core.dispatch.team_usage import TeamUsage
 from marigolddoor_core.ids import (
     DataCentreId,
     ExecutorId,
@@ -158,11 +159,13 @@
     """A run that was placed on an executor.
 
     `confirmed_at` is when the executor first confirmed that it has the run. `is_stopping` is set
-    once a stop was ordered. `pace` is the share of its full speed at which it runs, in percent.
+    once a stop was ordered, `is_given_up` once it counts as lost while it may go on. `pace` is the
+    share of its full speed at which it runs, in percent.
     """
 
     __slots__ = (
         "confirmed_at",
+        "is_given_up",
         "is_stopping",
         "load",
         "pace",
@@ -172,12 +175,13 @@
         "task",
     )
 
-    def __init__(self, task: TaskRecord, now: Instant) -> None:
+    def __init__(self, task: TaskRecord, run: RunNumber, now: Instant) -> None:
         self.task = task
-        self.run = task.run
+        self.run = run
         self.placed_at = now
         self.confirmed_at: Instant | None = None
         self.is_stopping = False
+        self.is_given_up = False
         self.percent = 0
         self.load: float | None = None
         self.pace = 100
@@ -187,11 +191,19 @@
     """One incarnation of an executor, with its free capacity.
 
     `seen` is the number of the last end that is committed, so that the executor may discard it.
+    The runs that it holds are counted in `usage`.
     """
 
-    def __init__(self, heartbeat: Heartbeat, lease: ExecutorLease, now: Instant) -> None:
+    def __init__(
+        self,
+        heartbeat: Heartbeat,
+        lease: ExecutorLease,
+        now: Instant,
+        usage: TeamUsage | None = None,
+    ) -> None:
         self.heartbeat = heartbeat
         self.lease = lease
+        self.usage = TeamUsage() if usage is None else usage
         self.last_heartbeat_at = now
         self.contact_at: Instant | None = None
         # When the first unanswered call since the last contact was sent.
@@ -313,16 +325,20 @@
         """Return the number of tasks of `step` that are placed here."""
         return sum(1 for placed in self.runs.values() if placed.task.step is step)
 
-    def reserve(self, task: TaskRecord, now: Instant) -> PlacedRun:
-        """Add a run and reserve its capacity."""
-        placed = self.runs[task.name] = PlacedRun(task, now)
+    def reserve(self, task: TaskRecord, now: Instant, run: RunNumber | None = None) -> PlacedRun:
+        """Add a run, by default the latest one of its task, and reserve its capacity."""
+        number = task.run if run is None else run
+        placed = self.runs[task.name] = PlacedRun(task, number, now)
         self._adjust_free_capacity(task.step, -1)
+        self.usage.add(task.step, task.name, number, self.heartbeat.service)
         return placed
 
     def release(self, task: TaskRecord) -> None:
         """Remove a run and release its capacity."""
-        if self.runs.pop(task.name, None) is not None:
+        placed = self.runs.pop(task.name, None)
+        if placed is not None:
             self._adjust_free_capacity(task.step, 1)
+            self.usage.remove(task.name, placed.run)
 
     def _adjust_free_capacity(self, step: StepRecord, sign: int) -> None:
         size = step.spec.size
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -20,6 +20,8 @@
 from marigolddoor_core.dispatch.pacing import plan_pace
 from marigolddoor_core.dispatch.planner import has_destination
 from marigolddoor_core.dispatch.stragglers import is_slow, straggling_runs
+from marigolddoor_core.dispatch.team_usage import TeamUsage
+from marigolddoor_core.dispatch.uncertain_ends import UncertainEnds
 from marigolddoor_core.dispatch.unconfirmed_starts import MAX_START_DELAY_S, UnconfirmedStarts
 from marigolddoor_core.dispatch.value_order import ValueOrder
 from marigolddoor_core.ids import (
@@ -77,6 +79,8 @@
         self.began_at = now
         self.durations = DurationEstimates()
         self.value_order = ValueOrder(self.queue_of, self.durations)
+        self.usage = TeamUsage()
+        self.uncertain_ends = UncertainEnds(self.usage, lease_timing.certain_expiry_s)
         self.incarnations = Incarnations(self._is_configured)
         self.executors = self.incarnations.executors
         self.current = self.incarnations.current
@@ -96,11 +100,29 @@
             for task in job.placed_tasks():
                 assert task.incarnation is not None
                 self.unreported.setdefault(task.incarnation, {})[task.name] = task
+                self.usage.add(task.step, task.name, task.run, self._last_service(task))
+            if job.team and self._may_have_runs(job):
+                self.uncertain_ends.take_over(job, self.now)
         for enrolled in sorted(self.table.executors.values(), key=lambda known: known.born_ms):
             self.receive_heartbeat(Heartbeat.of_enrolment(enrolled), self.now)
         # These are committed already.
         self.changes = [change for change in self.changes if not isinstance(change, EnrolExecutor)]
 
+    def _last_service(self, task: TaskRecord) -> ServiceId:
+        """Return the service of the executor that a placed task of the table was placed on."""
+        assert task.incarnation is not None
+        enrolled = self.table.executors.get(task.incarnation)
+        return self.service_of(task.step.job) if enrolled is None else enrolled.service
+
+    def _may_have_runs(self, job: JobRecord) -> bool:
+        """Return whether a run of a job may go on that the table does not place anywhere.
+
+        The table's time may be behind, and the clocks of leaders differ, so the lease counts twice.
+        """
+        is_active = job.phase is JobPhase.ACTIVE
+        limit_s = 2 * self.lease_timing.certain_expiry_s
+        return is_active or self.table.time_s - job.ended_s <= limit_s
+
     def queue_of(self, job: JobRecord) -> QueueSettings | None:
         """Return the settings of a job's queue, unless the queue was removed."""
         configuration = self.table.configuration
@@ -155,7 +177,7 @@
             self.end_incarnation(previous, now)
         # A start that was sent to the previous incarnation may have extended the lease of this one.
         lease = ExecutorLease(self.lease_timing, now if unconfirmed else self.began_at)
-        executor = Executor(heartbeat, lease, now)
+        executor = Executor(heartbeat, lease, now, self.usage)
         self.changes.append(EnrolExecutor(heartbeat.enrolment()))
         self.incarnations.add(executor)
         for task in self.unreported.pop(heartbeat.incarnation, {}).values():
@@ -224,7 +246,7 @@
                 runs += self.unreported.pop(incarnation).values()
         if now - self.began_at <= MAX_START_DELAY_S:
             return runs
-        self._end_as_lost(runs)
+        self._end_unreported(runs)
         return []
 
     def handle_hold_report(
@@ -255,7 +277,7 @@
         for running in report.running:
             placed = executor.runs.get(running.task)
             if placed is None or placed.run != running.run:
-                self._stop_unknown(executor, running.task, running.run)
+                self._stop_unknown(executor, running.task, running.run, now)
                 continue
             listed.add(running.task)
             self.unconfirmed.listed(executor.heartbeat.executor, running.task, running.run)
@@ -265,6 +287,12 @@
                 placed.confirmed_at = now
             placed.percent = running.percent
             placed.load = running.load
+        if self.uncertain_ends.reported(
+            executor.heartbeat.executor,
+            {(running.task, running.run) for running in report.running},
+            sent_at,
+        ):
+            self.is_planning_due = True
         for placed, percent in plan_pace(executor, now):
             placed.pace = percent
             self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
@@ -308,9 +336,10 @@
         if not self._enforces_capacity(executor.heartbeat.service):
             # The run may continue, and its capacity has to stay reserved.
             return
-        self._end_as_lost(
-            placed.task for placed in executor.runs.values() if placed.task.step.spec.is_speculative
-        )
+        for placed in executor.runs.values():
+            if placed.task.step.spec.is_speculative:
+                placed.is_given_up = True
+                self._end_run(placed.task, RunEnd.LOST)
 
     def _is_configured(self, service: ServiceId) -> bool:
         configuration = self.table.configuration
@@ -321,9 +350,13 @@
         settings = None if configuration is None else configuration.service_by_name.get(service)
         return settings is not None and settings.enforces_capacity
 
-    def _stop_unknown(self, executor: Executor, name: TaskName, run: RunNumber) -> None:
+    def _stop_unknown(
+        self, executor: Executor, name: TaskName, run: RunNumber, now: Instant
+    ) -> None:
         """Stop a run that the table does not place on the executor, such as one of an ended job."""
         task = self.table.task(name)
+        if task is not None:
+            self.uncertain_ends.listed(executor, task, run, now)
         if (
             task is None
             or task.phase is not TaskPhase.PLACED
@@ -396,6 +429,8 @@
         placed = executor.runs.get(task)
         if placed is not None and placed.run == run and placed.confirmed_at is None:
             placed.confirmed_at = now
+        key = task, RunNumber(run)
+        self.uncertain_ends.stop_confirmed(executor.heartbeat.executor, key, now)
 
     def later_incarnation_answered(self, executor: Executor, now: Instant) -> bool:
         """Handle an answer of a later incarnation; return whether the earlier one was ended.
@@ -420,6 +455,7 @@
         executor.has_ended = True
         self.incarnations.remove(executor)
         self.changes.append(DropExecutor(executor.incarnation))
+        self.uncertain_ends.incarnation_ended(executor, self.late_starts(executor, now))
         self._end_as_lost(placed.task for placed in executor.runs.values())
         self.is_planning_due = True
 
@@ -440,13 +476,47 @@
                 self.end_incarnation(executor, now)
                 ended.append(executor)
             elif now >= executor.lease.over_at:
+                self._lease_expired(executor, now)
                 self._end_as_lost(placed.task for placed in list(executor.runs.values()))
+        for name in list(self.uncertain_ends.ends):
+            current = self.current.get(name)
+            has_lease = current is not None and now < current.lease.over_at
+            if not has_lease and self.uncertain_ends.lease_expired(name, now):
+                self.is_planning_due = True
         if self.unreported and now - self.began_at >= self.lease_timing.certain_expiry_s:
             for tasks in self.unreported.values():
-                self._end_as_lost(tasks.values())
+                self._end_unreported(tasks.values())
             self.unreported.clear()
         return ended
 
+    def _lease_expired(self, executor: Executor, now: Instant) -> None:
+        """Stop counting the runs of an executor without a lease, unless they may begin late."""
+        late_starts = self.late_starts(executor, now)
+        for placed in executor.runs.values():
+            placed.is_given_up = (placed.task.name, placed.run) in late_starts
+            if not placed.is_given_up:
+                self.usage.remove(placed.task.name, placed.run)
+
+    def late_starts(
+        self, executor: Executor, now: Instant
+    ) -> dict[tuple[TaskName, RunNumber], Instant]:
+        """Return when the starts were sent that a later incarnation may carry out.
+
+        Every run of an earlier leader may be such a start. These are left out once the lease of
+        their executor has expired: after the loss of a data centre with its leader, the teams whose
+        runs were lost there would otherwise wait for another 13 s.
+        """
+        sent = self.unconfirmed.sent_times_of(executor.heartbeat.executor, now)
+        if now < executor.lease.over_at:
+            return sent
+        return {key: sent_at for key, sent_at in sent.items() if sent_at > self.began_at}
+
+    def _end_unreported(self, tasks: Iterable[TaskRecord]) -> None:
+        """Give up runs on incarnations that ended before they reported to this leader."""
+        for task in tasks:
+            self.usage.remove(task.name, task.run)
+            self._end_run(task, RunEnd.LOST)
+
     def _end_as_lost(self, tasks: Iterable[TaskRecord]) -> None:
         for task in list(tasks):
             self._end_run(task, RunEnd.LOST)
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -91,8 +91,7 @@
                 break
             number = RunNumber((task.run if run is None else run) + 1)
             placements.append(PlaceRun(task.name, number, executor.incarnation))
-            placed = executor.reserve(task, now)
-            placed.run = number
+            executor.reserve(task, now, number)
         return placements
 
 
--- a/packages/core/src/marigolddoor_core/dispatch/unconfirmed_starts.py
+++ b/packages/core/src/marigolddoor_core/dispatch/unconfirmed_starts.py
@@ -65,8 +65,18 @@
 
     def starts_of(self, executor: ExecutorId, now: Instant) -> list[tuple[TaskName, RunNumber]]:
         """Return the starts that the next incarnation may carry out."""
+        return list(self.sent_times_of(executor, now))
+
+    def sent_times_of(
+        self, executor: ExecutorId, now: Instant
+    ) -> dict[tuple[TaskName, RunNumber], Instant]:
+        """Return when each start that the next incarnation may carry out was last sent."""
         starts = self.starts.get(executor, {})
-        return [key for key, start in starts.items() if now - start.sent_at <= MAX_START_DELAY_S]
+        return {
+            key: start.sent_at
+            for key, start in starts.items()
+            if now - start.sent_at <= MAX_START_DELAY_S
+        }
 
     def forget_old(self, now: Instant) -> None:
         """Drop starts that can no longer be carried out, also of executors that left for good."""
