Ask a quota before each placement

The placer asks a QuotaPolicy before each placement, also of gangs and as a last resort; TeamQuotas compares what the team's runs hold with its quota, NoQuotas admits everything. Steps that are not admitted are left out before they are sorted, so they hold up no others. A removed team keeps its last known quota, and a straggling run of a team above its quota is not stopped, since it could not start again.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -8,6 +8,7 @@
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.orders import StartOrder
 from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
+from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.ids import ExecutorId
 from marigolddoor_core.instants import Instant
@@ -46,10 +47,11 @@
         machine_lease_s: float = 0.0,
         counters: Counters | None = None,
         order: StepOrder | None = None,
+        quotas: QuotaPolicy | None = None,
     ) -> None:
-        super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters())
+        super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters(), quotas)
         self.order: StepOrder = order or self.value_order
-        self.placer = Placer()
+        self.placer = Placer(self.quotas)
         self.tickets = Tickets()
         # Since when no task of a long-running step that has waiting tasks could be placed.
         self.unplaceable_since: dict[StepRecord, Instant] = {}
@@ -75,7 +77,7 @@
         self.is_planning_due = False
         placements: list[PlaceRun] = []
         for service in list(self.ready.steps):
-            steps = self.ready.of_service(service)
+            steps = self.placer.admitted_steps(self.ready.of_service(service))
             if not steps:
                 continue
             executors = self.executors_of(service)
@@ -231,5 +233,6 @@
 
     def configuration_changed(self) -> None:
         """Regroup the ready steps by the services of the new configuration."""
+        self.limits.apply(self.table.configuration)
         self.ready.regroup()
         self.is_planning_due = True
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -19,6 +19,7 @@
 from marigolddoor_core.dispatch.orders import Order, PaceOrder, StartOrder, StopOrder
 from marigolddoor_core.dispatch.pacing import plan_pace
 from marigolddoor_core.dispatch.planner import has_destination
+from marigolddoor_core.dispatch.quotas import QuotaPolicy, TeamLimits, TeamQuotas
 from marigolddoor_core.dispatch.stragglers import is_slow, straggling_runs
 from marigolddoor_core.dispatch.team_usage import TeamUsage
 from marigolddoor_core.dispatch.uncertain_ends import UncertainEnds
@@ -70,9 +71,22 @@
 
 
 class FleetView:
-    """The state of the executors during one leadership, with the resulting changes and orders."""
-
-    def __init__(self, table: JobTable, lease_timing: LeaseTiming, now: Instant) -> None:
+    """The state of the executors during one leadership, with the resulting changes and orders.
+
+    Args:
+      table: the replicated table.
+      lease_timing: the maximum lease of executors.
+      now: when the leadership begins.
+      quotas: limits what teams have running; by default their quotas in the configuration do.
+    """
+
+    def __init__(
+        self,
+        table: JobTable,
+        lease_timing: LeaseTiming,
+        now: Instant,
+        quotas: QuotaPolicy | None = None,
+    ) -> None:
         self.table = table
         self.lease_timing = lease_timing
         self.now = now
@@ -80,6 +94,8 @@
         self.durations = DurationEstimates()
         self.value_order = ValueOrder(self.queue_of, self.durations)
         self.usage = TeamUsage()
+        self.limits = TeamLimits(table.configuration)
+        self.quotas: QuotaPolicy = quotas or TeamQuotas(self.usage, self.limits)
         self.uncertain_ends = UncertainEnds(self.usage, lease_timing.certain_expiry_s)
         self.incarnations = Incarnations(self._is_configured)
         self.executors = self.incarnations.executors
@@ -322,7 +338,9 @@
             if other is not executor
         ]
         for placed in straggling_runs(executor, self._expected_s, now):
-            if has_destination(placed.task.step, others, now):
+            step = placed.task.step
+            # A team above its quota could not start the run again.
+            if self.quotas.admits(step, 0) and has_destination(step, others, now):
                 self._order_stop(executor, placed.task)
 
     def unanswered(self, executor: Executor, sent_at: Instant) -> None:
--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -12,6 +12,7 @@
 from marigolddoor_core.dispatch.machine_maintenance import MaintenanceWave
 from marigolddoor_core.dispatch.orders import MoveOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
+from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.rebalancing import MachineView, Move, PoolFloor, PoolRebalancer
 from marigolddoor_core.ids import JobId, MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
@@ -51,8 +52,9 @@
         now: Instant,
         machine_lease_s: float,
         counters: Counters,
+        quotas: QuotaPolicy | None = None,
     ) -> None:
-        super().__init__(table, lease_timing, now)
+        super().__init__(table, lease_timing, now, quotas)
         self.counters = counters
         self.machine_orders_from = Instant(now + machine_lease_s)
         self.work = OutstandingWork(self.value_order.expected_s)
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from marigolddoor_core.dispatch.executors import Executor
+from marigolddoor_core.dispatch.quotas import NoQuotas, QuotaPolicy
 from marigolddoor_core.ids import RunNumber
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import PlaceRun, StepRecord, TaskPhase, TaskRecord
@@ -45,7 +46,24 @@
 
 
 class Placer:
-    """Places the tasks of sorted steps on the executors of their service."""
+    """Places the tasks of sorted steps on the executors of their service.
+
+    Args:
+      quotas: is asked before each placement; by default nothing is limited.
+    """
+
+    def __init__(self, quotas: QuotaPolicy | None = None) -> None:
+        self.quotas: QuotaPolicy = quotas or NoQuotas()
+
+    def admitted_steps(self, steps: Iterable[StepRecord]) -> list[StepRecord]:
+        """Return the steps of which the quotas admit a task, or all members of a gang.
+
+        Leaving the others out here saves sorting them and looking for room for them.
+        """
+        return [step for step in steps if self._is_admitted(step)]
+
+    def _is_admitted(self, step: StepRecord) -> bool:
+        return self.quotas.admits(step, step.waiting if step.spec.is_gang else 1)
 
     def place(
         self,
@@ -77,6 +95,8 @@
     def _place_step(
         self, step: StepRecord, executors: Sequence[Executor], now: Instant
     ) -> list[PlaceRun]:
+        if not self._is_admitted(step):
+            return []
         waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
         suitable = [executor for executor in executors if is_suitable(executor, step)]
         if step.spec.is_tightly_coupled:
@@ -86,6 +106,9 @@
         run = max((task.run for task in waiting), default=0) if step.spec.is_gang else None
         placements = []
         for task in waiting:
+            # The members of a gang were admitted together.
+            if not step.spec.is_gang and not self.quotas.admits(step, 1):
+                break
             executor = _choose_executor(task, suitable, now)
             if executor is None:
                 break
--- a/tests/core/dispatch/fakes.py
+++ b/tests/core/dispatch/fakes.py
@@ -10,6 +10,7 @@
     LeaseTiming,
     RunningTask,
 )
+from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.ids import (
     DataCentreId,
     ExecutorId,
@@ -68,10 +69,13 @@
 class Fleet:
     """One leadership. Time is in seconds and is set by `at`."""
 
-    def __init__(self, log: Log | None = None) -> None:
+    def __init__(
+        self, log: Log | None = None, quotas: QuotaPolicy | None = None, seconds: float = 0.0
+    ) -> None:
         self.log = log or Log()
-        self.now = Instant(100.0)
-        self.dispatch = Dispatch(self.log.table, LeaseTiming(LEASE_S), self.now)
+        self.now = Instant(100.0 + seconds)
+        timing = LeaseTiming(LEASE_S)
+        self.dispatch = Dispatch(self.log.table, timing, self.now, quotas=quotas)
         self.log.table.observer = self.dispatch
 
     def at(self, seconds: float) -> "Fleet":
--- a/tests/core/jobs/fakes.py
+++ b/tests/core/jobs/fakes.py
@@ -132,8 +132,11 @@
     return json.dumps({**json.loads(document), "teams": teams, "public": list(public)}).encode()
 
 
-def accept(job: str, *steps: dict[str, object], attempts: int = 3, **fields: object) -> AcceptJob:
-    return AcceptJob(JobId(job), QUEUE, SERVICE, attempts, document(*steps, **fields))
+def accept(
+    job: str, *steps: dict[str, object], attempts: int = 3, team: str = "", **fields: object
+) -> AcceptJob:
+    described = document(*steps, **fields)
+    return AcceptJob(JobId(job), QUEUE, SERVICE, attempts, described, TeamId(team))
 
 
 def place(task: str, run: int = 1, incarnation: str = INCARNATION) -> PlaceRun:
