Request machines for no more than a team's quota lets run

The demand for machines counted all open jobs, so a team at its quota would have drawn machines that it may not use. The cores that a team's jobs need, over all services, are scaled to its quota less what its long-running tasks hold; arrivals count with the same share, and a long-running step that waits for the quota requests no machines to spread over. Jobs without a team count as before.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -234,5 +234,6 @@
     def configuration_changed(self) -> None:
         """Regroup the ready steps by the services of the new configuration."""
         self.limits.apply(self.table.configuration)
+        self.work.limits_changed()
         self.ready.regroup()
         self.is_planning_due = True
--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -23,6 +23,7 @@
     JobRecord,
     JobTable,
     OrderMove,
+    StepRecord,
     WaveRecord,
 )
 from marigolddoor_core.metrics import CounterKind, Counters, Labels
@@ -57,7 +58,7 @@
         super().__init__(table, lease_timing, now, quotas)
         self.counters = counters
         self.machine_orders_from = Instant(now + machine_lease_s)
-        self.work = OutstandingWork(self.value_order.expected_s)
+        self.work = OutstandingWork(self.value_order.expected_s, self.limits.of)
         self.forecast = DemandForecast()
         self.arrivals = ArrivalRate()
         self.rebalancer = PoolRebalancer(self.work, self._is_in_maintenance, self._can_order)
@@ -70,9 +71,9 @@
     def take_over_machines(self) -> None:
         """Take over the demand and the maintenance waves from the replicated table."""
         for job in self.table.jobs.values():
-            self._record_arrival(job)
-            if job.phase is JobPhase.ACTIVE:
-                self._record_work(job)
+            self._record_arrival(
+                job, self._record_work(job) if job.phase is JobPhase.ACTIVE else 1.0
+            )
         self.ordered_by_earlier_leader.update(self.table.machine_orders)
         for wave in self.table.waves.values():
             if not wave.is_finished:
@@ -114,13 +115,14 @@
 
     def record_job(self, job: JobRecord) -> None:
         """Add a new job to the demand."""
-        self._record_arrival(job)
-        self._record_work(job)
+        self._record_arrival(job, self._record_work(job))
 
-    def _record_work(self, job: JobRecord) -> None:
+    def _record_work(self, job: JobRecord) -> float:
+        """Add the work of an open job; return the share that its team's quota lets run."""
         if job.spec.is_long_running:
             self.long_running[job.job] = job
-        self.work.accepted(job, self.service_of(job), self.value_order.first_deadline_s(job))
+        deadline_s = self.value_order.first_deadline_s(job)
+        return self.work.accepted(job, self.service_of(job), deadline_s)
 
     def _plan_maintenance(self, now: Instant) -> list[JobChange]:
         changes: list[JobChange] = []
@@ -206,9 +208,12 @@
                 del self.long_running[job.job]
                 continue
             service = self.service_of(job)
-            for spec in job.spec.steps:
-                if spec.is_long_running:
-                    needed = -(-spec.count // spec.spread_limit) if spec.spread_limit else 1
+            for number, spec in enumerate(job.spec.steps):
+                if not spec.is_long_running:
+                    continue
+                count = self._startable_count(job.step(0, number))
+                if count:
+                    needed = -(-count // spec.spread_limit) if spec.spread_limit else 1
                     # A task that leaves a machine before maintenance needs another one to move to.
                     needed += 1 if self.maintenance_waves else 0
                     spread[service] = max(spread.get(service, 0), needed)
@@ -220,9 +225,15 @@
             if not service.standby
         }
 
-    def _record_arrival(self, job: JobRecord) -> None:
+    def _startable_count(self, step: StepRecord) -> int:
+        """Return the number of tasks of a step that run or that its team's quota lets start."""
+        is_held = bool(step.waiting) and not self.quotas.admits(step, 1)
+        return step.placed if is_held else len(step.tasks)
+
+    def _record_arrival(self, job: JobRecord, share: float) -> None:
+        """Add the arrival of a job, of which the quota of its team lets a share run."""
         if not job.spec.is_long_running and not job.spec.is_timed:
-            service, work = self.service_of(job), self.value_order.total_work(job)
+            service, work = self.service_of(job), share * self.value_order.total_work(job)
             self.forecast.arrived(service, work, job.accepted_s)
             self.arrivals.accepted(
                 service, work, self.value_order.critical_path_s(job), job.accepted_s
