Refuse jobs that can never fit the quota of their team

A job with a task or a gang larger than its team's quota was accepted and would have waited forever. It is refused with the reason, which callers get in the body of the 429.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -15,6 +15,7 @@
     RecordingUnknownError,
 )
 from marigolddoor_core.dispatch import ExecutorState, Heartbeat
+from marigolddoor_core.dispatch.quotas import quota_conflict
 from marigolddoor_core.errors import UnavailableError
 from marigolddoor_core.ids import ExecutorId, JobId, MachineId, TeamId, WaveId
 from marigolddoor_core.input_limits import is_text
@@ -26,6 +27,7 @@
     InvalidJobError,
     JobPhase,
     JobRecord,
+    JobSpec,
     JobTable,
     OpenWave,
     QueueSettings,
@@ -156,6 +158,10 @@
         except InvalidJobError as error:
             logger.info("fleet: job {} is invalid: {}", job, error)
             return QueueReply(QueueOutcome.INVALID, detail=str(error))
+        conflict = _quota_conflict(configuration, team or NO_TEAM, spec)
+        if conflict:
+            logger.info("fleet: job {} of team {} refused: {}", job, team, conflict)
+            return await self._refuse(leadership, call, job, team or NO_TEAM, conflict)
         change = AcceptJob(
             job, queue.name, queue.service, queue.max_attempts, call.document, team or NO_TEAM
         )
@@ -194,6 +200,23 @@
             return QueueReply(QueueOutcome.ANSWERED)
         return await self._record(leadership, CancelJob(job.job))
 
+    async def _refuse(
+        self, leadership: FleetLeadership, call: QueueCall, job: JobId, team: TeamId, reason: str
+    ) -> QueueReply:
+        """Refuse a submission, unless an earlier one of the same job is being committed.
+
+        That one may have come before the quota was lowered, and the job would run after a refusal.
+        """
+        try:
+            await leadership.settle()
+        except (NotRecordedError, RecordingUnknownError) as error:
+            logger.info("fleet: whether job {} is known is not certain: {}", job, error)
+            return QueueReply(QueueOutcome.UNKNOWN)
+        known = self.table.jobs.get(job)
+        if known is not None and known.team == team:
+            return await self._answer_existing(leadership, call, known)
+        return QueueReply(QueueOutcome.REFUSED, detail=reason)
+
     async def _record(
         self, leadership: FleetLeadership, change: AcceptJob | CancelJob
     ) -> QueueReply:
@@ -326,6 +349,12 @@
     return team
 
 
+def _quota_conflict(configuration: FleetConfiguration, team: TeamId, spec: JobSpec) -> str:
+    """Return why a job can never fit the quota of its team; empty if it can."""
+    settings = configuration.team_by_name.get(team)
+    return "" if settings is None else quota_conflict(spec, settings.quota)
+
+
 def _may_know(
     configuration: FleetConfiguration,
     team: TeamId | None,
--- a/tests/control/test_team_calls.py
+++ b/tests/control/test_team_calls.py
@@ -114,3 +114,58 @@
 
     async def settle(self) -> None:
         """Wait for no changes."""
+
+
+class QuotaRefusalTest(testtools.TestCase):
+    """A job of which a task or a gang never fits the quota was accepted, and waited forever.
+
+    In the last case an earlier submission is still being committed under a larger quota.
+    """
+
+    scenarios = [
+        (
+            f"{quota} {step}{' accepted before' if is_accepted else ''}",
+            {"quota": quota, "step": step, "is_accepted": is_accepted, "detail": detail},
+        )
+        for quota, step, is_accepted, detail in (
+            ({}, {"count": 9, "cpu": 9000}, False, ""),
+            ({"cpu": 2000}, {"count": 9, "cpu": 2000}, False, ""),
+            ({"cpu": 2000}, {"count": 2, "cpu": 2001}, False, "a task of step 0 needs 2001 thous"),
+            ({"memory": 99}, {"count": 1}, False, "a task of step 0 needs 100 MB of memory, and"),
+            ({"cpu": 2000}, {"count": 2, "is_gang": True}, False, ""),
+            ({"cpu": 2000}, {"count": 3, "is_gang": True}, False, "the gang of step 0 needs 3000"),
+            ({"cpu": 2000}, {"count": 1, "cpu": 9000, "is_best_effort": True}, False, "a task of"),
+            ({"cpu": 2000}, {"count": 2, "cpu": 2001}, True, ""),
+        )
+    ]
+
+    def test_refusal(self) -> None:
+        self.log, self.recorded = Log(), []
+        views = configuration(1, views=SERVICE)
+        team = {"keys": ["r1"], **self.quota}
+        self.log.apply(StoreConfiguration(1, with_teams(views, {"red": team})))
+        service = FleetService(self.log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(  # type: ignore[assignment]
+            dispatch=Fleet(self.log).dispatch,
+            has_ended=False,
+            record=self.record,
+            settle=self.settle,
+        )
+        submitted = document(dict(self.step))
+        self.change = AcceptJob(
+            JobId("n"), QueueName("views"), SERVICE, 3, submitted, TeamId("red")
+        )
+        call = QueueCall(SUBMIT, "a.example", "/views/n", submitted, digest_key("r1"))
+        reply = anyio.run(service.call_queue, call)
+        self.assertEqual(REFUSED if self.detail else ANSWERED, reply.outcome)
+        self.assertTrue(reply.detail.startswith(self.detail))
+        is_recorded = not self.detail and not self.is_accepted
+        self.assertEqual([self.change] if is_recorded else [], self.recorded)
+
+    async def record(self, change: JobChange) -> None:
+        self.recorded.append(change)
+
+    async def settle(self) -> None:
+        """Commit the earlier submission."""
+        if self.is_accepted:
+            self.log.apply(self.change)
