--- a/tests/core/dispatch/test_stragglers.py
+++ b/tests/core/dispatch/test_stragglers.py
@@ -2,6 +2,7 @@
 
 import testtools
 from marigolddoor_core.dispatch import StopOrder
+from marigolddoor_core.jobs import StepRecord
 
 from tests.core.dispatch.fakes import Fleet, running
 from tests.core.jobs.fakes import accept
@@ -9,6 +10,13 @@
 STEP = {"count": 2, "estimated_s": 1.0}
 
 
+class AboveQuota:
+    """Has admitted tasks, and finds their team above a quota that was lowered since."""
+
+    def admits(self, step: StepRecord, count: int) -> bool:
+        return count > 0
+
+
 class SlowExecutorTest(testtools.TestCase):
     """Runs leave an executor on which tasks of several jobs make no progress."""
 
@@ -28,12 +36,24 @@
             "no other executor",
             {"percents": [0, 0], "at_s": 0.9, "others": 0, "leaves": False, "is_slow": True},
         ),
+        (
+            "a team above its quota",
+            {
+                "percents": [0, 0],
+                "at_s": 0.9,
+                "others": 1,
+                "leaves": False,
+                "is_slow": True,
+                "quotas": AboveQuota(),
+            },
+        ),
     ]
 
     is_slow = False
+    quotas = None
 
     def test_slow(self) -> None:
-        fleet = Fleet()
+        fleet = Fleet(quotas=self.quotas)
         executor = fleet.executor(1)
         jobs = ("a", "b")
         fleet.step(*(accept(job, STEP) for job in jobs))
