Test late starts and superseded runs at the end of their leases

No case failed when the leader ignored confirmed stops, runs that an executor lists unasked, or the end of the lease of a superseded run.

--- a/tests/core/dispatch/test_quotas.py
+++ b/tests/core/dispatch/test_quotas.py
@@ -3,10 +3,10 @@
 import testtools
 from marigolddoor_core.dispatch import StartOrder
 from marigolddoor_core.dispatch.quotas import NoQuotas
-from marigolddoor_core.ids import TeamId
+from marigolddoor_core.ids import TaskName, TeamId
 from marigolddoor_core.jobs import PlaceRun, RunEnd, StoreConfiguration
 
-from tests.core.dispatch.fakes import Fleet, running
+from tests.core.dispatch.fakes import Fleet, heartbeat, running
 from tests.core.jobs.fakes import Log, accept, configuration, end, with_teams
 
 RED = TeamId("red")
@@ -125,11 +125,24 @@
             ("the start is too old", {"count": 1}, ["sent", "ended", 20, "expired"], False),
             ("restarted with a start in flight", {"count": 1}, ["sent", "restarted"], True),
             ("lease over, late start", {"count": 1}, [1, "sent", 7, "expired"], True),
+            (
+                "late start was stopped",
+                {"count": 1},
+                ["sent", "ended", 1, "restarted", "stopped", 2, "missing"],
+                False,
+            ),
+            (
+                "late start was listed",
+                {"count": 1},
+                ["sent", "leader", 7, "expired", 8, "returned"],
+                True,
+            ),
             ("new leader", {"count": 1}, ["sent", "listed", "leader"], True),
             ("new leader, gone", {"count": 1}, ["sent", "leader", 1, "missing"], False),
             ("new leader, lease over", {"count": 1}, ["sent", "leader", 7, "expired"], False),
             ("new leader, given up", SPECULATIVE, ["listed", "silent", "leader"], True),
             ("superseded", {"count": 1}, ["superseded"], True),
+            ("superseded, lease over", {"count": 1}, ["superseded", 7, "beat", "expired"], False),
             ("new leader, superseded", {"count": 1}, ["superseded", "leader"], True),
             ("superseded, then gone", {"count": 1}, ["superseded", "leader", 1, "missing"], False),
         )
@@ -190,6 +203,19 @@
     def restarted(self) -> None:
         self.fleet.executor(1, born_ms=200)
 
+    def returned(self) -> None:
+        """Have the next incarnation list the run in its first report."""
+        beat = heartbeat(1, born_ms=200)
+        self.fleet.at(self.seconds).dispatch.receive_heartbeat(beat, self.fleet.now)
+        self.listed()
+
+    def beat(self) -> None:
+        beat = heartbeat(1, sequence=9)
+        self.fleet.at(self.seconds).dispatch.receive_heartbeat(beat, self.fleet.now)
+
+    def stopped(self) -> None:
+        self.fleet.dispatch.stop_confirmed(self.first, TaskName(TASK), 1, self.fleet.now)
+
     def expired(self) -> None:
         self.fleet.at(self.seconds).dispatch.expire(self.fleet.now)
 
