--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -8,6 +8,7 @@
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.orders import StartOrder
 from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
+from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.ids import ExecutorId
 from marigolddoor_core.instants import Instant
@@ -46,10 +47,11 @@
         machine_lease_s: float = 0.0,
         counters: Counters | None = None,
         order: StepOrder | None = None,
+        quotas: QuotaPolicy | None = None,
     ) -> None:
-        super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters())
+        super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters(), quotas)
         self.order: StepOrder = order or self.value_order
-        self.placer = Placer()
+        self.placer = Placer(self.quotas)
         self.tickets = Tickets()
         # Since when no task of a long-running step that has waiting tasks could be placed.
         self.unplaceable_since: dict[StepRecord, Instant] = {}
@@ -75,7 +77,7 @@
         self.is_planning_due = False
         placements: list[PlaceRun] = []
         for service in list(self.ready.steps):
-            steps = self.ready.of_service(service)
+            steps = self.placer.admitted_steps(self.ready.of_service(service))
             if not steps:
                 continue
             executors = self.executors_of(service)
@@ -192,8 +194,12 @@
     def run_ended(self, task: TaskRecord, end: RunEnd) -> None:
         """Release the capacity of a run, and index the steps that may start now."""
         executor = self.holder_of(task)
-        if executor is not None:
+        placed = None if executor is None else executor.runs.get(task.name)
+        if executor is not None and placed is not None:
             executor.release(task)
+            if placed.is_given_up and end is RunEnd.LOST:
+                sent_at = self.late_starts(executor, self.now).get((task.name, placed.run))
+                self.uncertain_ends.given_up(executor, placed, sent_at, self.now)
         step = task.step
         self._count(CounterKind.RUNS, step.job, end.value)
         if step.is_done:
@@ -227,5 +233,7 @@
 
     def configuration_changed(self) -> None:
         """Regroup the ready steps by the services of the new configuration."""
+        self.limits.apply(self.table.configuration)
+        self.work.limits_changed()
         self.ready.regroup()
         self.is_planning_due = True
