Divide a service's room among teams by weighted max-min fairness

Cause: the order by value serves every team in proportion to what it sends, so a team that sends several times its load delays all others.

Change: dispatch/team_shares.py computes the share of each team over its dominant resource, and SharedOrder places steps within the share of their team before the rest, each group in the inner order. Dispatch wraps its order where the configuration has teams; what teams hold comes from a ServiceUsage that is handed in, or from the runs of the service's executors (executor_usage.py). A round in which all waiting steps fit, or in which one team waits, keeps the inner order.

Result: the tests of core.dispatch pass.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -1,15 +1,18 @@
 """Decides on which executor each task runs, and follows the committed changes."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from functools import partial
 
 from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
+from marigolddoor_core.dispatch.executor_usage import ExecutorUsage, free_size
 from marigolddoor_core.dispatch.executors import Executor
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.orders import StartOrder
 from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
 from marigolddoor_core.dispatch.ready import ReadySteps
-from marigolddoor_core.ids import ExecutorId
+from marigolddoor_core.dispatch.team_shares import ServiceUsage, SharedOrder
+from marigolddoor_core.ids import ExecutorId, ServiceId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     JobChange,
@@ -46,9 +49,13 @@
         machine_lease_s: float = 0.0,
         counters: Counters | None = None,
         order: StepOrder | None = None,
+        usage: ServiceUsage | None = None,
     ) -> None:
         super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters())
+        # The order of the steps before the shares of teams are applied.
         self.order: StepOrder = order or self.value_order
+        # What each team holds; without it, that is counted from the executors.
+        self.usage = usage
         self.placer = Placer()
         self.tickets = Tickets()
         # Since when no task of a long-running step that has waiting tasks could be placed.
@@ -79,14 +86,15 @@
             if not steps:
                 continue
             executors = self.executors_of(service)
+            usable = [executor for executor in executors if executor.accepts_long_running(now)]
+            order = self._shared_order(service, executors, usable)
             advised = [step for step in steps if self._needs_advice(step)]
             if advised:
-                self._ask_for_advice(self.order.sort(advised, time_s), executors, now)
-            usable = [executor for executor in executors if executor.accepts_long_running(now)]
+                self._ask_for_advice(order.sort(advised, time_s), executors, now)
             fitting = fitting_steps(steps, usable) if usable else []
             if fitting:
                 is_allowed = self._is_allowed if advised else None
-                ordered = self.order.sort(fitting, time_s)
+                ordered = order.sort(fitting, time_s)
                 placements += self.placer.place(ordered, usable, now, is_allowed)
             placements += self._place_as_last_resort(steps, executors, placements, now, time_s)
         self.unplaceable_since = {
@@ -96,6 +104,24 @@
         }
         return placements
 
+    def _shared_order(
+        self, service: ServiceId, executors: Sequence[Executor], usable: Iterable[Executor]
+    ) -> StepOrder:
+        """Return the order of a service's steps, in which teams have their shares.
+
+        Args:
+          executors: all executors of the service.
+          usable: those that accept work.
+        """
+        configuration = self.table.configuration
+        if configuration is None or configuration.teams is None:
+            return self.order
+        if self.usage is None:
+            held = ExecutorUsage(executors).of
+        else:
+            held = partial(self.usage.of_service, service)
+        return SharedOrder(self.order, configuration.team_by_name, held, free_size(usable))
+
     def _place_as_last_resort(
         self,
         steps: Iterable[StepRecord],
