Serve jobs beyond their team's agreed rate after all others

Cause: shares alone give a flooding team the room that others leave for a moment, so the others find less when their own load varies.

SharedOrder puts the steps of marked jobs last.

--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -11,8 +11,9 @@
 from marigolddoor_core.dispatch.orders import StartOrder
 from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
 from marigolddoor_core.dispatch.ready import ReadySteps
+from marigolddoor_core.dispatch.team_rates import TeamRates
 from marigolddoor_core.dispatch.team_shares import ServiceUsage, SharedOrder
-from marigolddoor_core.ids import ExecutorId, ServiceId
+from marigolddoor_core.ids import ExecutorId, ServiceId, TeamId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     JobChange,
@@ -56,6 +57,8 @@
         self.order: StepOrder = order or self.value_order
         # What each team holds; without it, that is counted from the executors.
         self.usage = usage
+        self.team_rates = TeamRates(self._rate_of)
+        self.team_rates.take_over(table.jobs.values())
         self.placer = Placer()
         self.tickets = Tickets()
         # Since when no task of a long-running step that has waiting tasks could be placed.
@@ -120,7 +123,19 @@
             held = ExecutorUsage(executors).of
         else:
             held = partial(self.usage.of_service, service)
-        return SharedOrder(self.order, configuration.team_by_name, held, free_size(usable))
+        return SharedOrder(
+            self.order,
+            configuration.team_by_name,
+            held,
+            free_size(usable),
+            self.team_rates.is_beyond,
+        )
+
+    def _rate_of(self, team: TeamId) -> float | None:
+        """Return the jobs a second that a team agreed on."""
+        configuration = self.table.configuration
+        settings = None if configuration is None else configuration.team_by_name.get(team)
+        return None if settings is None else settings.weight
 
     def _place_as_last_resort(
         self,
@@ -189,6 +204,7 @@
         self._count(CounterKind.JOBS, job, "accepted")
         self.ready.add_job(job, self.table.time_s)
         self.value_order.learn(job)
+        self.team_rates.accepted(job)
         self.record_job(job)
         self.is_planning_due = True
 
@@ -245,6 +261,7 @@
         self._count(CounterKind.JOBS, job, job.phase.value)
         self.work.ended(job.job)
         self.begun.discard(job.job)
+        self.team_rates.ended(job.job)
         self.tickets.forget(job.steps.values())
         for task in job.placed_tasks():
             executor = self.holder_of(task)
@@ -254,4 +271,6 @@
     def configuration_changed(self) -> None:
         """Regroup the ready steps by the services of the new configuration."""
         self.ready.regroup()
+        if self.table.configuration is not None:
+            self.team_rates.keep(self.table.configuration.team_by_name)
         self.is_planning_due = True
--- a/packages/core/src/marigolddoor_core/dispatch/team_shares.py
+++ b/packages/core/src/marigolddoor_core/dispatch/team_shares.py
@@ -7,13 +7,13 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from operator import le
 from typing import Protocol
 
 from marigolddoor_core.dispatch.planner import StepOrder
-from marigolddoor_core.ids import ServiceId, TeamId
+from marigolddoor_core.ids import JobId, ServiceId, TeamId
 from marigolddoor_core.jobs import StepRecord, TaskSize, TeamSettings
 
 __all__ = ["ServiceUsage", "SharedOrder", "TeamDemand", "team_shares"]
@@ -119,7 +119,9 @@
 class SharedOrder:
     """Sorts the steps of a service: those within the share of their team come first.
 
-    Long-running steps stay in front of both groups, and each group keeps the inner order. A step is
+    Long-running steps stay in front of all others. Steps of jobs beyond the agreed rate of their
+    team come after all others; among them those within the share are first again. Each group keeps
+    the inner order. A step is
     within its team's share if the team's share is not used up before it, counting what the team
     holds and its steps earlier in the inner order. So a team may exceed its share by one step,
     without which a team whose share is smaller than one task would never be served. If all steps
@@ -131,6 +133,7 @@
       held: returns what a team holds of the executors of the service.
       free: what the executors that accept work have free. It is divided together with what the
         waiting teams hold, since no team gives up what it holds.
+      is_beyond_rate: returns whether a job is beyond the rate that its team agreed on.
     """
 
     def __init__(
@@ -139,11 +142,13 @@
         teams: Mapping[TeamId, TeamSettings],
         held: Callable[[TeamId], TaskSize],
         free: TaskSize,
+        is_beyond_rate: Callable[[JobId], bool],
     ) -> None:
         self.inner = inner
         self.teams = teams
         self.held = held
         self.free = free
+        self.is_beyond_rate = is_beyond_rate
 
     def sort(self, steps: list[StepRecord], time_s: float) -> list[StepRecord]:
         """Return the steps in scheduling order."""
@@ -164,18 +169,22 @@
         ):
             return ordered
         budgets = self._budgets({team: TaskSize(*sums) for team, sums in waiting.items()})
-        long_running = [step for step in ordered if step.spec.is_long_running]
+        groups: dict[bool, list[StepRecord]] = {True: [], False: []}
+        long_running: list[StepRecord] = []
+        for step in ordered:
+            if step.spec.is_long_running:
+                long_running.append(step)
+            else:
+                groups[self.is_beyond_rate(step.job.job)].append(step)
         # Long-running steps are placed first, so they use up their teams' shares first.
         for step in long_running:
             if step.job.team in budgets:
                 budgets[step.job.team].takes(step)
-        within: list[StepRecord] = []
-        beyond: list[StepRecord] = []
-        for step in ordered:
-            if not step.spec.is_long_running:
-                budget = budgets.get(step.job.team)
-                (within if budget is None or budget.takes(step) else beyond).append(step)
-        return long_running + within + beyond
+        return (
+            long_running
+            + _within_first(groups[False], budgets)
+            + _within_first(groups[True], budgets)
+        )
 
     def _budgets(self, waiting: Mapping[TeamId, TaskSize]) -> dict[TeamId, "_Budget"]:
         """Return what the teams may place whose shares are smaller than their demands."""
@@ -219,6 +228,18 @@
         return is_within
 
 
+def _within_first(
+    ordered: Iterable[StepRecord], budgets: Mapping[TeamId, _Budget]
+) -> list[StepRecord]:
+    """Return the steps within the budget of their team, then the others."""
+    within: list[StepRecord] = []
+    beyond: list[StepRecord] = []
+    for step in ordered:
+        budget = budgets.get(step.job.team)
+        (within if budget is None or budget.takes(step) else beyond).append(step)
+    return within + beyond
+
+
 def _amounts(size: TaskSize) -> tuple[int, int, int]:
     return size.cpu_milli, size.memory_mb, size.accelerators
 
--- a/tests/core/dispatch/test_team_shares.py
+++ b/tests/core/dispatch/test_team_shares.py
@@ -125,6 +125,15 @@
             "without a team",
             {"jobs": "-1 -2 -3 -4 a1 a2", "free": 5, "held": {}, "order": "-1 -2 -3 a1 a2 -4"},
         ),
+        (
+            "beyond the rate",
+            {
+                "jobs": "a1! a2! a3! b1 b2 b3 b4! a4",
+                "free": 4,
+                "held": {},
+                "order": "b1 b2 a4 b3 a1! a2! a3! b4!",
+            },
+        ),
         (
             "long-running first",
             {"jobs": "a1 a2 b1 aL", "free": 2, "held": {}, "order": "aL b1 a1 a2"},
@@ -148,6 +157,7 @@
             teams,
             lambda team: TaskSize(1000 * self.held.get(team, 0)),
             TaskSize(1000 * self.free, 1000),
+            lambda job: job.endswith("!"),
         )
         self.assertEqual(self.order, " ".join(step.job.job for step in order.sort(steps, 0.0)))
 
