--- a/packages/core/src/marigolddoor_core/dispatch/executor_usage.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executor_usage.py
@@ -30,10 +30,13 @@
         for executor in self.executors:
             for placed in executor.runs.values():
                 step = placed.task.step
-                held = sums.setdefault(step.job.team, [0, 0, 0])
-                held[0] += step.spec.size.cpu_milli
-                held[1] += step.spec.size.memory_mb
-                held[2] += step.spec.size.accelerators
+                team, size = step.job.team, step.spec.size
+                held = sums.get(team)
+                if held is None:
+                    held = sums[team] = [0, 0, 0]
+                held[0] += size.cpu_milli
+                held[1] += size.memory_mb
+                held[2] += size.accelerators
         return {team: TaskSize(*held) for team, held in sums.items()}
 
 
--- a/packages/core/src/marigolddoor_core/dispatch/team_shares.py
+++ b/packages/core/src/marigolddoor_core/dispatch/team_shares.py
@@ -7,10 +7,10 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from operator import le
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from marigolddoor_core.dispatch.planner import StepOrder
 from marigolddoor_core.ids import JobId, ServiceId, TeamId
@@ -21,7 +21,7 @@
 # The least weight that a team counts with, so that a configured weight of 0 starves no team.
 MIN_WEIGHT = 1e-6
 # Tolerance for rounding when shares are compared; a share is between 0 and 1.
-TOLERANCE = 1e-9
+TOLERANCE = 1e-12
 
 
 class ServiceUsage(Protocol):
@@ -41,16 +41,6 @@
     weight: float = 1.0
 
 
-@dataclass(slots=True)
-class _Filling:
-    """A team during the filling: its full demand, and its use of each resource on the way there."""
-
-    team: TeamId
-    weight: float
-    demand: float
-    mix: tuple[float, ...]
-
-
 def team_shares(demands: Mapping[TeamId, TeamDemand], capacity: TaskSize) -> dict[TeamId, float]:
     """Return the dominant share that each team may reach, between 0 and 1.
 
@@ -65,57 +55,139 @@
       >>> team_shares({TeamId("a"): small, TeamId("b"): large}, TaskSize(4000))
       {'a': 0.25, 'b': 0.75}
     """
-    shares: dict[TeamId, float] = {}
-    filling: list[_Filling] = []
-    for team, demand in demands.items():
-        wanted = _wanted_parts(demand, capacity)
-        dominant = shares[team] = max(wanted)
+    requests = [
+        _Request(
+            team,
+            max(demand.weight, MIN_WEIGHT),
+            demand.held.cpu_milli + demand.waiting.cpu_milli,
+            demand.held.memory_mb + demand.waiting.memory_mb,
+            demand.held.accelerators + demand.waiting.accelerators,
+        )
+        for team, demand in demands.items()
+    ]
+    parts = _parts(requests, capacity)
+    shares = {part.team: part.level * part.weight for part in parts}
+    return dict.fromkeys(demands, 0.0) | shares | _limited_shares(parts)
+
+
+class _Request(NamedTuple):
+    """What a team holds and waits for together."""
+
+    team: TeamId
+    weight: float
+    cpu: int
+    memory: int
+    accelerators: int
+
+
+class _Part(NamedTuple):
+    """A request as parts of the capacity. `level` is its dominant share by its weight."""
+
+    level: float
+    team: TeamId
+    weight: float
+    cpu: float
+    memory: float
+    accelerators: float
+
+
+def _parts(requests: Iterable[_Request], capacity: TaskSize) -> list[_Part]:
+    """Return the requests that are not empty, in the order in which the filling meets them."""
+    # A resource that the service does not have limits no team.
+    by_cpu = 1 / (capacity.cpu_milli or math.inf)
+    by_memory = 1 / (capacity.memory_mb or math.inf)
+    by_accelerators = 1 / (capacity.accelerators or math.inf)
+    parts: list[_Part] = []
+    for team, weight, cpu_milli, memory_mb, count in requests:
+        cpu, memory, accelerators = (
+            cpu_milli * by_cpu,
+            memory_mb * by_memory,
+            count * by_accelerators,
+        )
+        dominant = max(cpu, memory, accelerators)
         if dominant > 0:
-            mix = tuple(part / dominant for part in wanted)
-            filling.append(_Filling(team, max(demand.weight, MIN_WEIGHT), dominant, mix))
-    filling.sort(key=lambda each: each.demand / each.weight)
-    shares.update(_fill(filling))
-    return shares
+            parts.append(_Part(dominant / weight, team, weight, cpu, memory, accelerators))
+    parts.sort()
+    return parts
 
 
-def _fill(filling: list[_Filling]) -> dict[TeamId, float]:
-    """Return the shares of the teams whose demand is not met.
+def _limited_shares(parts: list[_Part]) -> dict[TeamId, float]:
+    """Return the shares of the teams whose requests are not met.
+
+    The loops are written out for the three resources, since a round of the whole fleet runs them
+    for tens of thousands of teams.
 
     Args:
-      filling: the teams in the order in which they reach their demand.
+      parts: the requests by ascending level.
     """
     limited: dict[TeamId, float] = {}
-    resources = range(len(filling[0].mix)) if filling else range(0)
-    used = [0.0 for _ in resources]
-    growth = [sum(each.weight * each.mix[r] for each in filling) for r in resources]
-    exhausted: set[int] = set()
-
-    def settle(each: _Filling, share: float) -> None:
-        for r in resources:
-            used[r] += share * each.mix[r]
-            growth[r] -= each.weight * each.mix[r]
-
-    for position, each in enumerate(filling):
-        while each.team not in limited:
-            level, resource = min(
-                (
-                    (max(0.0, 1.0 - used[r]) / growth[r], r)
-                    for r in resources
-                    if r not in exhausted and growth[r] > TOLERANCE * each.weight
-                ),
-                default=(each.demand / each.weight, -1),
-            )
-            if resource < 0 or level >= each.demand / each.weight * (1 - TOLERANCE):
-                settle(each, each.demand)
-                break
-            exhausted.add(resource)
-            for other in filling[position:]:
-                if other.team not in limited and other.mix[resource] > 0:
-                    limited[other.team] = level * other.weight
-                    settle(other, limited[other.team])
+    # What the teams use that the filling has finished with, and the growth of the others by level.
+    used = [0.0, 0.0, 0.0]
+    growth = [0.0, 0.0, 0.0]
+    for level, _, _, cpu, memory, accelerators in parts:
+        growth[0] += cpu / level
+        growth[1] += memory / level
+        growth[2] += accelerators / level
+    while parts:
+        met, resource, full_at = _fill_until_full(parts, used, growth)
+        if resource is None:
+            break
+        others: list[_Part] = []
+        for part in parts[met:]:
+            amounts = part[3:]
+            if amounts[resource] > 0:
+                limited[part.team] = full_at * part.weight
+                for r in range(3):
+                    used[r] += amounts[r] * full_at / part.level
+                    growth[r] -= amounts[r] / part.level
+            else:
+                others.append(part)
+        growth[resource] = 0.0
+        parts = others
     return limited
 
 
+def _fill_until_full(
+    parts: list[_Part], used: list[float], growth: list[float]
+) -> tuple[int, int | None, float]:
+    """Raise the level until a resource is full; update `used` and `growth`.
+
+    Return the number of requests that were met, the resource and the level; no resource if all
+    requests were met.
+    """
+    limit = 1 + TOLERANCE
+    cpu_used, memory_used, accelerators_used = used
+    cpu_growth, memory_growth, accelerators_growth = growth
+    met = 0
+    for level, _, _, cpu, memory, accelerators in parts:
+        if (
+            cpu_used + level * cpu_growth > limit
+            or memory_used + level * memory_growth > limit
+            or accelerators_used + level * accelerators_growth > limit
+        ):
+            break
+        met += 1
+        cpu_used += cpu
+        cpu_growth -= cpu / level
+        if memory:
+            memory_used += memory
+            memory_growth -= memory / level
+        if accelerators:
+            accelerators_used += accelerators
+            accelerators_growth -= accelerators / level
+    used[:] = cpu_used, memory_used, accelerators_used
+    growth[:] = cpu_growth, memory_growth, accelerators_growth
+    if met == len(parts):
+        return met, None, 0.0
+    next_level = parts[met].level
+    full_at, resource = min(
+        (max(0.0, 1.0 - used[r]) / growth[r], r)
+        for r in range(3)
+        if used[r] + next_level * growth[r] > limit
+    )
+    return met, resource, full_at
+
+
 class SharedOrder:
     """Sorts the steps of a service: those within the share of their team come first.
 
@@ -168,7 +240,7 @@
             map(le, map(sum, zip(*waiting.values(), strict=True)), _amounts(self.free))
         ):
             return ordered
-        budgets = self._budgets({team: TaskSize(*sums) for team, sums in waiting.items()})
+        budgets = self._budgets(waiting)
         groups: dict[bool, list[StepRecord]] = {True: [], False: []}
         long_running: list[StepRecord] = []
         for step in ordered:
@@ -186,36 +258,51 @@
             + _within_first(groups[True], budgets)
         )
 
-    def _budgets(self, waiting: Mapping[TeamId, TaskSize]) -> dict[TeamId, "_Budget"]:
+    def _budgets(self, waiting: Mapping[TeamId, Sequence[int]]) -> dict[TeamId, "_Budget"]:
         """Return what the teams may place whose shares are smaller than their demands."""
-        demands = {
-            team: TeamDemand(self.held(team), size, self._weight(team))
-            for team, size in waiting.items()
-        }
-        holdings = [self.free, *(demand.held for demand in demands.values())]
-        capacity = TaskSize(*map(sum, zip(*map(_amounts, holdings), strict=True)))
-        return {
-            team: _Budget(share, demands[team].held, capacity)
-            for team, share in team_shares(demands, capacity).items()
-            if share < max(_wanted_parts(demands[team], capacity)) - TOLERANCE
-        }
+        held = {team: self.held(team) for team in waiting}
+        capacity = TaskSize(
+            self.free.cpu_milli + sum(size.cpu_milli for size in held.values()),
+            self.free.memory_mb + sum(size.memory_mb for size in held.values()),
+            self.free.accelerators + sum(size.accelerators for size in held.values()),
+        )
+        requests: list[_Request] = []
+        for team, (cpu, memory, accelerators) in waiting.items():
+            size = held[team]
+            requests.append(
+                _Request(
+                    team,
+                    self._weight(team),
+                    size.cpu_milli + cpu,
+                    size.memory_mb + memory,
+                    size.accelerators + accelerators,
+                )
+            )
+        limited = _limited_shares(_parts(requests, capacity))
+        return {team: _Budget(share, held[team], capacity) for team, share in limited.items()}
 
     def _weight(self, team: TeamId) -> float:
         settings = self.teams.get(team)
         if settings is not None:
-            return settings.weight
-        return sum(known.weight for known in self.teams.values()) / max(1, len(self.teams))
+            return max(settings.weight, MIN_WEIGHT)
+        return (
+            sum(known.weight for known in self.teams.values()) / len(self.teams)
+            if self.teams
+            else 1.0
+        )
 
 
 class _Budget:
     """What a team may still place before its share is used up."""
 
+    __slots__ = ("accelerators", "cpu", "memory")
+
     def __init__(self, share: float, held: TaskSize, capacity: TaskSize) -> None:
         # A resource that the service does not have limits no team.
-        self.cpu, self.memory, self.accelerators = (
-            (share - TOLERANCE) * limit - used if limit else math.inf
-            for used, limit in zip(_amounts(held), _amounts(capacity), strict=True)
-        )
+        limit = share - TOLERANCE
+        self.cpu = limit * (capacity.cpu_milli or math.inf) - held.cpu_milli
+        self.memory = limit * (capacity.memory_mb or math.inf) - held.memory_mb
+        self.accelerators = limit * (capacity.accelerators or math.inf) - held.accelerators
 
     def takes(self, step: StepRecord) -> bool:
         """Count a step, and return whether the share was not used up before it."""
@@ -242,14 +329,3 @@
 
 def _amounts(size: TaskSize) -> tuple[int, int, int]:
     return size.cpu_milli, size.memory_mb, size.accelerators
-
-
-def _wanted_parts(demand: TeamDemand, capacity: TaskSize) -> list[float]:
-    """Return the part of each resource's capacity that a team holds and waits for."""
-    held, waiting = demand.held, demand.waiting
-    return [
-        (has + waits) / limit if limit else 0.0
-        for has, waits, limit in zip(
-            _amounts(held), _amounts(waiting), _amounts(capacity), strict=True
-        )
-    ]
