--- a/packages/core/src/marigolddoor_core/dispatch/team_shares.py
+++ b/packages/core/src/marigolddoor_core/dispatch/team_shares.py
@@ -81,7 +81,10 @@
 
 
 class _Part(NamedTuple):
-    """A request as parts of the capacity. `level` is its dominant share by its weight."""
+    """A request as parts of the capacity; the last three fields are those of the resources.
+
+    `level` is the dominant share divided by the weight.
+    """
 
     level: float
     team: TeamId
@@ -132,18 +135,15 @@
         met, resource, full_at = _fill_until_full(parts, used, growth)
         if resource is None:
             break
-        others: list[_Part] = []
-        for part in parts[met:]:
-            amounts = part[3:]
-            if amounts[resource] > 0:
-                limited[part.team] = full_at * part.weight
-                for r in range(3):
-                    used[r] += amounts[r] * full_at / part.level
-                    growth[r] -= amounts[r] / part.level
-            else:
-                others.append(part)
-        growth[resource] = 0.0
-        parts = others
+        stopped = [part for part in parts[met:] if part[3:][resource] > 0]
+        limited.update((part.team, full_at * part.weight) for part in stopped)
+        parts = [part for part in parts[met:] if part[3:][resource] <= 0]
+        if parts:
+            for part in stopped:
+                for r, amount in enumerate(part[3:]):
+                    used[r] += amount * full_at / part.level
+                    growth[r] -= amount / part.level
+            growth[resource] = 0.0
     return limited
 
 
