--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -3,14 +3,16 @@
 from collections.abc import Iterable, Mapping
 
 from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
-from marigolddoor_core.dispatch.executors import Executor
+from marigolddoor_core.dispatch.executors import Executor, free_size, teamless_size
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.orders import StartOrder
 from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.ready import ReadySteps
-from marigolddoor_core.ids import ExecutorId
+from marigolddoor_core.dispatch.team_rates import TeamRates
+from marigolddoor_core.dispatch.team_shares import SharedOrder
+from marigolddoor_core.ids import ExecutorId, ServiceId, TeamId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     JobChange,
@@ -21,6 +23,7 @@
     RunEnd,
     StepRecord,
     TaskRecord,
+    TaskSize,
 )
 from marigolddoor_core.metrics import CounterKind, Counters, Labels
 
@@ -50,7 +53,10 @@
         quotas: QuotaPolicy | None = None,
     ) -> None:
         super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters(), quotas)
+        # The order of the steps before the shares of teams are applied.
         self.order: StepOrder = order or self.value_order
+        self.team_rates = TeamRates(self._rate_of)
+        self.team_rates.take_over(table.jobs.values())
         self.placer = Placer(self.quotas)
         self.tickets = Tickets()
         # Since when no task of a long-running step that has waiting tasks could be placed.
@@ -81,14 +87,15 @@
             if not steps:
                 continue
             executors = self.executors_of(service)
+            usable = [executor for executor in executors if executor.accepts_long_running(now)]
+            order = self._shared_order(service, executors, usable)
             advised = [step for step in steps if self._needs_advice(step)]
             if advised:
-                self._ask_for_advice(self.order.sort(advised, time_s), executors, now)
-            usable = [executor for executor in executors if executor.accepts_long_running(now)]
+                self._ask_for_advice(order.sort(advised, time_s), executors, now)
             fitting = fitting_steps(steps, usable) if usable else []
             if fitting:
                 is_allowed = self._is_allowed if advised else None
-                ordered = self.order.sort(fitting, time_s)
+                ordered = order.sort(fitting, time_s)
                 placements += self.placer.place(ordered, usable, now, is_allowed)
             placements += self._place_as_last_resort(steps, executors, placements, now, time_s)
         self.unplaceable_since = {
@@ -98,6 +105,37 @@
         }
         return placements
 
+    def _shared_order(
+        self, service: ServiceId, executors: Iterable[Executor], usable: Iterable[Executor]
+    ) -> StepOrder:
+        """Return the order of a service's steps, in which teams have their shares.
+
+        Args:
+          service: the service.
+          executors: all its executors.
+          usable: those that accept work.
+        """
+        configuration = self.table.configuration
+        if configuration is None or configuration.teams is None:
+            return self.order
+
+        def held(team: TeamId) -> TaskSize:
+            return self.usage.of_service(service, team) if team else teamless_size(executors)
+
+        return SharedOrder(
+            self.order,
+            configuration.team_by_name,
+            held,
+            free_size(usable),
+            self.team_rates.is_beyond,
+        )
+
+    def _rate_of(self, team: TeamId) -> float | None:
+        """Return the jobs a second that a team agreed on."""
+        configuration = self.table.configuration
+        settings = None if configuration is None else configuration.team_by_name.get(team)
+        return None if settings is None else settings.weight
+
     def _place_as_last_resort(
         self,
         steps: Iterable[StepRecord],
@@ -165,6 +203,7 @@
         self._count(CounterKind.JOBS, job, "accepted")
         self.ready.add_job(job, self.table.time_s)
         self.value_order.learn(job)
+        self.team_rates.accepted(job)
         self.record_job(job)
         self.is_planning_due = True
 
@@ -225,6 +264,7 @@
         self._count(CounterKind.JOBS, job, job.phase.value)
         self.work.ended(job.job)
         self.begun.discard(job.job)
+        self.team_rates.ended(job.job)
         self.tickets.forget(job.steps.values())
         for task in job.placed_tasks():
             executor = self.holder_of(task)
@@ -236,4 +276,6 @@
         self.limits.apply(self.table.configuration)
         self.work.limits_changed()
         self.ready.regroup()
+        if self.table.configuration is not None:
+            self.team_rates.keep(self.table.configuration.team_by_name)
         self.is_planning_due = True
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -1,5 +1,6 @@
 """The leader's records of executors: their reports, runs and free capacity."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -26,6 +27,8 @@
     "HoldReport",
     "PlacedRun",
     "RunningTask",
+    "free_size",
+    "teamless_size",
 ]
 
 # An executor that has answered no call for this long gets no new task. A hold call waits up to
@@ -346,3 +349,28 @@
             self.free_cpu += sign * size.cpu_milli
         self.free_memory += sign * size.memory_mb
         self.free_accelerators += sign * size.accelerators
+
+
+def free_size(executors: Iterable[Executor]) -> TaskSize:
+    """Return what the executors have free in total."""
+    cpu = memory = accelerators = 0
+    for executor in executors:
+        cpu += max(0, executor.free_cpu)
+        memory += max(0, executor.free_memory)
+        accelerators += max(0, executor.free_accelerators)
+    return TaskSize(cpu, memory, accelerators)
+
+
+def teamless_size(executors: Iterable[Executor]) -> TaskSize:
+    """Return what the runs of jobs without a team hold on the executors."""
+    sizes = [
+        placed.task.step.spec.size
+        for executor in executors
+        for placed in executor.runs.values()
+        if not placed.task.step.job.team
+    ]
+    return TaskSize(
+        sum(size.cpu_milli for size in sizes),
+        sum(size.memory_mb for size in sizes),
+        sum(size.accelerators for size in sizes),
+    )
