--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -6,6 +6,7 @@
 from marigolddoor_core.dispatch.executors import Executor, free_size, teamless_size
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
+from marigolddoor_core.dispatch.near_places import EndComparison, NeverWait, PlaceWait, RunTimes
 from marigolddoor_core.dispatch.orders import StartOrder
 from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
@@ -51,13 +52,18 @@
         counters: Counters | None = None,
         order: StepOrder | None = None,
         quotas: QuotaPolicy | None = None,
+        remote_factor: float = 1.0,
+        waits: PlaceWait | None = None,
     ) -> None:
-        super().__init__(table, lease_timing, now, machine_lease_s, counters or Counters(), quotas)
+        super().__init__(
+            table, lease_timing, now, machine_lease_s, counters or Counters(), quotas, remote_factor
+        )
         # The order of the steps before the shares of teams are applied.
         self.order: StepOrder = order or self.value_order
         self.team_rates = TeamRates(self._rate_of)
         self.team_rates.take_over(table.jobs.values())
-        self.placer = Placer(self.quotas)
+        self.waits = waits or self._default_waits()
+        self.placer = Placer(self.quotas, self.waits)
         self.tickets = Tickets()
         # Since when no task of a long-running step that has waiting tasks could be placed.
         self.unplaceable_since: dict[StepRecord, Instant] = {}
@@ -93,6 +99,9 @@
             if advised:
                 self._ask_for_advice(order.sort(advised, time_s), executors, now)
             fitting = fitting_steps(steps, usable) if usable else []
+            self.waits.begin_round(
+                (executor for executor in usable if executor.accepts_work(now)), now, time_s
+            )
             if fitting:
                 is_allowed = self._is_allowed if advised else None
                 ordered = order.sort(fitting, time_s)
@@ -166,6 +175,19 @@
             Executor.accepts_as_last_resort,
         )
 
+    def _default_waits(self) -> PlaceWait:
+        """Return the policy for tasks with data on a rack."""
+        if self.remote_factor <= 1.0:
+            return NeverWait()
+        times = RunTimes(
+            lambda task: self.value_order.expected_s(task.step.job, task.step.number),
+            lambda task: self.durations.deviation_s(
+                task.step.job.queue, task.step.spec.estimated_s
+            ),
+            lambda task, time_s: self.value_order.remaining_work(task.step.job, time_s).slack_s,
+        )
+        return EndComparison(times, self.remote_factor)
+
     def _needs_advice(self, step: StepRecord) -> bool:
         queue = self.queue_of(step.job)
         return queue is not None and queue.needs_advice
--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -54,8 +54,9 @@
         machine_lease_s: float,
         counters: Counters,
         quotas: QuotaPolicy | None = None,
+        remote_factor: float = 1.0,
     ) -> None:
-        super().__init__(table, lease_timing, now, quotas)
+        super().__init__(table, lease_timing, now, quotas, remote_factor)
         self.counters = counters
         self.machine_orders_from = Instant(now + machine_lease_s)
         self.work = OutstandingWork(self.value_order.expected_s, self.limits.of)
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from marigolddoor_core.dispatch.executors import Executor
+from marigolddoor_core.dispatch.near_places import NeverWait, PlaceWait
 from marigolddoor_core.dispatch.quotas import NoQuotas, QuotaPolicy
 from marigolddoor_core.ids import RunNumber
 from marigolddoor_core.instants import Instant
@@ -50,10 +51,12 @@
 
     Args:
       quotas: is asked before each placement; by default nothing is limited.
+      waits: decides which tasks wait for a place near their data; by default none does.
     """
 
-    def __init__(self, quotas: QuotaPolicy | None = None) -> None:
+    def __init__(self, quotas: QuotaPolicy | None = None, waits: PlaceWait | None = None) -> None:
         self.quotas: QuotaPolicy = quotas or NoQuotas()
+        self.waits: PlaceWait = waits or NeverWait()
 
     def admitted_steps(self, steps: Iterable[StepRecord]) -> list[StepRecord]:
         """Return the steps of which the quotas admit a task, or all members of a gang.
@@ -109,14 +112,51 @@
             # The members of a gang were admitted together.
             if not step.spec.is_gang and not self.quotas.admits(step, 1):
                 break
-            executor = _choose_executor(task, suitable, now)
+            executor = self._choose_executor(task, suitable, now)
             if executor is None:
                 break
+            if self._should_wait(task, executor):
+                continue
             number = RunNumber((task.run if run is None else run) + 1)
             placements.append(PlaceRun(task.name, number, executor.incarnation))
             executor.reserve(task, now, number)
         return placements
 
+    def _should_wait(self, task: TaskRecord, executor: Executor) -> bool:
+        """Return whether a task waits for a place near its data instead of starting now."""
+        spec = task.step.spec
+        is_near = not spec.preferred_rack or executor.heartbeat.rack == spec.preferred_rack
+        if is_near or spec.is_gang or spec.is_long_running or spec.is_best_effort:
+            return False
+        return self.waits.should_wait(task)
+
+    def _choose_executor(
+        self, task: TaskRecord, executors: Sequence[Executor], now: Instant
+    ) -> Executor | None:
+        step = task.step
+        limit = step.spec.spread_limit
+        best: Executor | None = None
+        best_score = (2, 2, 2, 2, 0)
+        for executor in executors:
+            if not executor.has_capacity(step):
+                continue
+            if limit and executor.count_of(step) >= limit:
+                continue
+            # A task that failed on an executor may fail there again.
+            score = (
+                int(executor.is_blocked(now)),
+                int(task.failures > 0 and task.incarnation == executor.incarnation),
+                int(
+                    bool(step.spec.preferred_rack)
+                    and executor.heartbeat.rack != step.spec.preferred_rack
+                ),
+                int(not step.spec.preferred_rack and self.waits.is_wanted(executor.heartbeat.rack)),
+                -executor.free_cpu,
+            )
+            if score < best_score:
+                best, best_score = executor, score
+        return best
+
 
 def is_suitable(executor: Executor, step: StepRecord) -> bool:
     """Return whether an executor meets the step's constraints, apart from free capacity."""
@@ -136,33 +176,6 @@
     )
 
 
-def _choose_executor(
-    task: TaskRecord, executors: Sequence[Executor], now: Instant
-) -> Executor | None:
-    step = task.step
-    limit = step.spec.spread_limit
-    best: Executor | None = None
-    best_score = (2, 2, 2, 0)
-    for executor in executors:
-        if not executor.has_capacity(step):
-            continue
-        if limit and executor.count_of(step) >= limit:
-            continue
-        # A task that failed on an executor may fail there again.
-        score = (
-            int(executor.is_blocked(now)),
-            int(task.failures > 0 and task.incarnation == executor.incarnation),
-            int(
-                bool(step.spec.preferred_rack)
-                and executor.heartbeat.rack != step.spec.preferred_rack
-            ),
-            -executor.free_cpu,
-        )
-        if score < best_score:
-            best, best_score = executor, score
-    return best
-
-
 def _task_capacity(step: StepRecord, executors: Sequence[Executor]) -> int:
     """Return how many tasks of a step fit on the executors together."""
     size, limit = step.spec.size, step.spec.spread_limit
