Split the replica driver's settings, join requests and health log

The driver held the settings of a replica, its requests to join the group and the log lines about the members besides its loop. They move to modules of their own; nothing else changes.

--- a/packages/control/src/marigolddoor_control/consensus_service.py
+++ b/packages/control/src/marigolddoor_control/consensus_service.py
@@ -22,7 +22,8 @@
 
 from marigolddoor_control.joining import PEER_ERRORS
 from marigolddoor_control.proposals import Proposal, ProposalState
-from marigolddoor_control.replica_driver import PendingRead, ReplicaDriver, ReplicaSettings
+from marigolddoor_control.replica_driver import PendingRead, ReplicaDriver
+from marigolddoor_control.replica_settings import ReplicaSettings
 
 __all__ = ["HANDLED_MESSAGES", "ConsensusService", "ReplicaSettings"]
 
--- a/packages/control/src/marigolddoor_control/replica_driver.py
+++ b/packages/control/src/marigolddoor_control/replica_driver.py
@@ -4,11 +4,10 @@
 that has arrived, so that concurrent proposals share one append and one sync.
 """
 
-import math
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
@@ -24,7 +23,6 @@
     ReadId,
     Replica,
     ReplicatedStateMachine,
-    Timing,
 )
 from marigolddoor_core.consensus.membership_plan import required_voters
 from marigolddoor_core.consensus.messages import Message
@@ -34,50 +32,21 @@
 from marigolddoor_storage import ReplicaStore, StorageError
 from marigolddoor_wire.codec import decode, encode
 from marigolddoor_wire.peers import Address, PeerPool
-from marigolddoor_wire.replica_messages import (
-    Join,
-    PeerMessage,
-)
+from marigolddoor_wire.replica_messages import PeerMessage
 
 from marigolddoor_control.consensus_clock import ConsensusClock
+from marigolddoor_control.health_log import HealthLog
+from marigolddoor_control.join_requests import JoinRequests
 from marigolddoor_control.joining import establish_identity
 from marigolddoor_control.peer_outbox import PeerOutbox
 from marigolddoor_control.proposals import Proposals, ProposalState
+from marigolddoor_control.replica_settings import ReplicaSettings
 from marigolddoor_control.snapshot_parts import join, split
 
-__all__ = ["PendingRead", "ReplicaDriver", "ReplicaSettings"]
+__all__ = ["PendingRead", "ReplicaDriver"]
 
-# Interval at which a replica outside the group asks its peers to add it.
-JOIN_INTERVAL_S = 0.5
 # A snapshot is synced in parts of this size, because a sync blocks the loop.
 SYNC_BYTES = 1024 * 1024
-# Without contact from a leader for this time, a replica may have been removed and asks to rejoin.
-# It exceeds the time of an election, and the group has its spare again before the next failure.
-REJOIN_AFTER_S = 2.0
-# The leader looks for members that no longer answer at this interval, not after each message.
-HEALTH_INTERVAL_S = 0.5
-
-
-@dataclass(frozen=True, slots=True)
-class ReplicaSettings:
-    """Settings of one replica.
-
-    `peers` are the addresses of the other control processes. A majority of the voters must survive
-    `losses` simultaneous losses of members. A snapshot is taken when the log since the last one has
-    `snapshot_after_bytes`, or the size of that snapshot if it is larger.
-    `founders` are the replicas that form the group when the whole system starts for the first time;
-    at any other start there are none. With None, `peers` are all other replicas, and one of them
-    forms the group. Up to `keep_bytes` of older entries are retained for peers that lag slightly.
-    """
-
-    name: str
-    address: Address
-    peers: tuple[Address, ...] = ()
-    losses: int = 1
-    founders: tuple[Address, ...] | None = None
-    timing: Timing = field(default_factory=Timing)
-    snapshot_after_bytes: int = 64 * 1024
-    keep_bytes: int = 256 * 1024
 
 
 @dataclass(slots=True)
@@ -124,8 +93,7 @@
         self.applied = anyio.Event()
         self.role_changed = anyio.Event()
         self.announced_role: tuple[Any, ...] = ()
-        self.logged_health: GroupHealth | None = None
-        self.health_due = -math.inf
+        self.health_log = HealthLog()
         self.received_snapshot: bytes | None = None
         self.unsnapshotted_bytes = 0
         self.joining_scope = anyio.CancelScope()
@@ -189,7 +157,7 @@
                 self.group = group
                 self._step()
                 task_status.started()
-                group.start_soon(self._ask_to_join)
+                group.start_soon(self._join_requests().run)
                 await self._run_replica()
                 group.cancel_scope.cancel()
         finally:
@@ -256,7 +224,7 @@
         self._process_output()
         self._snapshot_if_due()
         self._announce_role()
-        self._log_health()
+        self.health_log.update(replica, self._now())
 
     def _process_output(self) -> None:
         """Execute the replica's outputs until there are none."""
@@ -441,52 +409,17 @@
         """Return which members answer, if this replica is the leader."""
         return None if self.replica is None else self.replica.health(self._now())
 
-    def _log_health(self) -> None:
-        """Log the members and which of them answer, each time that this changes."""
-        if self.clock() < self.health_due:
-            return
-        self.health_due = self.clock() + HEALTH_INTERVAL_S
-        health = self.health() if self._replica().accepts_commands else None
-        if health is None or health == self.logged_health:
-            return
-        self.logged_health = health
-        logger.info(
-            "agreement: voters {}; learners {}; unresponsive {}; catching up {}; tolerates {} more"
-            " failures",
-            ", ".join(health.configuration.voter_ids),
-            ", ".join(member.replica for member in health.configuration.learners) or "none",
-            ", ".join(health.unresponsive) or "none",
-            ", ".join(health.behind) or "none",
-            health.tolerated_failures,
-        )
-
     def _replica(self) -> Replica:
         assert self.replica is not None, "run opens the replica first"
         return self.replica
 
+    def _join_requests(self) -> JoinRequests:
+        settings = self.settings
+        member = Member(self.replica_id, settings.address)
+        return JoinRequests(
+            member, settings.peers, self._replica(), self.pool, self.clock, self._wait_role
+        )
+
     async def _wait_role(self, timeout_s: float) -> None:
         with anyio.move_on_after(timeout_s):
             await self.role_changed.wait()
-
-    async def _ask_to_join(self) -> None:
-        """Ask the peers to add this replica while it has no leader."""
-        member = Member(self.replica_id, self.settings.address)
-        while self.settings.peers:
-            if self._should_join():
-                async with anyio.create_task_group() as group:
-                    # A lost peer must not delay the message to the others.
-                    for peer in self.settings.peers:
-                        group.start_soon(self.pool.post, peer, Join(member))
-                await anyio.sleep(JOIN_INTERVAL_S)
-            else:
-                silent_s = self.clock() - self._replica().leader_contact
-                await self._wait_role(max(JOIN_INTERVAL_S, REJOIN_AFTER_S - silent_s))
-
-    def _should_join(self) -> bool:
-        """Return whether this replica is not in the group, or may have been removed from it."""
-        replica = self._replica()
-        if replica.is_leader:
-            return False
-        if self.clock() - replica.leader_contact > REJOIN_AFTER_S:
-            return True
-        return replica.leader is None and not replica.is_voter
