Lock the data folder before the imports of a control process

A voter that starts again waits for the end of a lease that its predecessor may have granted, and the imports, which take most of the start, came before this wait. The process that holds the lock of the folder knows that its predecessor has ended, so the lock is now taken before the imports and the wait counts from then, on the clock of the leases.

--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -22,6 +22,7 @@
 from marigolddoor_core.consensus import Timing
 from marigolddoor_core.dispatch import LeaseTiming
 from marigolddoor_core.ids import FencingToken
+from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import DocumentReader, JobTable
 from marigolddoor_core.metrics import CounterKind, Counters, Labels, Sample, family_text
 from marigolddoor_core.ports import NoQuorumError
@@ -56,7 +57,8 @@
     there are none, since all `peers` may then be new as well. `longest_lease_s` is the longest
     lease that executors grant. For `machine_lease_s` after an election the platform may still carry
     out machine orders of the previous leader. Nothing that was acknowledged may be lost if `losses`
-    control machines lose their disks at once.
+    control machines lose their disks at once. `lock_descriptor` is the open lock file of the data
+    folder if this process has locked it already, and `predecessor_ended_at` the time of that.
     """
 
     name: str
@@ -68,6 +70,8 @@
     founders: tuple[Address, ...] = ()
     losses: int = 1
     timing: Timing = FLEET_TIMING
+    lock_descriptor: int | None = None
+    predecessor_ended_at: Instant | None = None
 
 
 class FleetProcess:
@@ -117,11 +121,12 @@
                     timing=settings.timing,
                     founders=settings.founders,
                 ),
-                ReplicaStore(settings.data_folder),
+                ReplicaStore(settings.data_folder, lock_descriptor=settings.lock_descriptor),
                 self.table,
                 pool,
                 self.rng,
                 clock=self.clock,
+                predecessor_ended_at=settings.predecessor_ended_at,
             )
             self.service = FleetService(self.table, consensus)
             address = await group.start(PeerServer(self.key, self._handle).run, settings.peer)
--- a/packages/control/src/marigolddoor_control/replica_driver.py
+++ b/packages/control/src/marigolddoor_control/replica_driver.py
@@ -58,7 +58,11 @@
 
 
 class ReplicaDriver:
-    """The replica of this process with its loop, its files and its published state."""
+    """The replica of this process with its loop, its files and its published state.
+
+    `predecessor_ended_at` is a time of `clock` by which the process that used the folder before had
+    certainly ended; None if nothing earlier than the start of the replica is known.
+    """
 
     def __init__(
         self,
@@ -69,6 +73,7 @@
         rng: random.Random,
         wall: Callable[[], float] = time.time,
         clock: Callable[[], float] = anyio.current_time,
+        predecessor_ended_at: Instant | None = None,
     ) -> None:
         self.settings = settings
         self.store = store
@@ -76,6 +81,7 @@
         self.pool = pool
         self.rng = rng
         self.clock = clock
+        self.predecessor_ended_at = predecessor_ended_at
         self.consensus_clock = ConsensusClock(wall)
         self.replica: Replica | None = None
         self.replica_id = ReplicaId("")
@@ -190,7 +196,12 @@
             self._restore(recovered.snapshot.index, restart.state)
         self.unsnapshotted_bytes = sum(len(entry.command) for entry in recovered.entries)
         self.replica = Replica(
-            self.replica_id, recovered, self.rng, self._now(), self.settings.timing
+            self.replica_id,
+            recovered,
+            self.rng,
+            self._now(),
+            self.settings.timing,
+            predecessor_ended_at=self.predecessor_ended_at,
         )
         logger.info(
             "agreement: {} starts with {} log entries after index {}",
--- a/packages/storage/src/marigolddoor_storage/store.py
+++ b/packages/storage/src/marigolddoor_storage/store.py
@@ -41,11 +41,14 @@
     """Performs the writes of a replica in order, each synced before `perform` returns.
 
     After a failed write the content on the disk is undefined, so every later write fails as well
-    until the folder is opened again.
+    until the folder is opened again. `lock_descriptor` is the open lock file of the folder if this
+    process has locked it already.
     """
 
-    def __init__(self, path: Path, files: Files | None = None) -> None:
-        self.folder = Folder(path)
+    def __init__(
+        self, path: Path, files: Files | None = None, lock_descriptor: int | None = None
+    ) -> None:
+        self.folder = Folder(path, lock_descriptor)
         self.files = files or OsFiles()
         self.identity_file = RecordFile(path / "identity", self.files)
         self.vote_file = RecordFile(path / "vote", self.files)
