--- a/packages/control/src/marigolddoor_control/group_timing.py
+++ b/packages/control/src/marigolddoor_control/group_timing.py
@@ -14,7 +14,7 @@
 # `election_min_s`. The next machine may fail 4 s after the successor of a lost one has started, so
 # a voter is replaced early enough to leave time for the successor to join and catch up. The first
 # start by the next leader is due 0.6 s after the loss, so the candidates follow each other from
-# `election_min_s` on; with random timeouts the first one begins 70 to 90 ms later on average.
+# `election_min_s` on. With random timeouts the first of three or four began 70 to 90 ms after it.
 FLEET_TIMING = Timing(
     heartbeat_s=0.12,
     election_min_s=0.5,
