Refuse a job whose id another team's job took while it was committed

What callers saw: two teams that submitted a job under one id at the same time were both told that it was accepted; only the first one's job exists, so the other's was acknowledged and lost.

Cause: the job of another team was looked for only before the change was committed.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -160,6 +160,9 @@
             job, queue.name, queue.service, queue.max_attempts, call.document, team or NO_TEAM
         )
         reply = await self._record(leadership, change)
+        if reply.outcome is QueueOutcome.ANSWERED and self._is_foreign(change):
+            logger.info("fleet: submit of job {} refused: another team's, accepted first", job)
+            return QueueReply(QueueOutcome.REFUSED)
         logger.info(
             "fleet: job {} in {} for {}, configuration {}: {}, {} tasks, {} steps, critical path"
             " {:.1f} s",
@@ -174,6 +177,11 @@
         )
         return reply
 
+    def _is_foreign(self, change: AcceptJob) -> bool:
+        """Return whether a job was accepted from another team while this change was committed."""
+        known = self.table.jobs.get(change.job)
+        return known is not None and known.team != change.team
+
     def _is_unowned(self, call: QueueCall) -> bool:
         """Return whether a call without a key names a job that was submitted without one.
 
--- a/tests/control/test_team_calls.py
+++ b/tests/control/test_team_calls.py
@@ -1,5 +1,6 @@
 """Guards against calls that are served without the key of a team, or to another team."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import anyio
@@ -114,3 +115,25 @@
 
     async def settle(self) -> None:
         """Wait for no changes."""
+
+
+class OverlappingSubmissionTest(testtools.TestCase):
+    """Two teams submitted a job under one id at once: both were told that theirs was accepted."""
+
+    scenarios = [
+        (f"accepted first from {team}", {"team": team, "expected": expected})
+        for team, expected in (("red", ANSWERED), ("blue", REFUSED))
+    ]
+
+    def test_submission(self) -> None:
+        log = Log()
+        log.apply(StoreConfiguration(1, with_teams(configuration(1, views=SERVICE), TEAMS)))
+
+        async def record(change: JobChange) -> None:
+            log.apply(replace(change, team=TeamId(self.team)), change)
+
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(has_ended=False, record=record)  # type: ignore
+        path = "/views/n"
+        call = QueueCall(SUBMIT, "a.example", path, document({"count": 1}), digest_key("r1"))
+        self.assertEqual(self.expected, anyio.run(service.call_queue, call).outcome)
