Check the key of a call again after it waited for a commit

What callers saw: a cancellation whose key was withdrawn while it waited for pending changes was carried out and answered with success.

Cause: the call went on with the configuration from before the wait.

Change: after the wait the call is decided anew if another configuration is in force, also whether this process still leads.

--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -131,6 +131,9 @@
             except (NotRecordedError, RecordingUnknownError) as error:
                 logger.info("fleet: whether job {} is known is not certain: {}", job, error)
                 return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=ELECTION_RETRY_S)
+            if self.table.configuration is not configuration:
+                # The key may have been withdrawn meanwhile.
+                return await self.call_queue(call)
         known = self.table.jobs.get(job)
         if known is not None and not _may_know(configuration, team, queue, known):
             logger.info("fleet: {} of job {} refused: another team's", call.method.value, job)
--- a/tests/control/test_team_calls.py
+++ b/tests/control/test_team_calls.py
@@ -137,3 +137,34 @@
         path = "/views/n"
         call = QueueCall(SUBMIT, "a.example", path, document({"count": 1}), digest_key("r1"))
         self.assertEqual(self.expected, anyio.run(service.call_queue, call).outcome)
+
+
+class WithdrawalWhileWaitingTest(testtools.TestCase):
+    """A cancellation waited for the commit that withdrew its key, and was then carried out."""
+
+    scenarios = [
+        (f"keys {keys}", {"keys": keys, "expected": expected})
+        for keys, expected in ((("r1",), ANSWERED), (("r2",), UNAUTHORIZED))
+    ]
+
+    def test_cancellation(self) -> None:
+        log = Log()
+        queues = configuration(1, views=SERVICE)
+        log.apply(StoreConfiguration(1, with_teams(queues, TEAMS)))
+        job = AcceptJob(
+            JobId("n"), QueueName("views"), SERVICE, 3, document({"count": 1}), TeamId("red")
+        )
+
+        async def settle() -> None:
+            later = with_teams(configuration(2, views=SERVICE), {"red": {"keys": self.keys}})
+            log.apply(job, StoreConfiguration(2, later))
+
+        async def record(change: JobChange) -> None:
+            log.apply(change)
+
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(  # type: ignore[assignment]
+            has_ended=False, settle=settle, record=record
+        )
+        call = QueueCall(CANCEL, "a.example", "/views/n", key=digest_key("r1"))
+        self.assertEqual(self.expected, anyio.run(service.call_queue, call).outcome)
