Answer a cancellation with 504 if a lost attempt came before its 401

What callers saw: a cancellation whose first attempt was carried out without an answer, and whose key was withdrawn before the second one, was answered 401, which says that nothing changed.

Cause: only submissions remembered that an earlier attempt may have arrived.

Change: a 401 after a lost attempt leaves the outcome of a cancellation unknown as well.

Result: the new case of RepeatedAttemptTest failed before with UNAUTHORIZED; all cases pass now.

--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -150,7 +150,7 @@
                     may_have_arrived = True
                 elif not may_have_arrived:
                     return answer.reply
-                elif call.method is QueueMethod.SUBMIT and outcome in NOT_ACCEPTED:
+                elif outcome in NOT_ACCEPTED and _may_have_changed(call.method, outcome):
                     logger.info(
                         "entry: {} {}{}: {}, but an earlier attempt may have been accepted",
                         call.method.value,
@@ -273,3 +273,13 @@
     def _notify(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
+
+
+def _may_have_changed(method: QueueMethod, refusal: QueueOutcome) -> bool:
+    """Return whether an earlier attempt may have changed something although this one was refused.
+
+    A job that was cancelled stays known, so only a withdrawn key hides its cancellation.
+    """
+    if method is QueueMethod.CANCEL:
+        return refusal is QueueOutcome.UNAUTHORIZED
+    return method is QueueMethod.SUBMIT
--- a/tests/entry/test_queue_gateway.py
+++ b/tests/entry/test_queue_gateway.py
@@ -265,8 +265,16 @@
         for method, name, first, outcome, is_uncertain in [
             *(
                 (QueueMethod.SUBMIT, "no answer", None, outcome, True)
-                for outcome in (QueueOutcome.NO_QUEUE, QueueOutcome.INVALID, QueueOutcome.REFUSED)
+                for outcome in (
+                    QueueOutcome.NO_QUEUE,
+                    QueueOutcome.INVALID,
+                    QueueOutcome.REFUSED,
+                    QueueOutcome.UNAUTHORIZED,
+                )
             ),
+            (QueueMethod.CANCEL, "no answer", None, QueueOutcome.UNAUTHORIZED, True),
+            (QueueMethod.CANCEL, "not sent", UNREACHABLE, QueueOutcome.UNAUTHORIZED, False),
+            (QueueMethod.READ, "no answer", None, QueueOutcome.UNAUTHORIZED, False),
             (QueueMethod.SUBMIT, "unknown", QueueOutcome.UNKNOWN, QueueOutcome.NO_QUEUE, True),
             (QueueMethod.SUBMIT, "no answer", None, QueueOutcome.ANSWERED, False),
             (QueueMethod.SUBMIT, "not sent", UNREACHABLE, QueueOutcome.NO_QUEUE, False),
