Drop an answer that is older than an attempt may take

What callers saw: an entry process that was frozen with an answer of the leader in its socket passed that answer on when it resumed, however long ago the key of the call had been withdrawn.

Cause: the time of an attempt is bounded by a timer, and a resumed process may read the answer first.

Change: the age of an answer is measured on the clock that also counts suspended time. One over 2 s counts as no answer, and the leader is asked again. `boot_time` moves to the wire package, which both processes use.

--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -1,7 +1,6 @@
 """A control process for submitted jobs: a replica that leads the fleet while elected."""
 
 import random
-import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,6 +26,7 @@
 from marigolddoor_core.ports import NoQuorumError
 from marigolddoor_core.queue_calls import QueueCall
 from marigolddoor_storage import ReplicaStore
+from marigolddoor_wire.clocks import boot_time
 from marigolddoor_wire.errors import RemoteError
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.messages import ErrorKind
@@ -40,14 +40,6 @@
 FAILED_DISK_PAUSE_S = 3.0
 
 
-def boot_time() -> float:
-    """Return a steady time in seconds that also counts while the VM is suspended.
-
-    A leader that resumes after a suspension must not treat its lease as valid.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclass(frozen=True, slots=True)
 class FleetProcessSettings:
     """Settings of a control process, read once at its start.
--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -9,6 +9,7 @@
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
 from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.routing.leader_search import LeaderSearch
+from marigolddoor_wire.clocks import boot_time
 from marigolddoor_wire.errors import (
     PeerRefusedError,
     PeerTimeoutError,
@@ -25,6 +26,10 @@
 
 # The leader answers within about 30 ms; under load a commit takes a few hundred milliseconds.
 ATTEMPT_TIMEOUT_S = 1.0
+# The process was frozen if an answer is older than this: an attempt ends after 1 s. The leader has
+# decided before, and a key that it accepted then may have been withdrawn. A withdrawn key may work
+# for 5 s; the rest is for a cut-off leader, whose lease ends within 0.44 s.
+MAX_ANSWER_AGE_S = 2.0
 # A probe needs no commit. TCP retransmits a lost packet after 0.2 s.
 PROBE_TIMEOUT_S = 0.4
 # The leader is probed if it has not answered for this long.
@@ -68,10 +73,13 @@
         control: Iterable[Address],
         pool: PeerPool,
         clock: Callable[[], float] = anyio.current_time,
+        boot_clock: Callable[[], float] = boot_time,
     ) -> None:
         self.search = LeaderSearch(control, clock())
         self.pool = pool
         self.clock = clock
+        # Measures the age of answers, also while the VM is suspended.
+        self.boot_clock = boot_clock
         self.metrics = Metrics()
         # Calls that wait for an answer, by the address that they were sent to.
         self.attempts: dict[str, set[anyio.CancelScope]] = {}
@@ -132,6 +140,7 @@
                 with anyio.move_on_after(remaining_s):
                     await changed.wait()
                 continue
+            sent_at = self.boot_clock()
             try:
                 answer = await self._ask(address, call, min(ATTEMPT_TIMEOUT_S, remaining_s))
             except (PeerUnreachableError, PeerTimeoutError, RemoteError) as error:
@@ -140,7 +149,7 @@
                 if self.clock() < ends_at:
                     self._record_no_answer(address, error)
                 continue
-            if answer is None:
+            if answer is None or self.boot_clock() - sent_at > MAX_ANSWER_AGE_S:
                 may_have_arrived = True
                 continue
             self._apply_answer(address, answer)
--- a/tests/entry/test_queue_gateway.py
+++ b/tests/entry/test_queue_gateway.py
@@ -299,3 +299,35 @@
 
         reply = anyio.run(run_with_gateway, AttemptsPool(*self.attempts), scenario)
         self.assertEqual(self.expected, reply.outcome)
+
+
+class FrozenProcessTest(testtools.TestCase):
+    """A frozen entry process passed on an answer to a key that was withdrawn while it was frozen.
+
+    The key was accepted by the first attempt and is withdrawn when the second one arrives.
+    """
+
+    scenarios = [
+        (
+            f"{method.value}, frozen for {frozen_s} s",
+            {"method": method, "frozen_s": frozen_s, "expected": expected},
+        )
+        for method, frozen_s, expected in (
+            (QueueMethod.SUBMIT, 1.5, QueueOutcome.ANSWERED),
+            (QueueMethod.SUBMIT, 8.0, QueueOutcome.UNKNOWN),
+            (QueueMethod.CANCEL, 8.0, QueueOutcome.UNKNOWN),
+            (QueueMethod.READ, 8.0, QueueOutcome.UNAUTHORIZED),
+        )
+    ]
+
+    def test_outcome(self) -> None:
+        times = iter((0.0, self.frozen_s, self.frozen_s, self.frozen_s))
+
+        async def scenario(gateway: QueueGateway, _: FakePool) -> QueueReply:
+            gateway.boot_clock = lambda: next(times)
+            call = QueueCall(self.method, "queues.example", "/tasks/0123456789abcdef", b"{}")
+            return await gateway.call(call, CALLER_TIMEOUT_S)
+
+        pool = AttemptsPool(QueueOutcome.ANSWERED, QueueOutcome.UNAUTHORIZED)
+        reply = anyio.run(run_with_gateway, pool, scenario)
+        self.assertEqual(self.expected, reply.outcome)
