--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -69,3 +69,23 @@
         self.assertTrue(settings.is_first_start)
         self.assertEqual(2, settings.tolerated_losses)
         self.assertIsNone(settings.callers)
+
+
+class ContractsTest(testtools.TestCase):
+    """A space in the list of contracts opened the queues of a configuration without teams."""
+
+    scenarios = [
+        (f"{text!r}", {"text": text, "expected": expected})
+        for text, expected in (
+            (None, False),
+            ("base", False),
+            ("base,tenants", True),
+            ("base, tenants", True),
+            ("tenants ,base", True),
+            ("base,subtenants", False),
+        )
+    ]
+
+    def test_keys(self) -> None:
+        settings = parse_settings(settings_text(contracts=self.text))
+        self.assertEqual(self.expected, settings.requires_keys)
