--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,11 +1,12 @@
 """Guards against misread documents and against invalid documents that are accepted."""
 
 import json
+import traceback
 
 import testtools
 from marigolddoor_core.dispatch import ExecutorState
 from marigolddoor_core.errors import InvalidInputError
-from marigolddoor_core.jobs import TaskSize, digest_key
+from marigolddoor_core.jobs import InvalidConfigurationError, TaskSize, digest_key
 from marigolddoor_platform.documents import JsonDocuments
 from marigolddoor_platform.executor_documents import read_heartbeat, read_hold_report
 from marigolddoor_platform.machine_documents import read_advice, read_wave
@@ -262,3 +263,33 @@
         document = json.dumps({**CONFIGURATION, "routes": routes}).encode()
         found = JsonDocuments().read_configuration(document).find("a.example", self.path)
         self.assertEqual(self.queue, None if found is None else found.name)
+
+
+class MisplacedKeyTest(testtools.TestCase):
+    """The error of an invalid configuration, which is logged and returned, contained a key."""
+
+    scenarios = [
+        (name, {"field": name, "value": value})
+        for name, value in (
+            ("name", ["k3y"]),
+            ("name", {"k3y": "k3y"}),
+            ("name", "k3y" * 2000),
+            ("api-keys", "k3y"),
+            ("api-keys", ["k3y", 3]),
+            ("api-keys", ["k3y", "\ud800"]),
+            ("weight", "k3y"),
+            ("max-count", "k3y"),
+            ("max-count", {"cpu": "k3y"}),
+            ("max-count", {"mem-mb": ["k3y"]}),
+        )
+    ]
+
+    def test_error(self) -> None:
+        teams = [TEAM, {**TEAM, "name": "blue", "api-keys": ["b1"], self.field: self.value}]
+        document = json.dumps({**CONFIGURATION, "tenants": teams}).encode()
+        error = self.assertRaises(
+            InvalidConfigurationError, JsonDocuments().read_configuration, document
+        )
+        self.assertIn("tenants", str(error))
+        self.assertIn("2", str(error))
+        self.assertNotIn("k3y", "".join(traceback.format_exception(error)))
