Bound the lines on refused calls and show operators each team

What operators saw: each call with a wrong key wrote a line at the leader and one at its entry process, so a caller that repeats such a call took the whole budget of 400 lines a second. Nothing showed teams.

Cause: the refusal by key had no limit of its own, and no metric.

Change: at most 20 lines a second on such refusals (40 at once), and all are counted by team and reason. The metrics address of the leader shows what each team has placed, its quota, its waiting jobs and the age of the oldest one, for at most 400 teams; the others are summed. What a team holds comes from a small protocol, here by a pass over the placed tasks, so that a ledger can take its place.

--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -17,6 +17,7 @@
 from marigolddoor_control.fleet.fleet_leadership import FleetLeadership
 from marigolddoor_control.fleet.ports import FleetPorts
 from marigolddoor_control.fleet.service import FleetService, NotLeadingError
+from marigolddoor_control.fleet.team_report import PlacedTasks, rows_page, team_rows
 from marigolddoor_control.group_timing import FLEET_TIMING
 from marigolddoor_core.consensus import Timing
 from marigolddoor_core.dispatch import LeaseTiming
@@ -179,10 +180,27 @@
                     health.tolerated_failures,
                 ),
             ]
-        return self.counters.page() + "".join(
+        page = self.counters.page() + "".join(
             family_text(f"marigolddoor_{name}", text, "gauge", [Sample(Labels(), value)])
             for name, text, value in gauges
         )
+        return page + self._team_page()
+
+    def _team_page(self) -> str:
+        """Return what the leader knows of each team; other processes have counts at most."""
+        if self.service is None or self.consensus is None:
+            return ""
+        page = self.service.refusals.page()
+        leadership = self.service.leadership
+        if leadership is None:
+            return page
+        rows = team_rows(
+            self.table,
+            PlacedTasks(self.table),
+            leadership.dispatch.has_begun,
+            self.consensus.consensus_time(),
+        )
+        return page + rows_page(rows)
 
     async def _lead(self) -> None:
         """Run a leadership for each term in which this replica leads."""
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -4,6 +4,7 @@
 others answer with its address.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -14,6 +15,7 @@
     NotRecordedError,
     RecordingUnknownError,
 )
+from marigolddoor_control.fleet.team_report import RefusalReason, Refusals
 from marigolddoor_core.dispatch import ExecutorState, Heartbeat
 from marigolddoor_core.errors import UnavailableError
 from marigolddoor_core.ids import ExecutorId, JobId, MachineId, TeamId, WaveId
@@ -31,12 +33,14 @@
     QueueSettings,
     StoreConfiguration,
 )
+from marigolddoor_core.line_budget import LineBudget
 from marigolddoor_core.queue_calls import (
     QueueCall,
     QueueMethod,
     QueueOutcome,
     QueueReply,
 )
+from marigolddoor_wire.clocks import boot_time
 
 __all__ = ["FleetService", "NotLeadingError", "WaveOrder", "WaveState"]
 
@@ -72,10 +76,18 @@
 class FleetService:
     """Serves requests from the job table of the leader."""
 
-    def __init__(self, table: JobTable, consensus: ConsensusService) -> None:
+    def __init__(
+        self,
+        table: JobTable,
+        consensus: ConsensusService,
+        clock: Callable[[], float] = boot_time,
+    ) -> None:
         self.table = table
         self.consensus = consensus
+        self.clock = clock
         self.leadership: FleetLeadership | None = None
+        self.refusals = Refusals()
+        self.refusal_lines = LineBudget()
 
     def _require_leadership(self) -> FleetLeadership:
         """Return the current leadership.
@@ -106,9 +118,7 @@
             return QueueReply(QueueOutcome.NO_QUEUE)
         team = _team_of(configuration, queue, call)
         if team is None and not (queue is None and self._is_unowned(call)):
-            logger.info(
-                "fleet: {} {}{}: no team has this key", call.method.value, call.host, call.path
-            )
+            self._record_refusal(call, NO_TEAM, RefusalReason.KEY)
             return QueueReply(QueueOutcome.UNAUTHORIZED)
         if queue is not None and call.method is QueueMethod.READ and not name:
             waiting = sum(
@@ -136,7 +146,7 @@
                 return await self.call_queue(call)
         known = self.table.jobs.get(job)
         if known is not None and not _may_know(configuration, team, queue, known):
-            logger.info("fleet: {} of job {} refused: another team's", call.method.value, job)
+            self._record_refusal(call, team or NO_TEAM, RefusalReason.OTHER_TEAM)
             is_submission = call.method is QueueMethod.SUBMIT
             return QueueReply(QueueOutcome.REFUSED if is_submission else QueueOutcome.NO_JOB)
         if known is not None:
@@ -158,13 +168,14 @@
             spec = self.table.reader.read_job(call.document)
         except InvalidJobError as error:
             logger.info("fleet: job {} is invalid: {}", job, error)
+            self.refusals.add(team or NO_TEAM, RefusalReason.INVALID)
             return QueueReply(QueueOutcome.INVALID, detail=str(error))
         change = AcceptJob(
             job, queue.name, queue.service, queue.max_attempts, call.document, team or NO_TEAM
         )
         reply = await self._record(leadership, change)
         if reply.outcome is QueueOutcome.ANSWERED and self._is_foreign(change):
-            logger.info("fleet: submit of job {} refused: another team's, accepted first", job)
+            self._record_refusal(call, change.team, RefusalReason.OTHER_TEAM)
             return QueueReply(QueueOutcome.REFUSED)
         logger.info(
             "fleet: job {} in {} for {}, configuration {}: {}, {} tasks, {} steps, critical path"
@@ -180,6 +191,18 @@
         )
         return reply
 
+    def _record_refusal(self, call: QueueCall, team: TeamId, reason: RefusalReason) -> None:
+        """Count a refused call, and log its path unless there are too many of these lines."""
+        self.refusals.add(team, reason)
+        if self.refusal_lines.admits(self.clock()):
+            logger.info(
+                "fleet: {} {}{}: refused, {}",
+                call.method.value,
+                call.host,
+                call.path,
+                reason.value,
+            )
+
     def _is_foreign(self, change: AcceptJob) -> bool:
         """Return whether a job was accepted from another team while this change was committed."""
         known = self.table.jobs.get(change.job)
--- a/packages/core/src/marigolddoor_core/metrics.py
+++ b/packages/core/src/marigolddoor_core/metrics.py
@@ -59,6 +59,7 @@
     reason: str = ""
     pool: str = ""
     le: str = ""
+    team: str = ""
 
     def text(self) -> str:
         """Return the labels in the exposition format."""
--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -6,6 +6,7 @@
 import anyio
 from loguru import logger
 from marigolddoor_core.ids import ServiceId
+from marigolddoor_core.line_budget import LineBudget
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
 from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.routing.leader_search import LeaderSearch
@@ -81,6 +82,7 @@
         # Measures the age of answers, also while the VM is suspended.
         self.boot_clock = boot_clock
         self.metrics = Metrics()
+        self.refusal_lines = LineBudget()
         # Calls that wait for an answer, by the address that they were sent to.
         self.attempts: dict[str, set[anyio.CancelScope]] = {}
         # Set when a leader was found, or this process was partitioned.
@@ -104,7 +106,7 @@
         reply = await self._call(call, timeout_s)
         took_s = self.clock() - started_at
         self.metrics.observe(ServiceId(call.method.value), OUTCOMES[reply.outcome], took_s)
-        if OUTCOMES[reply.outcome] is not Outcome.ANSWERED:
+        if OUTCOMES[reply.outcome] is not Outcome.ANSWERED and self._may_log(reply.outcome):
             answered_at = self.search.answered_at
             logger.info(
                 "entry: {} {}{}: {} after {:.0f} ms of {:.0f}, leader {}, last answer {:.1f} s ago",
@@ -119,6 +121,11 @@
             )
         return reply
 
+    def _may_log(self, outcome: QueueOutcome) -> bool:
+        """Return whether a line on this outcome may be written; refusals by key are bounded."""
+        is_by_key = outcome is QueueOutcome.UNAUTHORIZED
+        return not is_by_key or self.refusal_lines.admits(self.clock())
+
     async def _call(self, call: QueueCall, timeout_s: float) -> QueueReply:
         """Retry until the caller's deadline passes or this process is partitioned.
 
