--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import signal
 import subprocess
 import sys
 import time
@@ -28,8 +29,9 @@
 class SystemProcesses:
     """Control and entry processes, and executors in the event loop of the test."""
 
-    def __init__(self, group: TaskGroup, folder: Path) -> None:
+    def __init__(self, group: TaskGroup, folder: Path, contracts: str = "base") -> None:
         self.group = group
+        self.contracts = contracts
         self.folder = folder
         self.control_port, self.peer_port = free_port(), free_port()
         self.callers_port, self.ready_port = free_port(), free_port()
@@ -39,6 +41,9 @@
         self.misses = dict.fromkeys(ENTRIES, 0)
         self.seeds = list(CONTROL)
         self.version = CONFIGURATION["version"]
+        # Without teams no key is needed.
+        self.teams: list[dict[str, Any]] | None = None
+        self.configuring = anyio.Lock()
         # Processes that were killed after the grace period, or ended with another status than 0.
         self.faults: list[str] = []
         self.client = httpx.AsyncClient(follow_redirects=True, timeout=1.0)
@@ -58,6 +63,7 @@
             "bounds.lease-ms": "3000",
             "bounds.grace-s": str(int(GRACE_S)),
             "fault-tolerance.machines": "1",
+            "contracts": self.contracts,
         }
         if host in CONTROL:
             data_folder.mkdir(exist_ok=True)
@@ -105,6 +111,23 @@
         await self.start(host)
         await self.wait_until_serving(host)
 
+    async def pause(self, host: str, duration_s: float) -> None:
+        """Stop the execution of a process for a time, as a frozen VM does."""
+        process = self.running[host]
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await anyio.sleep(duration_s)
+        finally:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+
+    async def kill(self, host: str) -> None:
+        """Kill a process, start it again and wait until it serves."""
+        self.running[host].kill()
+        await self.running[host].wait()
+        await self.start(host)
+        await self.wait_until_serving(host)
+
     async def wait_until_serving(self, host: str) -> None:
         """Wait until a process answers."""
         if host in ENTRIES:
@@ -138,19 +161,29 @@
                 return host
         return None
 
-    async def configure(self) -> None:
-        """Send the next version of the configuration until it is acknowledged."""
-        self.version += 1
-        body = {**CONFIGURATION, "version": self.version}
-        while True:
-            for host in CONTROL:
-                try:
-                    url = f"http://{host}:{self.control_port}/configuration/replace"
-                    if (await self.client.post(url, json=body)).status_code == 200:
-                        return
-                except httpx.HTTPError:
-                    continue
-            await anyio.sleep(0.1)
+    async def configure(self, teams: list[dict[str, Any]] | None = None) -> None:
+        """Send the next version of the configuration until it is acknowledged.
+
+        `teams` replaces the teams of the version before.
+        """
+        async with self.configuring:
+            self.version += 1
+            self.teams = self.teams if teams is None else teams
+            body = {**CONFIGURATION, "version": self.version}
+            if self.teams is not None:
+                body["tenants"] = self.teams
+            while not await self._send_configuration(body):
+                await anyio.sleep(0.1)
+
+    async def _send_configuration(self, body: dict[str, Any]) -> bool:
+        for host in CONTROL:
+            try:
+                url = f"http://{host}:{self.control_port}/configuration/replace"
+                if (await self.client.post(url, json=body)).status_code == 200:
+                    return True
+            except httpx.HTTPError:
+                continue
+        return False
 
     async def check_readiness(self) -> None:
         """Check the readiness of the entry processes, as the platform does, until cancelled."""
@@ -197,10 +230,12 @@
         self.sent_at = 0.0
 
     async def call(
-        self, method: str, job: str, deadline_s: float, body: Any = None
+        self, method: str, job: str, deadline_s: float, body: Any = None, key: str = ""
     ) -> httpx.Response:
-        """Send one request."""
+        """Send one request, with a key if it is not empty."""
         self.sent_at = time.monotonic()
         content = None if body is None else json.dumps(body).encode()
         headers = {"X-Deadline-Ms": str(int(deadline_s * 1000))}
+        if key:
+            headers["X-Credential"] = key
         return await self.client.request(method, f"/tasks/{job}", content=content, headers=headers)
