Count calls that succeed with a withdrawn key, with and without the guards

Guards the strict withdrawal under cut-off leaders and frozen entry processes, which tests with real processes meet only now and then.

Change: KeyRun simulates both in virtual time around the production FleetService and QueueGateway; the counter revoked_runs of the bench compares it with runs without the check, the lease and the age of answers.

--- a/bench/measure_promises.py
+++ b/bench/measure_promises.py
@@ -19,6 +19,7 @@
 )
 from bench.faults.consensus import Simulation
 from bench.faults.consensus_checkers import Violation
+from bench.faults.revoked_keys import KeyGuards, KeyRun
 from bench.faults.state import Checker, faults, new_machine
 from bench.faults.state_checkers import ClaimChecker, PoolChecker
 from bench.faults.state_guards import grant_without_claim, keep_epoch
@@ -223,6 +224,21 @@
     return run
 
 
+def revoked_runs(guards: KeyGuards) -> CountRun:
+    """Return a run that counts the calls that succeed with a key withdrawn for over 5 s."""
+
+    def run(seeds: Iterable[int]) -> ViolationCount:
+        violations = operations = 0
+        for seed in seeds:
+            keys = KeyRun(seed, guards)
+            keys.run()
+            violations += keys.revoked_runs
+            operations += keys.answered + keys.refused
+        return ViolationCount(violations, operations)
+
+    return run
+
+
 # The numbers of seeds keep the total time of all runs within 60 s.
 GUARANTEES = [
     Guarantee(
@@ -307,6 +323,24 @@
             ),
         ],
     ),
+    Guarantee(
+        "revoked_runs",
+        [
+            Comparison(
+                revoked_runs(KeyGuards()),
+                revoked_runs(unguarded),
+                range(seeds),
+                few_seeds,
+                operation,
+            )
+            for unguarded, seeds, few_seeds, operation in (
+                (KeyGuards(checks_keys=False), 5, range(1), "calls, unguarded without keys"),
+                (KeyGuards(checks_lease=False), 10, range(1), "calls, unguarded without leases"),
+                # An answer that is read late is rare: it takes a freeze between its two ends.
+                (KeyGuards(checks_age=False), 30, range(4, 5), "calls, unguarded without ages"),
+            )
+        ],
+    ),
     Guarantee(
         "budget_breaks",
         [
