--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -30,7 +30,7 @@
 ATTEMPT_TIMEOUT_S = 1.0
 # The process was frozen if an answer is older than this: an attempt ends after 1 s. The leader has
 # decided before, and a key that it accepted then may have been withdrawn. A withdrawn key may work
-# for 5 s; the rest is for a cut-off leader, whose lease ends within 0.44 s.
+# for 5 s after the acknowledgement.
 MAX_ANSWER_AGE_S = 2.0
 # A probe needs no commit. TCP retransmits a lost packet after 0.2 s.
 PROBE_TIMEOUT_S = 0.4
--- a/tests/platform/test_operations_page.py
+++ b/tests/platform/test_operations_page.py
@@ -4,6 +4,9 @@
 from pathlib import Path
 
 import testtools
+from marigolddoor_control.fleet.team_report import RefusalReason, Refusals, TeamRow, rows_page
+from marigolddoor_core.ids import TeamId
+from marigolddoor_core.jobs import TaskSize
 from marigolddoor_core.metrics import CounterKind
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -15,6 +18,12 @@
 )
 
 
+def refusals_page() -> str:
+    refusals = Refusals()
+    refusals.add(TeamId("red"), RefusalReason.KEY)
+    return refusals.page()
+
+
 class LinesTest(testtools.TestCase):
     """Each log line that the page's procedures rely on is in the code and on the page."""
 
@@ -34,6 +43,7 @@
             "fleet: leadership ended",
             "fleet: job {} may have been committed",
             "fleet: {} {}{}: no queue in configuration {}",
+            "fleet: {} {}{}: refused, {}",
             "{}, but an earlier attempt may have been accepted",
             "agreement: {} has an empty data folder, asks {} and {}",
             "fleet: heartbeat of {} at {} on machine {} ignored, which would displace {}",
@@ -68,3 +78,22 @@
 
     def test_metric(self) -> None:
         self.assertIn(f"marigolddoor_{self.kind.value}_total", PAGE)
+
+
+class TeamMetricsTest(testtools.TestCase):
+    """The page on teams explains each metric of teams that the leader serves."""
+
+    scenarios = [
+        (name, {"name": name})
+        for name in sorted(
+            set(
+                re.findall(
+                    "marigolddoor_(?:team|calls)_[a-z_]+",
+                    rows_page([TeamRow(TeamId("red"), TaskSize(), TaskSize())]) + refusals_page(),
+                )
+            )
+        )
+    ]
+
+    def test_metric(self) -> None:
+        self.assertIn(self.name, (ROOT / "docs" / "operators" / "teams.md").read_text())
