--- a/packages/control/src/marigolddoor_control/fleet/process.py
+++ b/packages/control/src/marigolddoor_control/fleet/process.py
@@ -1,7 +1,6 @@
 """A control process for submitted jobs: a replica that leads the fleet while elected."""
 
 import random
-import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +17,7 @@
 from marigolddoor_control.fleet.fleet_leadership import FleetLeadership
 from marigolddoor_control.fleet.ports import FleetPorts
 from marigolddoor_control.fleet.service import FleetService, NotLeadingError
+from marigolddoor_control.fleet.team_report import rows_page, team_rows
 from marigolddoor_control.group_timing import FLEET_TIMING
 from marigolddoor_core.consensus import Timing
 from marigolddoor_core.dispatch import LeaseTiming
@@ -28,6 +28,7 @@
 from marigolddoor_core.ports import NoQuorumError
 from marigolddoor_core.queue_calls import QueueCall
 from marigolddoor_storage import ReplicaStore
+from marigolddoor_wire.clocks import boot_time
 from marigolddoor_wire.errors import RemoteError
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.messages import ErrorKind
@@ -41,14 +42,6 @@
 FAILED_DISK_PAUSE_S = 3.0
 
 
-def boot_time() -> float:
-    """Return a steady time in seconds that also counts while the VM is suspended.
-
-    A leader that resumes after a suspension must not treat its lease as valid.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclass(frozen=True, slots=True)
 class FleetProcessSettings:
     """Settings of a control process, read once at its start.
@@ -58,8 +51,8 @@
     lease that executors grant. For `machine_lease_s` after an election the platform may still carry
     out machine orders of the previous leader. Nothing that was acknowledged may be lost if `losses`
     control machines lose their disks at once. A task away from its data takes `remote_factor` times
-    as long. `lock_descriptor` is the open lock file of the data folder if this process has locked it
-    already, and `predecessor_ended_at` the time of that.
+    as long. `lock_descriptor` is the open lock file of the data folder if this process has locked
+    it already, and `predecessor_ended_at` the time of that.
     """
 
     name: str
@@ -194,10 +187,27 @@
                     health.tolerated_failures,
                 ),
             ]
-        return self.counters.page() + "".join(
+        page = self.counters.page() + "".join(
             family_text(f"marigolddoor_{name}", text, "gauge", [Sample(Labels(), value)])
             for name, text, value in gauges
         )
+        return page + self._team_page()
+
+    def _team_page(self) -> str:
+        """Return what the leader knows of each team; other processes have counts at most."""
+        if self.service is None or self.consensus is None:
+            return ""
+        page = self.service.refusals.page()
+        leadership = self.service.leadership
+        if leadership is None:
+            return page
+        rows = team_rows(
+            self.table,
+            leadership.dispatch.usage,
+            leadership.dispatch.has_begun,
+            self.consensus.consensus_time(),
+        )
+        return page + rows_page(rows)
 
     async def _lead(self) -> None:
         """Run a leadership for each term in which this replica leads."""
--- a/packages/control/src/marigolddoor_control/fleet/service.py
+++ b/packages/control/src/marigolddoor_control/fleet/service.py
@@ -4,6 +4,7 @@
 others answer with its address.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -14,6 +15,7 @@
     NotRecordedError,
     RecordingUnknownError,
 )
+from marigolddoor_control.fleet.team_report import RefusalReason, Refusals
 from marigolddoor_core.dispatch import ExecutorState, Heartbeat
 from marigolddoor_core.dispatch.quotas import quota_conflict
 from marigolddoor_core.errors import UnavailableError
@@ -33,17 +35,22 @@
     QueueSettings,
     StoreConfiguration,
 )
+from marigolddoor_core.line_budget import LineBudget
 from marigolddoor_core.queue_calls import (
     QueueCall,
     QueueMethod,
     QueueOutcome,
     QueueReply,
 )
+from marigolddoor_wire.clocks import boot_time
 
 __all__ = ["FleetService", "NotLeadingError", "WaveOrder", "WaveState"]
 
 # Retry delay for callers refused because there is no leader: elections take 1 to 2 s.
 ELECTION_RETRY_S = 1.0
+# Entry processes may repeat a refusal by key for this long. A new key has to work 2.5 s after the
+# acknowledgement of its configuration, and the refusal may take an attempt of 1 s to arrive.
+KEY_RETRY_S = 1.0
 
 
 class NotLeadingError(UnavailableError):
@@ -74,10 +81,18 @@
 class FleetService:
     """Serves requests from the job table of the leader."""
 
-    def __init__(self, table: JobTable, consensus: ConsensusService) -> None:
+    def __init__(
+        self,
+        table: JobTable,
+        consensus: ConsensusService,
+        clock: Callable[[], float] = boot_time,
+    ) -> None:
         self.table = table
         self.consensus = consensus
+        self.clock = clock
         self.leadership: FleetLeadership | None = None
+        self.refusals = Refusals()
+        self.refusal_lines = LineBudget()
 
     def _require_leadership(self) -> FleetLeadership:
         """Return the current leadership.
@@ -108,10 +123,12 @@
             return QueueReply(QueueOutcome.NO_QUEUE)
         team = _team_of(configuration, queue, call)
         if team is None and not (queue is None and self._is_unowned(call)):
-            logger.info(
-                "fleet: {} {}{}: no team has this key", call.method.value, call.host, call.path
+            self._record_refusal(call, NO_TEAM, RefusalReason.KEY)
+            folder = call.path.rpartition("/")[0] + "/"
+            is_for_all = bool(call.key) and configuration.needs_key_below(call.host, folder)
+            return QueueReply(
+                QueueOutcome.UNAUTHORIZED, retry_after_s=KEY_RETRY_S if is_for_all else 0.0
             )
-            return QueueReply(QueueOutcome.UNAUTHORIZED)
         if queue is not None and call.method is QueueMethod.READ and not name:
             waiting = sum(
                 1
@@ -133,9 +150,12 @@
             except (NotRecordedError, RecordingUnknownError) as error:
                 logger.info("fleet: whether job {} is known is not certain: {}", job, error)
                 return QueueReply(QueueOutcome.UNAVAILABLE, retry_after_s=ELECTION_RETRY_S)
+            if self.table.configuration is not configuration:
+                # The key may have been withdrawn meanwhile.
+                return await self.call_queue(call)
         known = self.table.jobs.get(job)
         if known is not None and not _may_know(configuration, team, queue, known):
-            logger.info("fleet: {} of job {} refused: another team's", call.method.value, job)
+            self._record_refusal(call, team or NO_TEAM, RefusalReason.OTHER_TEAM)
             is_submission = call.method is QueueMethod.SUBMIT
             return QueueReply(QueueOutcome.REFUSED if is_submission else QueueOutcome.NO_JOB)
         if known is not None:
@@ -157,6 +177,7 @@
             spec = self.table.reader.read_job(call.document)
         except InvalidJobError as error:
             logger.info("fleet: job {} is invalid: {}", job, error)
+            self.refusals.add(team or NO_TEAM, RefusalReason.INVALID)
             return QueueReply(QueueOutcome.INVALID, detail=str(error))
         conflict = _quota_conflict(configuration, team or NO_TEAM, spec)
         if conflict:
@@ -166,6 +187,9 @@
             job, queue.name, queue.service, queue.max_attempts, call.document, team or NO_TEAM
         )
         reply = await self._record(leadership, change)
+        if reply.outcome is QueueOutcome.ANSWERED and self._is_foreign(change):
+            self._record_refusal(call, change.team, RefusalReason.OTHER_TEAM)
+            return QueueReply(QueueOutcome.REFUSED)
         logger.info(
             "fleet: job {} in {} for {}, configuration {}: {}, {} tasks, {} steps, critical path"
             " {:.1f} s",
@@ -180,6 +204,23 @@
         )
         return reply
 
+    def _record_refusal(self, call: QueueCall, team: TeamId, reason: RefusalReason) -> None:
+        """Count a refused call, and log its path unless there are too many of these lines."""
+        self.refusals.add(team, reason)
+        if self.refusal_lines.admits(self.clock()):
+            logger.info(
+                "fleet: {} {}{}: refused, {}",
+                call.method.value,
+                call.host,
+                call.path,
+                reason.value,
+            )
+
+    def _is_foreign(self, change: AcceptJob) -> bool:
+        """Return whether a job was accepted from another team while this change was committed."""
+        known = self.table.jobs.get(change.job)
+        return known is not None and known.team != change.team
+
     def _is_unowned(self, call: QueueCall) -> bool:
         """Return whether a call without a key names a job that was submitted without one.
 
@@ -215,6 +256,7 @@
         known = self.table.jobs.get(job)
         if known is not None and known.team == team:
             return await self._answer_existing(leadership, call, known)
+        self.refusals.add(team, RefusalReason.QUOTA)
         return QueueReply(QueueOutcome.REFUSED, detail=reason)
 
     async def _record(
--- a/packages/entry/src/marigolddoor_entry/queue_gateway.py
+++ b/packages/entry/src/marigolddoor_entry/queue_gateway.py
@@ -6,9 +6,12 @@
 import anyio
 from loguru import logger
 from marigolddoor_core.ids import ServiceId
+from marigolddoor_core.line_budget import LineBudget
 from marigolddoor_core.queue_calls import QueueCall, QueueMethod, QueueOutcome, QueueReply
 from marigolddoor_core.requests.outcomes import Outcome
 from marigolddoor_core.routing.leader_search import LeaderSearch
+from marigolddoor_core.routing.refused_keys import RefusedKeys
+from marigolddoor_wire.clocks import boot_time
 from marigolddoor_wire.errors import (
     PeerRefusedError,
     PeerTimeoutError,
@@ -25,6 +28,10 @@
 
 # The leader answers within about 30 ms; under load a commit takes a few hundred milliseconds.
 ATTEMPT_TIMEOUT_S = 1.0
+# The process was frozen if an answer is older than this: an attempt ends after 1 s. The leader has
+# decided before, and a key that it accepted then may have been withdrawn. A withdrawn key may work
+# for 5 s after the acknowledgement.
+MAX_ANSWER_AGE_S = 2.0
 # A probe needs no commit. TCP retransmits a lost packet after 0.2 s.
 PROBE_TIMEOUT_S = 0.4
 # The leader is probed if it has not answered for this long.
@@ -68,11 +75,16 @@
         control: Iterable[Address],
         pool: PeerPool,
         clock: Callable[[], float] = anyio.current_time,
+        boot_clock: Callable[[], float] = boot_time,
     ) -> None:
         self.search = LeaderSearch(control, clock())
         self.pool = pool
         self.clock = clock
+        # Measures the age of answers, also while the VM is suspended.
+        self.boot_clock = boot_clock
         self.metrics = Metrics()
+        self.refused_keys = RefusedKeys()
+        self.refusal_lines = LineBudget()
         # Calls that wait for an answer, by the address that they were sent to.
         self.attempts: dict[str, set[anyio.CancelScope]] = {}
         # Set when a leader was found, or this process was partitioned.
@@ -96,7 +108,7 @@
         reply = await self._call(call, timeout_s)
         took_s = self.clock() - started_at
         self.metrics.observe(ServiceId(call.method.value), OUTCOMES[reply.outcome], took_s)
-        if OUTCOMES[reply.outcome] is not Outcome.ANSWERED:
+        if OUTCOMES[reply.outcome] is not Outcome.ANSWERED and self._may_log(reply.outcome):
             answered_at = self.search.answered_at
             logger.info(
                 "entry: {} {}{}: {} after {:.0f} ms of {:.0f}, leader {}, last answer {:.1f} s ago",
@@ -111,6 +123,11 @@
             )
         return reply
 
+    def _may_log(self, outcome: QueueOutcome) -> bool:
+        """Return whether a line on this outcome may be written; refusals by key are bounded."""
+        is_by_key = outcome is QueueOutcome.UNAUTHORIZED
+        return not is_by_key or self.refusal_lines.admits(self.clock())
+
     async def _call(self, call: QueueCall, timeout_s: float) -> QueueReply:
         """Retry until the caller's deadline passes or this process is partitioned.
 
@@ -119,6 +136,8 @@
         the rejection of a later attempt tell that the first one was not accepted: the queue may
         have been removed between the two.
         """
+        if self.refused_keys.holds(call, self.boot_clock()):
+            return QueueReply(QueueOutcome.UNAUTHORIZED)
         deadline = self.clock() + timeout_s
         may_have_arrived = False
         while not self.search.is_partitioned:
@@ -132,6 +151,7 @@
                 with anyio.move_on_after(remaining_s):
                     await changed.wait()
                 continue
+            sent_at = self.boot_clock()
             try:
                 answer = await self._ask(address, call, min(ATTEMPT_TIMEOUT_S, remaining_s))
             except (PeerUnreachableError, PeerTimeoutError, RemoteError) as error:
@@ -140,17 +160,19 @@
                 if self.clock() < ends_at:
                     self._record_no_answer(address, error)
                 continue
-            if answer is None:
+            if answer is None or self.boot_clock() - sent_at > MAX_ANSWER_AGE_S:
                 may_have_arrived = True
                 continue
             self._apply_answer(address, answer)
             if isinstance(answer, QueueAnswer):
                 outcome = answer.reply.outcome
+                if outcome is QueueOutcome.UNAUTHORIZED and answer.reply.retry_after_s:
+                    self.refused_keys.add(call, sent_at + answer.reply.retry_after_s)
                 if outcome is QueueOutcome.UNKNOWN:
                     may_have_arrived = True
                 elif not may_have_arrived:
                     return answer.reply
-                elif call.method is QueueMethod.SUBMIT and outcome in NOT_ACCEPTED:
+                elif outcome in NOT_ACCEPTED and _may_have_changed(call.method, outcome):
                     logger.info(
                         "entry: {} {}{}: {}, but an earlier attempt may have been accepted",
                         call.method.value,
@@ -273,3 +295,13 @@
     def _notify(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
+
+
+def _may_have_changed(method: QueueMethod, refusal: QueueOutcome) -> bool:
+    """Return whether an earlier attempt may have changed something although this one was refused.
+
+    A job that was cancelled stays known, so only a withdrawn key hides its cancellation.
+    """
+    if method is QueueMethod.CANCEL:
+        return refusal is QueueOutcome.UNAUTHORIZED
+    return method is QueueMethod.SUBMIT
--- a/tests/control/test_team_calls.py
+++ b/tests/control/test_team_calls.py
@@ -1,5 +1,6 @@
 """Guards against calls that are served without the key of a team, or to another team."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import anyio
@@ -169,3 +170,87 @@
         """Commit the earlier submission."""
         if self.is_accepted:
             self.log.apply(self.change)
+
+
+class OverlappingSubmissionTest(testtools.TestCase):
+    """Two teams submitted a job under one id at once: both were told that theirs was accepted."""
+
+    scenarios = [
+        (f"accepted first from {team}", {"team": team, "expected": expected})
+        for team, expected in (("red", ANSWERED), ("blue", REFUSED))
+    ]
+
+    def test_submission(self) -> None:
+        log = Log()
+        log.apply(StoreConfiguration(1, with_teams(configuration(1, views=SERVICE), TEAMS)))
+
+        async def record(change: JobChange) -> None:
+            log.apply(replace(change, team=TeamId(self.team)), change)
+
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(has_ended=False, record=record)  # type: ignore
+        path = "/views/n"
+        call = QueueCall(SUBMIT, "a.example", path, document({"count": 1}), digest_key("r1"))
+        self.assertEqual(self.expected, anyio.run(service.call_queue, call).outcome)
+
+
+class WithdrawalWhileWaitingTest(testtools.TestCase):
+    """A cancellation waited for the commit that withdrew its key, and was then carried out."""
+
+    scenarios = [
+        (f"keys {keys}", {"keys": keys, "expected": expected})
+        for keys, expected in ((("r1",), ANSWERED), (("r2",), UNAUTHORIZED))
+    ]
+
+    def test_cancellation(self) -> None:
+        log = Log()
+        queues = configuration(1, views=SERVICE)
+        log.apply(StoreConfiguration(1, with_teams(queues, TEAMS)))
+        job = AcceptJob(
+            JobId("n"), QueueName("views"), SERVICE, 3, document({"count": 1}), TeamId("red")
+        )
+
+        async def settle() -> None:
+            later = with_teams(configuration(2, views=SERVICE), {"red": {"keys": self.keys}})
+            log.apply(job, StoreConfiguration(2, later))
+
+        async def record(change: JobChange) -> None:
+            log.apply(change)
+
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(  # type: ignore[assignment]
+            has_ended=False, settle=settle, record=record
+        )
+        call = QueueCall(CANCEL, "a.example", "/views/n", key=digest_key("r1"))
+        self.assertEqual(self.expected, anyio.run(service.call_queue, call).outcome)
+
+
+class RepeatedRefusalTest(testtools.TestCase):
+    """An entry process that repeats a refusal must not refuse calls to a public queue.
+
+    The public queues are `/open/` and, in the folder of another one, `/views/open/`.
+    """
+
+    scenarios = [
+        (f"{path} with {key or 'no key'}", {"path": path, "key": key, "expected": expected})
+        for path, key, expected in (
+            ("/jobs/n", "x", True),
+            ("/jobs/", "x", True),
+            ("/jobs/n", "", False),
+            ("/views/n", "x", False),
+            ("/n", "x", False),
+        )
+    ]
+
+    def test_validity(self) -> None:
+        log = Log()
+        queues = {"jobs": SERVICE, "views": SERVICE, "open": SERVICE, "views/open": SERVICE}
+        teams = with_teams(configuration(1, **queues), TEAMS, ("open", "views/open"))
+        log.apply(StoreConfiguration(1, teams))
+        service = FleetService(log.table, SimpleNamespace(is_leader=True))  # type: ignore[arg-type]
+        service.leadership = SimpleNamespace(has_ended=False)  # type: ignore[assignment]
+        key = digest_key(self.key) if self.key else NO_KEY
+        reply = anyio.run(service.call_queue, QueueCall(READ, "a.example", self.path, key=key))
+        self.assertEqual(self.expected, reply.retry_after_s > 0)
+        # The bound of a new key, less the attempt that brings the refusal.
+        self.assertTrue(reply.retry_after_s <= 2.5 - 1.0)
