--- a/packages/core/src/marigolddoor_core/connections/accounts.py
+++ b/packages/core/src/marigolddoor_core/connections/accounts.py
@@ -12,11 +12,12 @@
 class ConnectionPhase(Enum):
     """What a connection waits for.
 
-    `IDLE`: a request. `HEAD` and `BODY`: the rest of a request. `WORKING`: the answer of this
-    process, so that nothing is asked of the client. `SENDING`: the client has to read answers.
-    `CLOSING`: the client has to read the last answer and close.
+    `NEW`: the first request. `IDLE`: the next request. `HEAD` and `BODY`: the rest of a request.
+    `WORKING`: the answer of this process, so that nothing is asked of the client. `SENDING`: the
+    client has to read answers. `CLOSING`: the client has to read the last answer and close.
     """
 
+    NEW = "new"
     IDLE = "idle"
     HEAD = "head"
     BODY = "body"
@@ -36,7 +37,7 @@
     id: ConnectionId
     phase_since: float
     progressed_at: float
-    phase: ConnectionPhase = ConnectionPhase.HEAD
+    phase: ConnectionPhase = ConnectionPhase.NEW
     held_bytes: int = 0
     progress_bytes: int = 0
 
--- a/packages/core/src/marigolddoor_core/connections/limits.py
+++ b/packages/core/src/marigolddoor_core/connections/limits.py
@@ -22,7 +22,7 @@
       False
     """
 
-    head_bytes: int = 65_536
+    head_bytes: int = 32_768
     body_bytes: int = 300_000
     waiting_requests: int = 16
     head_s: float = 10.0
@@ -31,13 +31,14 @@
     closing_s: float = 2.0
     idle_s: float = 75.0
     short_head_s: float = 4.0
-    short_idle_s: float = 20.0
+    short_idle_s: float = 16.0
     stalled_s: float = 1.0
     least_rate: float = 4096.0
 
     def is_overdue(self, account: Account, now: float) -> bool:
         """Return whether the phase of a connection has lasted too long."""
         longest_s = {
+            ConnectionPhase.NEW: self.idle_s,
             ConnectionPhase.IDLE: self.idle_s,
             ConnectionPhase.HEAD: self.head_s,
             ConnectionPhase.BODY: self.body_s,
@@ -59,7 +60,7 @@
                 return False
             case ConnectionPhase.IDLE:
                 return age_s <= self.short_idle_s
-            case ConnectionPhase.HEAD:
+            case ConnectionPhase.NEW | ConnectionPhase.HEAD:
                 return age_s <= self.short_head_s
         is_slow = account.progress_bytes < self.least_rate * (age_s - self.stalled_s)
         return now - account.progressed_at <= self.stalled_s and not is_slow
--- a/tests/core/connections/test_limits.py
+++ b/tests/core/connections/test_limits.py
@@ -37,6 +37,7 @@
             ("an answer that takes a minute", "working", 60.0, 60.0, 0, True, False),
             ("answers that are read", "sending", 60.0, 0.1, 600_000, True, False),
             ("answers that are not read", "sending", 31.0, 31.0, 0, False, True),
+            ("a new connection without a request", "new", 15.0, 15.0, 0, False, False),
             ("15 s idle", "idle", 15.0, 15.0, 0, True, False),
             ("a minute idle", "idle", 60.0, 60.0, 0, False, False),
             ("idle beyond the limit", "idle", 76.0, 76.0, 0, False, True),
