--- a/tests/platform/test_hostile_clients.py
+++ b/tests/platform/test_hostile_clients.py
@@ -58,15 +58,18 @@
         self.ordinary = ordinary
         self.most_descriptors = 0
 
-    def peak_kib(self) -> int:
-        """Return the largest resident memory that the process has had."""
+    def memory_kib(self, name: str) -> int:
+        """Return the resident memory of the process now (VmRSS), or the largest so far (VmHWM)."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(status.partition("VmHWM:")[2].split()[0])
+        return int(status.partition(f"{name}:")[2].split()[0])
 
     async def watch_descriptors(self) -> None:
-        """Record the number of open descriptors until cancelled."""
-        while True:
-            count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        """Record the number of open descriptors until the process ends."""
+        while self.process.returncode is None:
+            try:
+                count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+            except OSError:
+                return
             self.most_descriptors = max(self.most_descriptors, count)
             await anyio.sleep(0.005)
 
@@ -162,14 +165,14 @@
 
     async def _check(self, group: TaskGroup, target: Target, released: anyio.Event) -> None:
         await target.call(target.ordinary)
-        idle_kib = target.peak_kib()
+        idle_kib = target.memory_kib("VmRSS")
         group.start_soon(target.watch_descriptors)
         crowd = HostileCrowd(HOST, target.port)
         await crowd.send(self.shape, target.path)
         self.assertIs(None, target.process.returncode)
         released.set()
         self.assertEqual(200, await target.call(target.ordinary))
-        growth_kib = target.peak_kib() - idle_kib
+        growth_kib = target.memory_kib("VmHWM") - idle_kib
         await crowd.close()
         seen = f"grew by {growth_kib} KiB, {target.most_descriptors} descriptors"
         self.assertTrue(growth_kib <= CLIENTS_KIB, seen)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -40,6 +40,8 @@
         ("a metrics port that is not a number", {"field": "metrics-port", "value": "web"}),
         ("no fault tolerance", {"field": "fault-tolerance.machines", "value": None}),
         ("descriptors that are not a number", {"field": "limits.max-fds", "value": "many"}),
+        ("memory that is not a number", {"field": "limits.memory-mb", "value": "2e2"}),
+        ("a limit of clients that is not a number", {"field": "clients.head-ms", "value": "-1"}),
         ("a negative fault tolerance", {"field": "fault-tolerance.machines", "value": "-1"}),
         ("a listener without a port", {"field": "listen.control", "value": "10.1.0.12"}),
     ]
