Serve readiness checks and metrics within the byte budget

Both addresses were still served by hypercorn with any number of connections, so clients could fill the memory there. Each has a small part of the budget now. The platform needs hypercorn no longer; its ASGI application moves to the bench, where it is the baseline of the heartbeat's cost.

--- a/platform/src/marigolddoor_platform/http.py
+++ b/bench/asgi_application.py
@@ -1,4 +1,4 @@
-"""The ASGI application of the adapter's listeners for callers, readiness and metrics."""
+"""An ASGI application for hypercorn, against which `HttpServer` is measured."""
 
 from typing import Any
 
@@ -10,7 +10,7 @@
     RespondToRequest,
 )
 
-__all__ = ["HttpApplication", "HttpRequest", "HttpResponse"]
+__all__ = ["HttpApplication"]
 
 
 class HttpApplication:
@@ -46,8 +46,7 @@
         try:
             response = await self.respond(request)
         except Exception as error:
-            # A fault in one request must not end the process.
-            logger.exception("platform: {} {} failed: {}", request.method, request.path, error)
+            logger.exception("bench: {} {} failed: {}", request.method, request.path, error)
             response = HttpResponse(500)
         await _send(send, response)
 
--- a/bench/measure_calls.py
+++ b/bench/measure_calls.py
@@ -9,12 +9,12 @@
 
 import anyio
 import httpx
-from marigolddoor_platform.http import HttpApplication
 from marigolddoor_wire.http_client import HttpPool
 from marigolddoor_wire.http_listener import bound_address, http_config, listen, serve_http
 from marigolddoor_wire.http_server import HttpRequest, HttpResponse, HttpServer
 from marigolddoor_wire.peers import Address
 
+from bench.asgi_application import HttpApplication
 from bench.rows import Goal, GoalKind, Row
 
 CALLS = 1500
--- a/packages/core/src/marigolddoor_core/connections/parts.py
+++ b/packages/core/src/marigolddoor_core/connections/parts.py
@@ -20,17 +20,28 @@
     CALLERS = "callers"
     EXECUTORS = "executors and operators"
     PEERS = "peers"
+    READINESS = "readiness checks"
+    METRICS = "metrics"
 
 
 # Relative to the other kinds that a process serves. Peers are the processes of this system.
-WEIGHTS = {ClientKind.CALLERS: 3, ClientKind.EXECUTORS: 3, ClientKind.PEERS: 1}
-# Of all descriptors. Control processes use 0.75 for connections to executors. The rest is for
-# peers, other listeners and files.
+WEIGHTS = {
+    ClientKind.CALLERS: 3.0,
+    ClientKind.EXECUTORS: 3.0,
+    ClientKind.PEERS: 0.5,
+    ClientKind.READINESS: 0.25,
+    ClientKind.METRICS: 0.25,
+}
+# Of all descriptors. Control processes use 0.75 for connections to executors; files need few.
 DESCRIPTOR_SHARES = {
     ClientKind.CALLERS: 0.6,
     ClientKind.EXECUTORS: 0.2,
     ClientKind.PEERS: 0.05,
+    ClientKind.READINESS: 0.01,
+    ClientKind.METRICS: 0.01,
 }
+# A check of readiness must find a connection while another one is open.
+LEAST_CONNECTIONS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +62,8 @@
       max_descriptors: descriptors that the process may have open.
 
     Example:
-      >>> divide_budget(200, 4100, [ClientKind.CALLERS, ClientKind.PEERS])[ClientKind.CALLERS]
-      BudgetPart(held_bytes=39321600, connections=2460)
+      >>> divide_budget(200, 4100, list(ClientKind))[ClientKind.PEERS]
+      BudgetPart(held_bytes=3744914, connections=205)
     """
     weights = sum(WEIGHTS[kind] for kind in kinds)
 
@@ -63,6 +74,9 @@
         return int(counted * WEIGHTS[kind] / weights)
 
     return {
-        kind: BudgetPart(held_bytes(kind), max(1, int(max_descriptors * DESCRIPTOR_SHARES[kind])))
+        kind: BudgetPart(
+            held_bytes(kind),
+            max(LEAST_CONNECTIONS, int(max_descriptors * DESCRIPTOR_SHARES[kind])),
+        )
         for kind in kinds
     }
--- a/tests/core/connections/test_parts.py
+++ b/tests/core/connections/test_parts.py
@@ -3,7 +3,8 @@
 import testtools
 from marigolddoor_core.connections import BudgetPart, ClientKind, divide_budget
 
-CALLERS, EXECUTORS, PEERS = ClientKind.CALLERS, ClientKind.EXECUTORS, ClientKind.PEERS
+CALLERS, EXECUTORS = ClientKind.CALLERS, ClientKind.EXECUTORS
+PEERS, READINESS, METRICS = ClientKind.PEERS, ClientKind.READINESS, ClientKind.METRICS
 MEBIBYTE = 1024 * 1024
 
 
@@ -17,7 +18,9 @@
                 "limits": (200, 4100),
                 "parts": {
                     CALLERS: BudgetPart(75 * MEBIBYTE // 2, 2460),
-                    PEERS: BudgetPart(25 * MEBIBYTE // 2, 205),
+                    PEERS: BudgetPart(25 * MEBIBYTE // 4, 205),
+                    READINESS: BudgetPart(25 * MEBIBYTE // 8, 41),
+                    METRICS: BudgetPart(25 * MEBIBYTE // 8, 41),
                 },
             },
         ),
@@ -26,8 +29,9 @@
             {
                 "limits": (424, 4096),
                 "parts": {
-                    EXECUTORS: BudgetPart(159 * MEBIBYTE // 2, 819),
-                    PEERS: BudgetPart(53 * MEBIBYTE // 2, 204),
+                    EXECUTORS: BudgetPart(88_919_244, 819),
+                    PEERS: BudgetPart(14_819_874, 204),
+                    METRICS: BudgetPart(7_409_937, 40),
                 },
             },
         ),
--- a/tests/platform/test_hostile_clients.py
+++ b/tests/platform/test_hostile_clients.py
@@ -51,9 +51,12 @@
 class Target:
     """A process under test and what it holds."""
 
-    def __init__(self, process: Process, port: int, path: str, ordinary: httpx.Request) -> None:
+    def __init__(
+        self, process: Process, port: int, readiness: int, path: str, ordinary: httpx.Request
+    ) -> None:
         self.process = process
         self.port = port
+        self.readiness = readiness
         self.path = path
         self.ordinary = ordinary
         self.most_descriptors = 0
@@ -106,19 +109,27 @@
             await released.wait()
         return QueueAnswer(QueueReply(QueueOutcome.ANSWERED, phase="active"), ())
 
-    callers, peer = free_port(), free_port()
+    callers, readiness, peer = free_port(), free_port(), free_port()
     leader = PeerServer(SharedKey(main.PLATFORM_KEY), answer)
     await group.start(leader.run, Address(f"{LEADER_HOST}:{peer}"))
     process = await start_process(
         folder,
         listen__control=None,
         listen__frontend=f"{HOST}:{callers}",
-        listen__ready=f"{HOST}:{free_port()}",
+        listen__ready=f"{HOST}:{readiness}",
         internal_port_range=f"{peer},{peer}",
         seeds=f"{LEADER_HOST}:8623",
     )
     ordinary = httpx.Request("POST", f"http://{HOST}:{callers}/ordinary/1", content=b"{}")
-    return Target(process, callers, "/hostile/", ordinary)
+    return Target(process, callers, readiness, "/hostile/", ordinary)
+
+
+async def start_entry_for_checks(group: TaskGroup, folder: Path, released: anyio.Event) -> Target:
+    """Start an entry process whose readiness address is the target."""
+    target = await start_entry(group, folder, released)
+    target.port = target.readiness
+    target.ordinary = httpx.Request("GET", f"http://{HOST}:{target.port}/readiness")
+    return target
 
 
 async def start_control(group: TaskGroup, folder: Path, released: anyio.Event) -> Target:
@@ -133,7 +144,7 @@
         seeds=f"{HOST}:{control}",
     )
     url = f"http://{HOST}:{control}/configuration"
-    target = Target(process, control, "/instances/", httpx.Request("GET", f"{url}/read"))
+    target = Target(process, control, control, "/instances/", httpx.Request("GET", f"{url}/read"))
     await target.call(httpx.Request("POST", f"{url}/replace", json=CONFIGURATION))
     return target
 
@@ -145,7 +156,10 @@
     scenarios = testscenarios.multiply_scenarios(
         [("callers", {"start": start_entry}), ("executors", {"start": start_control})],
         [(name, {"shape": shape}) for name, shape in SHAPES],
-    )
+    ) + [
+        (f"readiness,{name}", {"start": start_entry_for_checks, "shape": shape})
+        for name, shape in SHAPES[:3]
+    ]
 
     def test_bounds(self) -> None:
         anyio.run(self._run, backend_options={"use_uvloop": True})
