--- a/tests/platform/test_operations_page.py
+++ b/tests/platform/test_operations_page.py
@@ -22,6 +22,7 @@
         (words, {"words": words})
         for words in (
             "lines were left out",
+            "http: refused",
             "fleet: job {} in {} for {}, configuration {}: {}, {} tasks, {} steps, critical path",
             "fleet: run {} {}: placed on {}, {} mcores left, contact {:.2f} s ago",
             "fleet: job {}: {} after {:.2f} s",
