Bound handshakes of peers, and the parts of bodies at marigolddoord

Any number of connections could stay in the handshake of the peer protocol for 5 s each; beyond 128 the oldest ends now, so that peers with the key still get in. A body at marigolddoord in chunks of one byte took an entry of a list for each byte; it is joined as it arrives. The HTTP server judges no connection overdue in the second in which its own process was frozen.

--- a/packages/entry/src/marigolddoor_entry/bodies.py
+++ b/packages/entry/src/marigolddoor_entry/bodies.py
@@ -28,7 +28,8 @@
       ClientDisconnectedError: the connection was closed first.
       DeadlineExpiredError: it took longer than `timeout_s`.
     """
-    parts: list[bytes] = []
+    # A list of parts would take about 40 bytes for each chunk of one byte.
+    body = bytearray()
     size = 0
     with anyio.move_on_after(timeout_s):
         while True:
@@ -38,12 +39,12 @@
             part = message.get("body", b"")
             size += len(part)
             if size <= max_bytes:
-                parts.append(part)
+                body += part
             elif size > MAX_DISCARDED_BYTES:
                 break
             if not message.get("more_body", False):
                 break
         if size > max_bytes:
             raise BodyTooLargeError(f"the body must be at most {max_bytes} bytes")
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        return bytes(body)
     raise DeadlineExpiredError("the body did not arrive before the deadline")
--- a/packages/wire/src/marigolddoor_wire/http_server.py
+++ b/packages/wire/src/marigolddoor_wire/http_server.py
@@ -152,8 +152,12 @@
     async def _sweep(self) -> None:
         """End overdue connections, and log what was refused, in one line each second."""
         while True:
+            slept_at = anyio.current_time()
             await anyio.sleep(SWEEP_S)
             now = anyio.current_time()
+            if now - slept_at > 2 * SWEEP_S:
+                # This process was frozen, and what clients sent meanwhile is not read yet.
+                continue
             for connection in list(self.connections):
                 if self.limits.is_overdue(connection.account, now):
                     connection.end_overdue()
--- a/packages/wire/src/marigolddoor_wire/peers.py
+++ b/packages/wire/src/marigolddoor_wire/peers.py
@@ -39,6 +39,9 @@
 Handler = Callable[[Any], Awaitable[Any]]
 
 CONNECT_TIMEOUT_S = 1.0
+# Handshakes in progress at a server; a peer takes a few ms for one. After a power loss up to 48
+# processes of the current size connect at once.
+MAX_HANDSHAKES = 128
 # A full queue means that the peer does not read: calls fail, and one-way frames are dropped.
 MAX_QUEUED_FRAMES = 1024
 # For this long after a failed connection, calls fail at once instead of connecting again.
@@ -99,6 +102,8 @@
         self.key = key
         self.handler = handler
         self.tls = tls
+        # Handshakes in progress, the oldest first.
+        self.handshakes: list[anyio.CancelScope] = []
 
     async def run(
         self, address: Address, *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED
@@ -119,14 +124,31 @@
         try:
             async with raw:
                 set_timeouts(raw)
-                with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-                    stream = await self._wrap(raw)
-                    reader = FrameReader(stream)
-                    await accept(stream, reader, self.key)
-                await self._serve_frames(stream, reader)
-        except (*_CLOSED, TimeoutError, FrameError, HandshakeError, DecodeError, ssl.SSLError):
+                authenticated = await self._authenticate(raw)
+                if authenticated is not None:
+                    await self._serve_frames(*authenticated)
+        except (*_CLOSED, FrameError, HandshakeError, DecodeError, ssl.SSLError):
             return
 
+    async def _authenticate(self, raw: ByteStream) -> tuple[ByteStream, FrameReader] | None:
+        """Return the stream of a peer that has the key, None if its handshake took too long.
+
+        The oldest handshake ends early if too many are in progress.
+        """
+        if len(self.handshakes) >= MAX_HANDSHAKES:
+            self.handshakes.pop(0).cancel()
+        with anyio.move_on_after(HANDSHAKE_TIMEOUT_S) as scope:
+            self.handshakes.append(scope)
+            try:
+                stream = await self._wrap(raw)
+                reader = FrameReader(stream)
+                await accept(stream, reader, self.key)
+                return stream, reader
+            finally:
+                if scope in self.handshakes:
+                    self.handshakes.remove(scope)
+        return None
+
     async def _wrap(self, raw: ByteStream) -> ByteStream:
         if self.tls is None:
             return raw
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -1,5 +1,6 @@
 """Guards against replies to the wrong call, unauthenticated peers and calls that hang."""
 
+import contextlib
 import socket
 import struct
 from typing import Any
@@ -9,6 +10,7 @@
 from anyio.abc import ByteStream
 from marigolddoor_core.ids import TaskId
 from marigolddoor_core.state.commands import CancelTask
+from marigolddoor_wire import peers
 from marigolddoor_wire.errors import PeerTimeoutError, PeerUnreachableError, RemoteError
 from marigolddoor_wire.frames import MAX_FRAME_BYTES
 from marigolddoor_wire.handshake import SharedKey
@@ -150,6 +152,36 @@
         anyio.run(run)
 
 
+class HandshakesTest(testtools.TestCase):
+    """Connections without a handshake neither add up nor keep a peer with the key out."""
+
+    scenarios = [
+        (name, {"sent": sent})
+        for name, sent in (("nothing", b""), ("half of a handshake", b"x" * 40))
+    ]
+
+    def test_call(self) -> None:
+        self.patch(peers, "MAX_HANDSHAKES", 3)
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group, PeerPool(KEY) as pool:
+                server = PeerServer(KEY, echo)
+                address = await group.start(server.run, LOOPBACK)
+                host, port = parse_address(address)
+                streams = [await anyio.connect_tcp(host, port) for _ in range(10)]
+                for stream in streams:
+                    with contextlib.suppress(anyio.BrokenResourceError):
+                        await stream.send(self.sent)
+                message = CancelTask(TaskId("now"))
+                self.assertEqual(message, await pool.call(address, message, 5.0))
+                self.assertTrue(len(server.handshakes) <= 3, len(server.handshakes))
+                for stream in streams:
+                    await anyio.aclose_forcefully(stream)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
 class AddressTest(testtools.TestCase):
     """A malformed address is an error, not a connection to another address."""
 
