--- a/tests/platform/hostile_clients.py
+++ b/standins/src/marigolddoor_standins/hostile_clients.py
@@ -6,6 +6,18 @@
 import anyio
 from anyio.abc import SocketStream
 
+__all__ = [
+    "HostileCrowd",
+    "Shape",
+    "endless_head",
+    "large_chunks",
+    "piece_by_piece",
+    "pipelined",
+    "short",
+    "small_chunks",
+    "whole",
+]
+
 CONNECTIONS = 120
 # Just below the longest body that the contract allows, and how much of it is left out.
 BODY_BYTES = 262_000
@@ -75,15 +87,16 @@
 class HostileCrowd:
     """Connections that each send one shape of traffic, read nothing, and stay open."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, connections: int = CONNECTIONS) -> None:
         self.host = host
         self.port = port
+        self.connections = connections
         self.streams: list[SocketStream] = []
 
     async def send(self, shape: Shape, path: str) -> None:
         """Connect and send; return when no connection gets any further."""
         async with anyio.create_task_group() as senders:
-            for number in range(CONNECTIONS):
+            for number in range(self.connections):
                 senders.start_soon(self._send_one, shape(f"{path}{number:016x}"))
 
     async def _send_one(self, pieces: Pieces) -> None:
--- a/tests/platform/test_hostile_clients.py
+++ b/tests/platform/test_hostile_clients.py
@@ -19,13 +19,13 @@
 from anyio.abc import Process, TaskGroup
 from marigolddoor_core.queue_calls import QueueOutcome, QueueReply
 from marigolddoor_platform import main
+from marigolddoor_standins import hostile_clients
+from marigolddoor_standins.hostile_clients import HostileCrowd, Shape
 from marigolddoor_standins.loopback import free_host, free_port
 from marigolddoor_wire.handshake import SharedKey
 from marigolddoor_wire.peers import Address, PeerServer
 from marigolddoor_wire.queue_messages import AskQueue, QueueAnswer
 
-from tests.platform import hostile_clients
-from tests.platform.hostile_clients import HostileCrowd, Shape
 from tests.platform.system import CONFIGURATION
 from tests.platform.test_settings import settings_text
 
