--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -9,7 +9,7 @@
 from marigolddoor_core.jobs import NO_KEY, digest_key
 from marigolddoor_core.queue_calls import QueueCall, QueueOutcome, QueueReply
 from marigolddoor_platform.callers import CallersInterface
-from marigolddoor_platform.http import HttpRequest
+from marigolddoor_wire.http_server import HttpRequest
 
 
 class RefusalTest(testtools.TestCase):
