--- a/packages/core/src/marigolddoor_core/dispatch/team_shares.py
+++ b/packages/core/src/marigolddoor_core/dispatch/team_shares.py
@@ -185,8 +185,9 @@
 
     Long-running steps stay in front of all others. Steps of jobs beyond the agreed rate of their
     team come after all others; among them those within the share are first again. Each group keeps
-    the inner order. A step is
-    within its team's share if the team's share is not used up before it, counting what the team
+    the inner order.
+
+    A step is within its team's share if the share is not used up before it, counting what the team
     holds and its steps earlier in the inner order. So a team may exceed its share by one step,
     without which a team whose share is smaller than one task would never be served. If all steps
     belong to one team, the order is the inner order.
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -91,3 +91,16 @@
     def test_keys(self) -> None:
         settings = parse_settings(settings_text(contracts=self.text))
         self.assertEqual(self.expected, settings.requires_keys)
+
+
+class RemoteFactorTest(testtools.TestCase):
+    """A factor of 0 divided the duration of a run by 0, which ended the leadership."""
+
+    scenarios = [
+        (f"{text!r}", {"text": text, "expected": expected})
+        for text, expected in ((None, 1.0), ("3", 3.0), ("1.5", 1.5), ("0.5", 1.0), ("0", 1.0))
+    ]
+
+    def test_factor(self) -> None:
+        settings = parse_settings(settings_text(bounds__remote_factor=self.text))
+        self.assertEqual(self.expected, settings.remote_factor)
