review: case 9, a job that was cancelled before its submission arrived

Cause: a frozen frontend passes a submission on when it wakes, after its client has left and has cancelled the job elsewhere. The cancel of an unknown job is answered with 410 and leaves no mark, so the submission is accepted.

The stand-ins can start any number of frontends.

--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -548,17 +548,18 @@
 
 
 class Site:
-    """Three control processes, two entry processes, and executors of one service."""
+    """Three control processes, some entry processes, and executors of one service or more."""
 
-    def __init__(self, record, verbose=True):
+    def __init__(self, record, verbose=True, entries=2):
         self.record = record
         self.verbose = verbose
         self.ledger = Ledger(record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.prefix, hosts, ports = find_hosts(5)
+        self.prefix, hosts, ports = find_hosts(3 + entries)
         self.control, self.entries = hosts[:3], hosts[3:]
         self.front_port, self.ready_port, self.control_port, self.peer_port = ports
-        self.zones = dict(zip(hosts, ["amman-a", "amman-b", "amman-c", "amman-a", "amman-b"]))
+        names = ["amman-a", "amman-b", "amman-c"]
+        self.zones = {host: names[number % 3] for number, host in enumerate(hosts)}
         self.control_addresses = [f"{host}:{self.control_port}" for host in self.control]
         self.processes = {}
         self.executors = []
@@ -814,7 +815,7 @@
         body = {"spec": json.dumps(spec), "steps": steps}
         status = 0
         for attempt in range(4):
-            status, _ = await self.client("POST", job, body, entry=attempt % 2, **options)
+            status, _ = await self.client("POST", job, body, entry=attempt % len(self.entries), **options)
             if status not in (0, 502, 503, 504):
                 break
             await asyncio.sleep(0.3 * 2**attempt)
@@ -843,7 +844,7 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(folder, case, limit_s=110.0, verbose=True):
+def run_case(folder, case, limit_s=110.0, verbose=True, entries=2):
     """Run `case(site, has_trouble) -> list of breaks` and return the exit status."""
     # Streams that are open at the end complain when they are collected after the loop.
     sys.unraisablehook = lambda _: None
@@ -852,7 +853,7 @@
     record(f"trouble: {has_trouble}")
 
     async def main():
-        site = Site(record, verbose)
+        site = Site(record, verbose, entries)
         try:
             async with asyncio.timeout(limit_s):
                 return await case(site, has_trouble)
