--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """An executor that drains is cut off one way, and the acknowledgement of its last call is lost."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -9,7 +10,7 @@
 
 from small_site import breaks_of_twice, new_job, run_case  # noqa: E402
 
-EXECUTORS = 6  # one of them is 0.17 of all
+EXECUTORS = 6  # one of them is 0.17 of all, and of the service
 CUT_S = 5.5
 REMAINING_MS = 4000
 WORK_MS, ESTIMATED_MS = 7000, 4500
@@ -17,7 +18,8 @@
 END_AFTER_S = 4.0
 
 
-async def case(site, has_trouble):
+async def case(site):
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     await site.start(executors=0)
     for _ in range(EXECUTORS):
         executor = await site.add_executor(begin=False)
@@ -32,6 +34,9 @@
     await asyncio.sleep(1.0)
     leaving = next(executor for executor in site.executors if executor.runs)
     # Its planned end: it drains, and goes on for a while after the acknowledgement.
+    # As in a release, the new one starts first.
+    await site.add_executor()
+    await asyncio.sleep(0.5)
     leaving.tasks[1].cancel()
     await asyncio.sleep(0.1)
     leaving.state, leaving.remaining_ms = "draining", REMAINING_MS
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """An empty executor is added; a job that needs the label of another one never starts."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -16,21 +17,22 @@
 CPU, MEMORY = 1000, 512
 
 
-async def case(site, has_trouble):
-    # Two services with two executors each; one executor of the queue's service is of kind b.
+async def case(site):
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Another service has eight executors, the queue's service four, of which one is of kind b.
     site.services = ["huvo11a", "kafi81c"]
     await site.start(executors=0)
-    for number in range(4):
-        service = site.services[number // 2]
+    for number in range(12):
+        service = site.services[1 if number < 8 else 0]
         executor = await site.add_executor(begin=False, service=service)
-        executor.kind = "b" if number == 0 else "a"
+        executor.kind = "b" if number == 8 else "a"
         await executor.start()
         executor.begin_beats()
-        await asyncio.sleep(0.3)
-    special = site.executors[0]
+        await asyncio.sleep(0.2)
+    special = site.executors[8]
     await asyncio.sleep(2.0)
     if has_trouble:
-        site.record("an empty executor is added: 0.25 of the four")
+        site.record("an empty executor is added to the four: 0.25 of the service")
         await site.add_executor()
     await asyncio.sleep(5.0)
     job = new_job()
@@ -43,7 +45,8 @@
     is_done = False
     while not is_done and site.record.now() < accepted + WATCH_S:
         await asyncio.sleep(0.05)
-        used = sum(run.size[0] for executor in site.executors for run in executor.runs.values())
+        pool = [executor for executor in site.executors if executor.service == special.service]
+        used = sum(run.size[0] for executor in pool for run in executor.runs.values())
         free = 16000 - sum(run.size[0] for run in special.runs.values())
         runs = [run for run in site.ledger.runs if run["task"].startswith(job)]
         is_idle = (
@@ -51,7 +54,7 @@
             and special.is_up
             and special.state == "ready"
             and free >= 2 * 2 * CPU
-            and used < 16000
+            and used < 16000 * len(pool) / 2
         )
         if not is_idle:
             idle_since = site.record.now()
--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -23,7 +23,7 @@
 BEAT_S = 1.5
 HOLD_MAX_MS = 6000
 STOP_MS = 100
-DRAIN_S = 2.0
+MIGRATION_S = 1.5
 ENDS_A_TIME = 500
 QUEUE_HOST = "pule25.example"
 PREFIX = "/puxa400/"
@@ -278,6 +278,8 @@
     def __init__(self, site, name, host, service, zone):
         self.site, self.name, self.host = site, name, host
         self.service, self.zone = service, zone
+        # The machine that this is a life of; another life follows after a move.
+        self.machine = f"m-{name}"
         self.record, self.ledger = site.record, site.ledger
         self.began = time.monotonic()
         self.born = time.time_ns() // 1_000_000
@@ -401,7 +403,7 @@
             "clock-ms": self.clock_ms(),
             "sequence": self.sequence,
             "born": self.born,
-            "machine": f"m-{self.name}",
+            "machine": self.machine,
         }
         if self.state == "draining":
             body["remaining-ms"] = self.remaining_ms
@@ -571,6 +573,7 @@
         # Changes of the queue's fields, and the fields of further queues that differ from it.
         self.queue_fields = {}
         self.more_queues = []
+        self.moves = []
         self.adviser_address = ""
 
     def new_host(self):
@@ -613,6 +616,7 @@
             "bounds.cancel_ms": "3000",
             "bounds.visible_ms": "3000",
             "bounds.remote-factor": "2",
+            "bounds.migration-s": "1.5",
             "bounds.lease-ms": "3000",
             "bounds.fencing-enforced": "false",
             "config_mode": "highest",
@@ -674,15 +678,40 @@
         await asyncio.sleep(2.0)
         await self.find_leader()
 
+    def order_machine(self, path, fields):
+        """Carry out an order for a machine; return the status and the reason of a refusal."""
+        lives = [item for item in self.executors if item.machine == fields.get("machine")]
+        if not lives:
+            return 400, ""
+        if path != "/machine-move":
+            return 409, "wave"
+        if fields.get("pool") not in self.services:
+            return 400, ""
+        life = lives[-1]
+        if not life.is_up or life.state != "ready":
+            return 409, "busy"
+        if life.service != fields["pool"]:
+            life.end()
+            self.moves.append(asyncio.create_task(self.begin_next_life(life, fields["pool"])))
+        return 200, ""
+
+    async def begin_next_life(self, life, service):
+        """Start a new executor on a machine after a move."""
+        await asyncio.sleep(MIGRATION_S)
+        executor = await self.add_executor(begin=False, service=service)
+        executor.machine, executor.zone, executor.kind = life.machine, life.zone, life.kind
+        await executor.start()
+        executor.begin_beats()
+
     async def start_cloud(self):
-        """The platform's interface for machines: a list; no machine has to move here."""
+        """The platform's interface for machines: a list, and moves. No wave is given here."""
         host = self.new_host()
 
         async def answer(method, path, headers, body):
             if path.startswith("/machines"):
                 rows = [
                     {
-                        "machine": f"m-{executor.name}",
+                        "machine": executor.machine,
                         "pool": executor.service,
                         "state": "up",
                         "zone": executor.zone,
@@ -694,8 +723,10 @@
                     if executor.is_up
                 ]
                 return 200, {"machines": rows, "next-token": ""}
-            self.record(f"platform: {method} {path} {body[:200]!r}: 409 busy")
-            return 409, {"reason": "busy"}
+            fields = json.loads(body or b"{}")
+            status, reason = self.order_machine(path, fields)
+            self.record(f"platform: {method} {path} {fields}: {status} {reason}")
+            return status, {"reason": reason} if reason else {}
 
         self.cloud, port = await serve(host, 0, answer)
         self.cloud_address = f"{host}:{port}"
@@ -821,6 +852,31 @@
             await asyncio.sleep(0.3 * 2**attempt)
         return status
 
+    async def submit_lasting(self, count, prefix=PREFIX):
+        """Hand in a job that lasts, with a task on each of `count` executors: all are needed."""
+        job = new_job()
+        steps = [
+            {
+                "count": count,
+                "cpu": 100,
+                "mem-mb": 64,
+                "estimated-ms": 1000,
+                "long-running": True,
+                "anti-affinity": 1,
+            }
+        ]
+        self.know(job, steps)
+        body = {"spec": json.dumps({"lasts": True}), "steps": steps}
+        status, _ = await self.client("POST", job, body, prefix=prefix)
+        if status != 200:
+            raise RuntimeError(f"the lasting job was not accepted: {status}")
+        await asyncio.sleep(4.0)
+        self.record(f"{sum(bool(item.runs) for item in self.executors)} executors are at work")
+
+    def has_begun(self, job):
+        """Return whether a task of a job has started."""
+        return any(run["task"].startswith(job) for run in self.ledger.runs)
+
     def know(self, job, steps):
         for number, step in enumerate(steps):
             self.sizes[job, number] = (step.get("cpu", 0), step.get("mem-mb", 0))
@@ -845,18 +901,17 @@
 
 
 def run_case(folder, case, limit_s=110.0, verbose=True, entries=2):
-    """Run `case(site, has_trouble) -> list of breaks` and return the exit status."""
+    """Run `case(site) -> list of breaks` and return the exit status."""
     # Streams that are open at the end complain when they are collected after the loop.
     sys.unraisablehook = lambda _: None
     record = Record(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record(f"trouble: {has_trouble}")
+    record(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
 
     async def main():
         site = Site(record, verbose, entries)
         try:
             async with asyncio.timeout(limit_s):
-                return await case(site, has_trouble)
+                return await case(site)
         finally:
             site.end()
             asyncio.get_running_loop().set_exception_handler(lambda *_: None)
