--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -77,6 +77,9 @@
 LONGEST_FAULT_S = 8.0
 # A restarted executor is down for a time in this range.
 RESTART_DELAY_S = (0.0, 2.0)
+# Executors whose deregistration is not acknowledged, and how long they go on.
+UNACKNOWLEDGED_SHARE = 0.5
+UNACKNOWLEDGED_S = (0.5, LONGEST_FAULT_S)
 CPU = 8_000
 
 
@@ -299,6 +302,7 @@
         )
         self.executors[machine.name] = executor
         self.calls.executors_by_address[executor.address] = executor
+        self.calls.departed.discard(executor.address)
         self.tasks.start_soon(executor.watch_lease)
         self.tasks.start_soon(self._send_heartbeats, executor)
 
@@ -358,6 +362,15 @@
                     self.service.deregister(executor.name)
                 except NotLeadingError:
                     self.event_counts["goodbye without a leader"] += 1
+            if self.rng.random() < UNACKNOWLEDGED_SHARE:
+                # It is cut off before its deregistration is acknowledged.
+                self.calls.unreachable.add(executor.address)
+                await anyio.sleep(self.rng.uniform(*UNACKNOWLEDGED_S))
+                self.calls.unreachable.discard(executor.address)
+                self.event_counts["goodbye not acknowledged"] += 1
+            if not executor.is_up:
+                return
+            self.calls.departed.add(executor.address)
             self._end_incarnation(self.machines[executor.machine])
             await anyio.sleep(1.5)
             self._start_incarnation(self.machines[executor.machine])
--- a/bench/faults/fleet_executors.py
+++ b/bench/faults/fleet_executors.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 from marigolddoor_control.fleet.ports import (
     CallOutcome,
+    DisconnectedError,
     HoldRequest,
     NoAnswerError,
     StartOutcome,
@@ -40,6 +41,7 @@
 MAX_LEASE_S = 6.0
 LEASE_CHECK_S = 0.1
 ORDER_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.7
 LATENCY_S = (0.001, 0.006)
 # A delayed order is delivered after this time; its sender has long stopped waiting.
 LATE_DELAY_S = (2.0, 12.0)
@@ -268,6 +270,8 @@
         self.executors_by_address: dict[str, VirtualExecutor] = {}
         # Addresses whose traffic is dropped in both directions.
         self.unreachable: set[str] = set()
+        # Addresses of executors that closed their connections at a planned end.
+        self.departed: set[str] = set()
 
     async def start(self, executor: Executor, request: StartRequest) -> StartOutcome:
         """Start a run."""
@@ -331,6 +335,9 @@
         answers: list[Any] = []
         answered = anyio.Event()
         heartbeat, faults, draw = executor.heartbeat, self.faults, self.rng.random()
+        if heartbeat.address in self.departed:
+            await anyio.sleep(CONNECT_TIMEOUT_S)
+            raise DisconnectedError("the executor closed its connection")
         is_late = faults.lost <= draw < faults.lost + faults.late
         delay_s = self.rng.uniform(*(LATE_DELAY_S if is_late else LATENCY_S))
         is_answered = self.rng.random() >= faults.unanswered
--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -14,6 +14,7 @@
 from marigolddoor_control.fleet.change_log import log_changes
 from marigolddoor_control.fleet.order_sender import RETRY_S, OrderSender
 from marigolddoor_control.fleet.ports import (
+    DisconnectedError,
     FleetPorts,
     HoldRequest,
     NoAnswerError,
@@ -51,8 +52,6 @@
 # A batch is one entry of the log, which has to fit in one message to a peer (4 MiB). Documents are
 # its only large parts; placements and ends take some 60 bytes each.
 MAX_BATCH_DOCUMENT_BYTES = 1024 * 1024
-# The deregistration is the last call of an executor, which exits shortly after it.
-DEREGISTRATION_DELAY_S = 1.0
 
 
 class NotRecordedError(NoQuorumError):
@@ -324,6 +323,9 @@
             except NoAnswerError as error:
                 if not executor.has_ended:
                     logger.info("fleet: no answer to hold of {}: {}", executor.incarnation, error)
+                if isinstance(error, DisconnectedError):
+                    executor.departure.disconnected()
+                    self._end_if_departed(executor)
                 await self._handle_unanswered_hold(executor, sent_at)
                 continue
             except Exception as error:
@@ -334,6 +336,7 @@
                 continue
             is_first = not executor.lease.is_known
             self.dispatch.handle_hold_report(executor, sent_at, report, self.now())
+            self._note_answer(executor)
             last_seen = max((finished.number for finished in report.finished), default=0)
             if last_seen > executor.seen:
                 try:
@@ -385,29 +388,29 @@
         self._end_incarnation(executor, "another incarnation answered")
 
     def deregister(self, executor: Executor) -> None:
-        """End the incarnation of an executor that is about to exit, after a short delay."""
-        assert self.group is not None
-        self.group.start_soon(self._end_after_deregistration, executor)
-
-    async def _end_after_deregistration(self, executor: Executor) -> None:
-        """End an incarnation that deregistered, unless the call came late from a former one.
+        """Take note that an executor announced its end; it gets no new tasks.
 
-        An executor that drained before has told of its end. Any other one gets no new tasks, and is
-        kept if it still answers holds when it should have exited.
+        Its incarnation ends once its runs have certainly ended: see `Departure`.
         """
-        expected_end = self.now() + DEREGISTRATION_DELAY_S
-        given_up_at = Instant(expected_end + IDLE_HOLD_WAIT_S + RETRY_S)
-        if executor.heartbeat.state is ExecutorState.READY:
-            self.dispatch.suspend(executor, self.now(), given_up_at)
-        await anyio.sleep(DEREGISTRATION_DELAY_S)
-        while executor.heartbeat.state is ExecutorState.READY and self.now() < given_up_at:
-            if executor.contact_at is not None and executor.contact_at > expected_end:
-                logger.info(
-                    "fleet: executor {} deregistered and still answers; it is kept",
-                    executor.incarnation,
-                )
-                self.dispatch.resume(executor)
-                self.wake.set()
-                return
-            await anyio.sleep(RETRY_S)
-        self._end_incarnation(executor, "it deregistered")
+        logger.info(
+            "fleet: executor {} deregistered with {} runs, {}",
+            executor.incarnation,
+            len(executor.runs),
+            executor.heartbeat.state.value,
+        )
+        executor.departure.announce(self.now())
+        self._end_if_departed(executor)
+
+    def _end_if_departed(self, executor: Executor) -> None:
+        if executor.departure.has_ended:
+            self._end_incarnation(executor, "it deregistered and closed its connection")
+
+    def _note_answer(self, executor: Executor) -> None:
+        """Use an executor again that answers although it deregistered, unless it drains."""
+        is_draining = executor.heartbeat.state is ExecutorState.DRAINING
+        if executor.departure.answered(is_draining, self.now()):
+            logger.info(
+                "fleet: executor {} deregistered and still answers; it is kept",
+                executor.incarnation,
+            )
+            self.dispatch.is_planning_due = True
--- a/packages/control/src/marigolddoor_control/fleet/ports.py
+++ b/packages/control/src/marigolddoor_control/fleet/ports.py
@@ -20,6 +20,7 @@
     "Advice",
     "Adviser",
     "CallOutcome",
+    "DisconnectedError",
     "ExecutorCalls",
     "FleetPorts",
     "HoldRequest",
@@ -36,6 +37,14 @@
     """No usable answer came; the call may have been carried out, or may still be."""
 
 
+class DisconnectedError(NoAnswerError):
+    """The executor closed its connection in an orderly way and accepts no other one.
+
+    It no longer serves calls, or was cut off right after it closed the connection. A reset or a
+    refusal alone does not count: a partition causes both while the executor goes on.
+    """
+
+
 class WrongIncarnationError(MarigolddoorError):
     """Another incarnation of the executor answered, so the addressed one has ended."""
 
@@ -115,7 +124,7 @@
     """Calls to executors.
 
     Each raises `NoAnswerError` if no usable answer came, and `WrongIncarnationError` if another
-    incarnation of the executor answered.
+    incarnation of the executor answered. `hold` raises `DisconnectedError` where it can tell.
     """
 
     async def start(self, executor: Executor, request: StartRequest) -> StartOutcome:
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from marigolddoor_core.dispatch.departures import Departure
 from marigolddoor_core.dispatch.leases import ExecutorLease
 from marigolddoor_core.dispatch.team_usage import TeamUsage
 from marigolddoor_core.ids import (
@@ -221,6 +222,7 @@
         self.is_cordoned = False
         # Set once an order that ends the executor may be on its way.
         self.is_leaving = False
+        self.departure = Departure()
         self.has_ended = False
         self.runs: dict[TaskName, PlacedRun] = {}
         self.seen = 0
@@ -302,6 +304,7 @@
     def _is_available(self, now: Instant) -> bool:
         return (
             not self.has_ended
+            and not self.departure.is_announced
             and self.heartbeat.state is ExecutorState.READY
             and self.is_in_contact(now)
         )
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -421,16 +421,6 @@
         executor.blocked_at = now
         executor.blocked_until = Instant(now + executor.block_s)
 
-    def suspend(self, executor: Executor, now: Instant, until: Instant) -> None:
-        """Place no new tasks on an executor until a time, or until `resume`."""
-        executor.blocked_at = now
-        executor.blocked_until = max(executor.blocked_until, until)
-
-    def resume(self, executor: Executor) -> None:
-        """Place tasks on a suspended executor again."""
-        executor.blocked_until = executor.blocked_at
-        self.is_planning_due = True
-
     def start_sent(self, order: StartOrder, now: Instant) -> None:
         """Record that the call for a start is in flight."""
         self.unconfirmed.sent(order.executor.heartbeat.executor, order.task, order.run, now)
--- a/packages/wire/src/marigolddoor_wire/http_client.py
+++ b/packages/wire/src/marigolddoor_wire/http_client.py
@@ -20,6 +20,7 @@
 from marigolddoor_core.errors import MarigolddoorError, UnavailableError
 from marigolddoor_core.input_limits import shorten
 
+from marigolddoor_wire.closings import PeerClosings
 from marigolddoor_wire.peers import Address, parse_address
 
 __all__ = ["HttpAnswer", "HttpNoAnswerError", "HttpPool", "HttpUnreachableError"]
@@ -65,7 +66,8 @@
     """A connection, which carries one call at a time.
 
     `on_...` are the callbacks of the parser. `is_open` is false once the connection can't carry
-    another call.
+    another call, `is_aborted` is true once this side has closed it, and `has_answered` is true once
+    a call was answered on it.
     """
 
     def __init__(self, pool: "HttpPool", address: Address) -> None:
@@ -75,6 +77,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.answer: asyncio.Future[HttpAnswer] | None = None
         self.is_open = True
+        self.is_aborted = False
+        self.has_answered = False
         self.is_reading_head = True
         self.has_length = False
         self.head_bytes = 0
@@ -107,6 +111,7 @@
         order of a leader that has been deposed in the meantime.
         """
         self.is_open = False
+        self.is_aborted = True
         assert self.transport is not None
         raw = self.transport.get_extra_info("socket")
         try:
@@ -122,6 +127,7 @@
     def close(self) -> None:
         """Close the connection, on which no call waits for an answer."""
         self.is_open = False
+        self.is_aborted = True
         assert self.transport is not None
         self.transport.abort()
 
@@ -154,6 +160,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in progress."""
+        if exc is None and not self.is_aborted:
+            self.pool.closed_by_peer(self)
         self._fail(str(exc) if exc else "the connection was closed")
         self.pool.discard(self)
 
@@ -211,6 +219,9 @@
         # The address that was called last is last.
         self.idle: dict[Address, list[_Connection]] = {}
         self.idle_count = 0
+        # The connection of the last call to each address.
+        self.latest: dict[Address, _Connection] = {}
+        self.closings = PeerClosings()
 
     async def call(
         self,
@@ -258,6 +269,7 @@
         may_send: Callable[[], bool] | None,
     ) -> HttpAnswer:
         connection = await self._connection(address, timeout_s)
+        self.latest[address] = connection
         if not connection.is_open:
             raise HttpUnreachableError(f"no connection to {address}: it was closed at once")
         if may_send is not None and not may_send():
@@ -266,8 +278,12 @@
         is_answered = False
         try:
             answer = await connection.exchange(request, timeout_s)
-            is_answered = True
+            is_answered = connection.has_answered = True
+            self.closings.forget(address)
         except (_AnswerError, TimeoutError) as error:
+            if isinstance(error, TimeoutError):
+                # The peer holds the connection open.
+                self.closings.forget(address)
             raise HttpNoAnswerError(f"{address}{path}: {error}") from error
         finally:
             if is_answered and connection.is_open:
@@ -278,6 +294,8 @@
 
     async def forget(self, address: Address) -> None:
         """Close the idle connections to an address that is no longer used."""
+        self.latest.pop(address, None)
+        self.closings.forget(address)
         connections = self.idle.pop(address, [])
         self.idle_count -= len(connections)
         for connection in connections:
@@ -293,6 +311,18 @@
             if not connections:
                 del self.idle[connection.address]
 
+    def has_ended(self, address: Address) -> bool:
+        """Return whether a peer closed its connection, and none can be opened since."""
+        return self.closings.has_ended(address)
+
+    def closed_by_peer(self, connection: _Connection) -> None:
+        """Take note that a peer closed a connection in an orderly way.
+
+        A connection that was not used last may only have been idle for too long.
+        """
+        if self.latest.get(connection.address) is connection:
+            self.closings.closed(connection.address, connection.has_answered)
+
     def _keep(self, connection: _Connection) -> None:
         connections = self.idle.pop(connection.address, [])
         connections.append(connection)
@@ -324,6 +354,7 @@
                     lambda: _Connection(self, address), host, port
                 )
         except (OSError, TimeoutError, UnicodeError) as error:
+            self.closings.unreachable(address)
             raise HttpUnreachableError(f"no connection to {address}: {error}") from error
         return connection
 
--- a/tests/control/test_fleet_faults.py
+++ b/tests/control/test_fleet_faults.py
@@ -9,6 +9,7 @@
 
 import testtools
 from marigolddoor_core.dispatch import Executor, LeaseTiming
+from marigolddoor_core.dispatch.departures import Departure
 from marigolddoor_core.dispatch.incarnations import Incarnations
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.unconfirmed_starts import UnconfirmedStarts
@@ -86,6 +87,7 @@
             ("reborn", 20),
             ("replaced", 10),
             ("drain", 10),
+            ("goodbye not acknowledged", 5),
             ("cut", 20),
             ("run lapsed", 1),
             ("wave", 10),
@@ -95,7 +97,7 @@
 
     def test_seen(self) -> None:
         if not self.event_counts:
-            for seed in range(15):
+            for seed in range(BLOCK, BLOCK + 15):
                 simulation = FleetSimulation(seed)
                 simulation.run()
                 self.event_counts.update(simulation.event_counts)
@@ -148,6 +150,13 @@
                 "checkers": {"twice"},
             },
         ),
+        (
+            "a deregistration counts as the end of an executor",
+            {
+                "patches": [(Departure, "has_ended", property(lambda end: end.is_announced))],
+                "checkers": {"twice"},
+            },
+        ),
         (
             "changes are acknowledged before the commit",
             {
--- a/tests/control/test_order_sender.py
+++ b/tests/control/test_order_sender.py
@@ -1,7 +1,6 @@
 """Guards against wrong conclusions from an executor's rejection or from an incarnation change."""
 
 import random
-from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -19,7 +18,6 @@
 )
 from marigolddoor_core.dispatch import (
     Executor,
-    ExecutorState,
     HoldReport,
     LeaseTiming,
     MachineView,
@@ -202,73 +200,6 @@
             self.assertTrue(3.0 <= ended_at[0] <= 6.0, f"{ended_at[0]} s")
 
 
-class DeregisteredExecutor(ScriptedExecutor):
-    """Answers holds until it exits."""
-
-    def __init__(self) -> None:
-        super().__init__([], ())
-        self.has_exited = False
-
-    async def hold(self, executor: Executor, request: HoldRequest) -> HoldReport:
-        if self.has_exited:
-            raise NoAnswerError("connection refused")
-        return await super().hold(executor, request)
-
-
-class DeregistrationTest(testtools.TestCase):
-    """A deregistration that a former incarnation sent must not put an executor out of use.
-
-    It names only the id of the executor. One that arrived late ended the incarnation that had begun
-    since; its heartbeats were then ignored until the next leader.
-    """
-
-    scenarios = [
-        (
-            "late, of a former incarnation",
-            {"state": ExecutorState.READY, "exits_after_s": None, "ended_by_s": None},
-        ),
-        (
-            "draining, and exits",
-            {"state": ExecutorState.DRAINING, "exits_after_s": 0.1, "ended_by_s": 1.2},
-        ),
-        (
-            "draining, and exits late",
-            {"state": ExecutorState.DRAINING, "exits_after_s": 9.0, "ended_by_s": 1.2},
-        ),
-        (
-            "exits without draining",
-            {"state": ExecutorState.READY, "exits_after_s": 0.1, "ended_by_s": 3.0},
-        ),
-        (
-            "exits at once, while a hold waits",
-            {"state": ExecutorState.READY, "exits_after_s": 0.0, "ended_by_s": 3.0},
-        ),
-    ]
-
-    def test_end(self) -> None:
-        run_in_virtual_time(self.run_scenario)
-
-    async def run_scenario(self) -> None:
-        executor = DeregisteredExecutor()
-        ended: list[bool] = []
-
-        async def scenario(leadership: FleetLeadership) -> None:
-            known = next(iter(leadership.dispatch.executors.values()))
-            known.heartbeat = replace(known.heartbeat, state=self.state)
-            await anyio.sleep(2.0)
-            leadership.deregister(known)
-            if self.exits_after_s is not None:
-                await anyio.sleep(self.exits_after_s)
-                executor.has_exited = True
-                await anyio.sleep(max(0.0, self.ended_by_s - self.exits_after_s))
-            else:
-                await anyio.sleep(6.0)
-            ended.append(known.has_ended)
-
-        await lead(executor, scenario)
-        self.assertEqual([self.ended_by_s is not None], ended)
-
-
 class FaultyExecutor(ScriptedExecutor):
     """Raises an error that no port declares, once for each of the listed calls."""
 
