--- a/packages/control/src/marigolddoor_control/fleet/change_log.py
+++ b/packages/control/src/marigolddoor_control/fleet/change_log.py
@@ -27,7 +27,7 @@
 def log_changes(
     changes: Sequence[JobChange], table: JobTable, dispatch: Dispatch, now: Instant
 ) -> None:
-    """Log committed changes.
+    """Log committed changes, and the machines that were chosen to leave.
 
     A line names the task or job, the outcome, and the data behind the decision with its age or
     version.
@@ -56,6 +56,21 @@
             logger.info("fleet: wave {}: maintenance of {} begins", change.wave, change.machine)
         elif isinstance(change, FinishWave):
             logger.info("fleet: wave {}: finished", change.wave)
+    _log_retirements(dispatch.rebalancer)
+
+
+def _log_retirements(rebalancer: PoolRebalancer) -> None:
+    """Log the machines that were chosen to leave their service, or are kept after all."""
+    while rebalancer.retirements:
+        retirement = rebalancer.retirements.popleft()
+        logger.info(
+            "fleet: machine {} of {} {}: it needs {:.0f} of {:.0f} cores",
+            retirement.machine,
+            retirement.service,
+            "is to leave" if retirement.is_leaving else "stays after all",
+            retirement.balance.needed,
+            retirement.balance.present,
+        )
 
 
 def _log_placement(change: PlaceRun, table: JobTable, dispatch: Dispatch, now: Instant) -> None:
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -5,6 +5,7 @@
 from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
 from marigolddoor_core.dispatch.executors import Executor, free_size, teamless_size
 from marigolddoor_core.dispatch.leases import LeaseTiming
+from marigolddoor_core.dispatch.machine_needs import JobNeeds, WaitingSteps
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.near_places import EndComparison, NeverWait, PlaceWait, RunTimes
 from marigolddoor_core.dispatch.orders import StartOrder
@@ -70,9 +71,15 @@
         self.ready = ReadySteps(self.service_of)
         for job in table.jobs.values():
             self.ready.add_job(job, table.time_s)
+        self.rebalancer.needs = JobNeeds(
+            self.requirements, WaitingSteps(self._admitted_steps, self._is_allowed)
+        )
         self.take_over_runs()
         self.take_over_machines()
 
+    def _admitted_steps(self, service: ServiceId) -> list[StepRecord]:
+        return self.placer.admitted_steps(self.ready.of_service(service))
+
     def take_changes(self, now: Instant, time_s: float) -> list[JobChange]:
         """Return the changes to commit: reported events first, then new placements."""
         self.now = now
@@ -89,7 +96,7 @@
         self.is_planning_due = False
         placements: list[PlaceRun] = []
         for service in list(self.ready.steps):
-            steps = self.placer.admitted_steps(self.ready.of_service(service))
+            steps = self._admitted_steps(service)
             if not steps:
                 continue
             executors = self.executors_of(service)
@@ -285,6 +292,7 @@
         """Stop the remaining runs of a cancelled or failed job."""
         self._count(CounterKind.JOBS, job, job.phase.value)
         self.work.ended(job.job)
+        self.requirements.ended(job.job)
         self.begun.discard(job.job)
         self.team_rates.ended(job.job)
         self.tickets.forget(job.steps.values())
@@ -298,6 +306,7 @@
         self.limits.apply(self.table.configuration)
         self.work.limits_changed()
         self.ready.regroup()
+        self.requirements.regroup()
         if self.table.configuration is not None:
             self.team_rates.keep(self.table.configuration.team_by_name)
         self.is_planning_due = True
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -275,7 +275,7 @@
 
     def accepts_work(self, now: Instant) -> bool:
         """Return whether new tasks may be placed here."""
-        return not self.is_cordoned and self._is_available(now) and not self.is_blocked(now)
+        return not self.is_cordoned and self.is_available(now) and not self.is_blocked(now)
 
     def accepts_long_running(self, now: Instant) -> bool:
         """Return whether new long-running tasks may be placed here.
@@ -297,11 +297,12 @@
         return now < self.blocked_until or now < self.slow_until
 
     def _is_available_to_long_running(self, now: Instant) -> bool:
-        return self._is_available(now) and (
+        return self.is_available(now) and (
             now >= self.blocked_until or now - self.blocked_at >= LONG_RUNNING_BLOCK_S
         )
 
-    def _is_available(self, now: Instant) -> bool:
+    def is_available(self, now: Instant) -> bool:
+        """Return whether the executor answers and is not about to end."""
         return (
             not self.has_ended
             and not self.departure.is_announced
--- a/packages/core/src/marigolddoor_core/dispatch/machine_maintenance.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_maintenance.py
@@ -8,8 +8,10 @@
 from enum import Enum
 
 from marigolddoor_core.dispatch.executors import Executor, ExecutorState
+from marigolddoor_core.dispatch.machine_needs import MachineNeeds, NoNeeds
 from marigolddoor_core.dispatch.orders import MaintenanceOrder
 from marigolddoor_core.dispatch.rebalancing import MachineState
+from marigolddoor_core.dispatch.requirements import MachineShape
 from marigolddoor_core.ids import MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import BeginUpkeep, FinishWave, JobChange, WaveRecord
@@ -59,10 +61,17 @@
 
 
 class MaintenanceWave:
-    """The progress of one maintenance wave during one leadership."""
+    """The progress of one maintenance wave during one leadership.
 
-    def __init__(self, wave: WaveRecord, now: Instant) -> None:
+    Args:
+      wave: the wave.
+      now: the current time.
+      needs: the machines that services need for other reasons than cores; by default none.
+    """
+
+    def __init__(self, wave: WaveRecord, now: Instant, needs: MachineNeeds | None = None) -> None:
         self.wave = wave
+        self.needs: MachineNeeds = needs or NoNeeds()
         self.machines = {
             machine: _Machine(
                 machine,
@@ -272,6 +281,22 @@
                 service = candidate.heartbeat.service
                 if unavailable.get(service, 0) >= max(1, int(MAX_SERVICE_SHARE * total[service])):
                     continue
+                if unavailable.get(service, 0) and self._is_needed(candidate, executors):
+                    # Tasks that only a few machines can run wait for one of these at a time.
+                    continue
                 unavailable[service] = unavailable.get(service, 0) + 1
             state.step, state.since = MachineMaintenanceStep.DRAINING, now
             free_places -= 1
+
+    def _is_needed(self, candidate: Executor, executors: Iterable[Executor]) -> bool:
+        """Return whether open jobs require a machine besides those that the wave leaves running."""
+        service = candidate.heartbeat.service
+        staying = [
+            MachineShape.of_executor(executor)
+            for executor in executors
+            if executor is not candidate
+            and executor.heartbeat.service == service
+            and not self.is_in_maintenance(executor.heartbeat.machine)
+        ]
+        shape = MachineShape.of_executor(candidate)
+        return any(need.places(shape) for need in self.needs.unmet(service, staying))
--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -14,6 +14,7 @@
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.rebalancing import MachineView, Move, PoolFloor, PoolRebalancer
+from marigolddoor_core.dispatch.requirements import OpenRequirements
 from marigolddoor_core.ids import JobId, MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
@@ -62,6 +63,7 @@
         self.work = OutstandingWork(self.value_order.expected_s, self.limits.of)
         self.forecast = DemandForecast()
         self.arrivals = ArrivalRate()
+        self.requirements = OpenRequirements(self.service_of)
         self.rebalancer = PoolRebalancer(self.work, self._is_in_maintenance, self._can_order)
         # Machines for which an order of an earlier leader may still be in flight.
         self.ordered_by_earlier_leader: set[MachineId] = set()
@@ -120,6 +122,7 @@
 
     def _record_work(self, job: JobRecord) -> float:
         """Add the work of an open job; return the share that its team's quota lets run."""
+        self.requirements.accepted(job)
         if job.spec.is_long_running:
             self.long_running[job.job] = job
         deadline_s = self.value_order.first_deadline_s(job)
@@ -264,7 +267,7 @@
 
     def wave_opened(self, wave: WaveRecord) -> None:
         """Begin a wave, or continue one that an earlier leader began."""
-        self.maintenance_waves[wave.wave] = MaintenanceWave(wave, self.now)
+        self.maintenance_waves[wave.wave] = MaintenanceWave(wave, self.now, self.rebalancer.needs)
 
     def maintenance_begun(self, wave: WaveRecord, machine: MachineId) -> None:
         """Order the maintenance that was committed."""
--- a/packages/core/src/marigolddoor_core/dispatch/outstanding.py
+++ b/packages/core/src/marigolddoor_core/dispatch/outstanding.py
@@ -44,10 +44,13 @@
         self.expected_s = expected_s
         self.limit_of = limit_of
         self.jobs: dict[JobId, tuple[ServiceId, TeamId, Need]] = {}
+        # The cores, MB of memory and accelerators that each service needs.
         self.needed: dict[ServiceId, float] = {}
+        self.needed_memory: dict[ServiceId, float] = {}
+        self.needed_accelerators: dict[ServiceId, float] = {}
         self.teams: dict[TeamId, TeamDemand] = {}
-        # The cores of each team that are counted in `needed`.
-        self.counted: dict[TeamId, dict[ServiceId, float]] = {}
+        # What is counted of each team in the sums of the services.
+        self.counted: dict[TeamId, dict[ServiceId, Need]] = {}
         self.infeasible_from: list[tuple[float, JobId]] = []
 
     def accepted(self, job: JobRecord, service: ServiceId, deadline_s: float) -> float:
@@ -102,8 +105,7 @@
     def _change(self, service: ServiceId, team: TeamId, need: Need, sign: int) -> float:
         """Add or remove a need, and return by how much the needed cores have changed."""
         if not team:
-            if need.cores:
-                self._add_needed(service, sign * need.cores)
+            self._add_needed(service, need, sign)
             return sign * need.cores
         demand = self.teams.setdefault(team, TeamDemand())
         demand.add(service, need, sign)
@@ -112,14 +114,30 @@
     def _recount(self, team: TeamId) -> float:
         demand = self.teams[team]
         share = demand.share(self.limit_of(team))
-        counted = {service: share * cores for service, cores in demand.cores.items()}
+        counted = {
+            service: Need(
+                share * cores,
+                share * demand.memory_mb[service],
+                share * demand.accelerators[service],
+            )
+            for service, cores in demand.cores.items()
+        }
         before = self.counted.get(team, {})
         self.counted[team] = counted
-        for service, cores in counted.items():
-            self._add_needed(service, cores - before.get(service, 0.0))
+        for service, need in counted.items():
+            self._add_needed(service, need, 1)
+            self._add_needed(service, before.get(service, Need()), -1)
         if not demand.job_count:
             del self.teams[team], self.counted[team]
-        return sum(counted.values()) - sum(before.values())
-
-    def _add_needed(self, service: ServiceId, cores: float) -> None:
-        self.needed[service] = max(0.0, self.needed.get(service, 0.0) + cores)
+        return sum(need.cores for need in counted.values()) - sum(
+            need.cores for need in before.values()
+        )
+
+    def _add_needed(self, service: ServiceId, need: Need, sign: int) -> None:
+        for sums, change in (
+            (self.needed, need.cores),
+            (self.needed_memory, need.memory_mb),
+            (self.needed_accelerators, need.accelerators),
+        ):
+            if change:
+                sums[service] = max(0.0, sums.get(service, 0.0) + sign * change)
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -10,7 +10,15 @@
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import PlaceRun, StepRecord, TaskPhase, TaskRecord
 
-__all__ = ["ArrivalOrder", "Placer", "StepOrder", "fitting_steps", "has_destination"]
+__all__ = [
+    "ArrivalOrder",
+    "Placer",
+    "StepOrder",
+    "fitting_steps",
+    "has_destination",
+    "is_suitable",
+    "task_capacity",
+]
 
 
 class StepOrder(Protocol):
@@ -104,7 +112,7 @@
         suitable = [executor for executor in executors if is_suitable(executor, step)]
         if step.spec.is_tightly_coupled:
             suitable = _prefer_one_rack(step, suitable, len(waiting))
-        if step.spec.is_gang and (step.placed or _task_capacity(step, suitable) < len(waiting)):
+        if step.spec.is_gang and (step.placed or task_capacity(step, suitable) < len(waiting)):
             return []
         run = max((task.run for task in waiting), default=0) if step.spec.is_gang else None
         placements = []
@@ -176,7 +184,7 @@
     )
 
 
-def _task_capacity(step: StepRecord, executors: Sequence[Executor]) -> int:
+def task_capacity(step: StepRecord, executors: Sequence[Executor]) -> int:
     """Return how many tasks of a step fit on the executors together."""
     size, limit = step.spec.size, step.spec.spread_limit
     total = 0
@@ -200,5 +208,5 @@
     racks: dict[str, list[Executor]] = {}
     for executor in executors:
         racks.setdefault(executor.heartbeat.rack, []).append(executor)
-    fitting = [rack for rack in racks.values() if _task_capacity(step, rack) >= count]
-    return max(fitting, key=lambda rack: _task_capacity(step, rack), default=executors)
+    fitting = [rack for rack in racks.values() if task_capacity(step, rack) >= count]
+    return max(fitting, key=lambda rack: task_capacity(step, rack), default=executors)
--- a/packages/core/src/marigolddoor_core/dispatch/team_demand.py
+++ b/packages/core/src/marigolddoor_core/dispatch/team_demand.py
@@ -28,15 +28,19 @@
     def __init__(self) -> None:
         self.job_count = 0
         self.cores: dict[ServiceId, float] = {}
-        self.memory_mb = self.accelerators = 0.0
+        self.memory_mb: dict[ServiceId, float] = {}
+        self.accelerators: dict[ServiceId, float] = {}
         self.steady = [0, 0, 0]
 
     def add(self, service: ServiceId, need: Need, sign: int) -> None:
         """Add the need of a job to a service, or remove it with a `sign` of -1."""
         self.job_count += sign
-        self.cores[service] = max(0.0, self.cores.get(service, 0.0) + sign * need.cores)
-        self.memory_mb = max(0.0, self.memory_mb + sign * need.memory_mb)
-        self.accelerators = max(0.0, self.accelerators + sign * need.accelerators)
+        for sums, change in (
+            (self.cores, need.cores),
+            (self.memory_mb, need.memory_mb),
+            (self.accelerators, need.accelerators),
+        ):
+            sums[service] = max(0.0, sums.get(service, 0.0) + sign * change)
         steady = need.steady.cpu_milli, need.steady.memory_mb, need.steady.accelerators
         self.steady = [held + sign * more for held, more in zip(self.steady, steady, strict=True)]
 
@@ -45,7 +49,11 @@
         if quota is None:
             return 1.0
         limits = quota.cpu_milli, quota.memory_mb, quota.accelerators
-        needed = sum(self.cores.values()) * 1000, self.memory_mb, self.accelerators
+        needed = (
+            sum(self.cores.values()) * 1000,
+            sum(self.memory_mb.values()),
+            sum(self.accelerators.values()),
+        )
         return min(
             (
                 max(0, limit - held) / need
--- a/tests/core/jobs/fakes.py
+++ b/tests/core/jobs/fakes.py
@@ -48,8 +48,9 @@
         for step in fields["steps"]:
             cpu = step.pop("cpu", 1000)
             memory = step.pop("memory", 100)
+            accelerators = step.pop("accelerators", 0)
             step["depends_on"] = tuple(step.get("depends_on", ()))
-            steps.append(StepSpec(size=TaskSize(cpu, memory), **step))
+            steps.append(StepSpec(size=TaskSize(cpu, memory, accelerators), **step))
         return JobSpec(
             fields.get("payload", "p"),
             tuple(steps),
