Move the choice of missing runs to the executor

Change: `Executor.missing_runs` returns the confirmed runs that a report doesn't list. No behaviour changes.

--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -1,6 +1,6 @@
 """The leader's records of executors: their reports, runs and free capacity."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -328,6 +328,21 @@
             and size.accelerators <= capacity.accelerators
         )
 
+    def missing_runs(self, listed: Collection[TaskName], sent_at: Instant) -> list[PlacedRun]:
+        """Return the runs that have ended, as a report shows that doesn't list them.
+
+        Args:
+          listed: the tasks whose runs the report lists as running or as ended.
+          sent_at: when the report was requested; runs that were confirmed later may be missing.
+        """
+        return [
+            placed
+            for name, placed in self.runs.items()
+            if placed.confirmed_at is not None
+            and placed.confirmed_at < sent_at
+            and name not in listed
+        ]
+
     def count_of(self, step: StepRecord) -> int:
         """Return the number of tasks of `step` that are placed here."""
         return sum(1 for placed in self.runs.values() if placed.task.step is step)
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -318,11 +318,7 @@
             self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
         if is_slow(executor, self._expected_s, now):
             self._evacuate_slow(executor, now)
-        for name, placed in list(executor.runs.items()):
-            # The answer was requested after the executor confirmed the run, and does not list it.
-            is_missing = placed.confirmed_at is not None and placed.confirmed_at < sent_at
-            if not is_missing or name in listed:
-                continue
+        for placed in executor.missing_runs(listed, sent_at):
             if placed.task.phase is TaskPhase.PLACED and placed.task.run == placed.run:
                 self._end_run(placed.task, RunEnd.LOST)
             else:
