--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -149,7 +149,8 @@
 class HoldReport:
     """An executor's answer to a renewal of its lease. `born_ms` is 0 if not reported.
 
-    `unreadable` has a text for each row that could not be read.
+    `unreadable` has a text for each row that could not be read. If `has_all_ends` is false, more
+    ends follow in later reports; these runs aren't in `running` either.
     """
 
     clock_ms: int
@@ -157,6 +158,7 @@
     finished: tuple[FinishedRun, ...]
     born_ms: int = 0
     unreadable: tuple[str, ...] = ()
+    has_all_ends: bool = True
 
 
 class PlacedRun:
@@ -328,13 +330,20 @@
             and size.accelerators <= capacity.accelerators
         )
 
-    def missing_runs(self, listed: Collection[TaskName], sent_at: Instant) -> list[PlacedRun]:
+    def missing_runs(
+        self, report: HoldReport, listed: Collection[TaskName], sent_at: Instant
+    ) -> list[PlacedRun]:
         """Return the runs that have ended, as a report shows that doesn't list them.
 
+        A report without all ends shows none: these runs may have ended `done`.
+
         Args:
+          report: the report.
           listed: the tasks whose runs the report lists as running or as ended.
           sent_at: when the report was requested; runs that were confirmed later may be missing.
         """
+        if not report.has_all_ends:
+            return []
         return [
             placed
             for name, placed in self.runs.items()
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -318,7 +318,7 @@
             self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
         if is_slow(executor, self._expected_s, now):
             self._evacuate_slow(executor, now)
-        for placed in executor.missing_runs(listed, sent_at):
+        for placed in executor.missing_runs(report, listed, sent_at):
             if placed.task.phase is TaskPhase.PLACED and placed.task.run == placed.run:
                 self._end_run(placed.task, RunEnd.LOST)
             else:
--- a/tests/core/dispatch/fakes.py
+++ b/tests/core/dispatch/fakes.py
@@ -96,10 +96,11 @@
         *running_tasks: RunningTask,
         ends: tuple[FinishedRun, ...] = (),
         sent_s_ago: float = 0.0,
+        has_all_ends: bool = True,
     ) -> None:
         """Deliver an executor's list of current runs and ends."""
         clock_ms = int(5000 + (self.now - 100.0) * 1000)
-        report = HoldReport(clock_ms, running_tasks, ends)
+        report = HoldReport(clock_ms, running_tasks, ends, has_all_ends=has_all_ends)
         self.dispatch.handle_hold_report(executor, Instant(self.now - sent_s_ago), report, self.now)
 
     def step(self, *changes: JobChange) -> list[JobChange]:
