--- a/packages/core/src/marigolddoor_core/dispatch/advice.py
+++ b/packages/core/src/marigolddoor_core/dispatch/advice.py
@@ -4,6 +4,7 @@
 incarnation of its executor.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -20,6 +21,7 @@
 RETRY_S = 1.0
 # A ticket is not used for this long before it expires, since the start has to arrive in time.
 START_MARGIN_S = 0.3
+NEVER = Instant(-math.inf)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,25 +49,39 @@
     def __init__(self) -> None:
         self.known: dict[StepRecord, dict[ExecutorIncarnation, _Ticket]] = {}
         self.asked_at: dict[StepRecord, Instant] = {}
+        # When each executor was last named in a request.
+        self.named_at: dict[StepRecord, dict[ExecutorIncarnation, Instant]] = {}
 
     def request(
         self, step: StepRecord, executors: Iterable[Executor], now: Instant
     ) -> AdviceRequest | None:
-        """Return the request that is due for a step, or None."""
+        """Return the request that is due for a step, or None.
+
+        A request names the executors first that no earlier one named, then those that were named
+        longest ago. None is due while one of the executors has a valid ticket.
+
+        Args:
+          step: the step.
+          executors: the present executors that could run its tasks if the adviser approves them.
+          now: the current time.
+        """
+        executors = list(executors)
         asked_at = self.asked_at.get(step)
         if asked_at is not None and now - asked_at < RETRY_S:
             return None
         missing = [e for e in executors if self.ticket(step, e, now) is None]
-        has_some = bool(self.known.get(step)) and asked_at is not None
-        if not missing or (has_some and self._is_served(step, now)):
+        if not missing or (asked_at is not None and len(missing) < len(executors)):
             return None
         self.asked_at[step] = now
-        return AdviceRequest(step, tuple(missing[:MAX_EXECUTORS]))
-
-    def _is_served(self, step: StepRecord, now: Instant) -> bool:
-        return any(
-            now < ticket.valid_until - START_MARGIN_S for ticket in self.known[step].values()
-        )
+        known = self.named_at.get(step, {})
+        missing.sort(key=lambda executor: known.get(executor.incarnation, NEVER))
+        named = tuple(missing[:MAX_EXECUTORS])
+        present = {executor.incarnation for executor in executors}
+        self.named_at[step] = {
+            **{life: named_at for life, named_at in known.items() if life in present},
+            **{executor.incarnation: now for executor in named},
+        }
+        return AdviceRequest(step, named)
 
     def approved(
         self,
@@ -92,3 +108,4 @@
         for step in steps:
             self.known.pop(step, None)
             self.asked_at.pop(step, None)
+            self.named_at.pop(step, None)
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -3,13 +3,18 @@
 from collections.abc import Iterable, Mapping
 
 from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
-from marigolddoor_core.dispatch.executors import Executor, free_size, teamless_size
+from marigolddoor_core.dispatch.executors import (
+    Executor,
+    ExecutorState,
+    free_size,
+    teamless_size,
+)
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.machine_needs import JobNeeds, WaitingSteps
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.near_places import EndComparison, NeverWait, PlaceWait, RunTimes
 from marigolddoor_core.dispatch.orders import StartOrder
-from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps
+from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps, is_suitable
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.dispatch.team_rates import TeamRates
@@ -207,8 +212,10 @@
     def _ask_for_advice(
         self, steps: Iterable[StepRecord], executors: list[Executor], now: Instant
     ) -> None:
+        ready = [e for e in executors if e.heartbeat.state is ExecutorState.READY]
         for step in steps:
-            request = self.tickets.request(step, executors, now)
+            suitable = [e for e in ready if is_suitable(e, step) and e.could_hold(step)]
+            request = self.tickets.request(step, suitable, now)
             if request is not None:
                 self.orders.append(request)
 
