--- a/packages/control/src/marigolddoor_control/fleet/change_log.py
+++ b/packages/control/src/marigolddoor_control/fleet/change_log.py
@@ -4,7 +4,8 @@
 
 from loguru import logger
 from marigolddoor_core.dispatch import Dispatch
-from marigolddoor_core.dispatch.rebalancing import Move, PoolBalance, PoolRebalancer
+from marigolddoor_core.dispatch.machines import Move
+from marigolddoor_core.dispatch.rebalancing import PoolBalance, PoolRebalancer
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     BeginUpkeep,
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -12,6 +12,7 @@
     RunningTask,
 )
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
+from marigolddoor_core.dispatch.machines import MachineState, MachineView, Move
 from marigolddoor_core.dispatch.orders import (
     MaintenanceOrder,
     MoveOrder,
@@ -21,7 +22,6 @@
     StopOrder,
 )
 from marigolddoor_core.dispatch.planner import ArrivalOrder, Placer, StepOrder
-from marigolddoor_core.dispatch.rebalancing import MachineState, MachineView, Move
 
 __all__ = [
     "AdviceRequest",
--- a/packages/core/src/marigolddoor_core/dispatch/machine_maintenance.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_maintenance.py
@@ -9,8 +9,8 @@
 
 from marigolddoor_core.dispatch.executors import Executor, ExecutorState
 from marigolddoor_core.dispatch.machine_needs import MachineNeeds, NoNeeds
+from marigolddoor_core.dispatch.machines import MachineState
 from marigolddoor_core.dispatch.orders import MaintenanceOrder
-from marigolddoor_core.dispatch.rebalancing import MachineState
 from marigolddoor_core.dispatch.requirements import MachineShape
 from marigolddoor_core.ids import MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
--- a/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
+++ b/packages/core/src/marigolddoor_core/dispatch/machine_planning.py
@@ -10,10 +10,11 @@
 from marigolddoor_core.dispatch.forecast import DemandForecast
 from marigolddoor_core.dispatch.leases import LeaseTiming
 from marigolddoor_core.dispatch.machine_maintenance import MaintenanceWave
+from marigolddoor_core.dispatch.machines import MachineView, Move
 from marigolddoor_core.dispatch.orders import MoveOrder
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
-from marigolddoor_core.dispatch.rebalancing import MachineView, Move, PoolFloor, PoolRebalancer
+from marigolddoor_core.dispatch.rebalancing import PoolFloor, PoolRebalancer
 from marigolddoor_core.dispatch.requirements import OpenRequirements
 from marigolddoor_core.ids import JobId, MachineId, ServiceId, WaveId
 from marigolddoor_core.instants import Instant
--- a/packages/core/src/marigolddoor_core/dispatch/orders.py
+++ b/packages/core/src/marigolddoor_core/dispatch/orders.py
@@ -4,7 +4,7 @@
 
 from marigolddoor_core.dispatch.advice import AdviceRequest
 from marigolddoor_core.dispatch.executors import Executor
-from marigolddoor_core.dispatch.rebalancing import Move
+from marigolddoor_core.dispatch.machines import Move
 from marigolddoor_core.ids import MachineId, RunNumber, TaskName, WaveId
 
 __all__ = ["MaintenanceOrder", "MoveOrder", "Order", "PaceOrder", "StartOrder", "StopOrder"]
--- a/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
+++ b/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
@@ -9,20 +9,17 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from enum import Enum
 
 from marigolddoor_core.dispatch.executors import Executor, ExecutorState
 from marigolddoor_core.dispatch.machine_needs import MachineNeeds, NoNeeds
+from marigolddoor_core.dispatch.machines import MachineState, MachineView, Move
 from marigolddoor_core.dispatch.outstanding import OutstandingWork
 from marigolddoor_core.dispatch.requirements import MachineShape, Requirement
 from marigolddoor_core.ids import MachineId, ServiceId
 from marigolddoor_core.instants import Instant
-from marigolddoor_core.jobs import FleetConfiguration, TaskSize
+from marigolddoor_core.jobs import FleetConfiguration
 
 __all__ = [
-    "MachineState",
-    "MachineView",
-    "Move",
     "PoolBalance",
     "PoolFloor",
     "PoolRebalancer",
@@ -47,44 +44,6 @@
 MAX_RETIREMENTS = 1000
 
 
-class MachineState(Enum):
-    """The state of a machine as the platform lists it. `UNKNOWN`: its entry can't be read."""
-
-    UP = "up"
-    MOVING = "moving"
-    MAINTENANCE = "upkeep"
-    DOWN = "down"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class MachineView:
-    """A machine as the platform lists it."""
-
-    machine: MachineId
-    service: ServiceId
-    state: MachineState
-    cpu_milli: int
-    memory_mb: int = 0
-    accelerators: int = 0
-    labels: tuple[str, ...] = ()
-
-    @property
-    def shape(self) -> MachineShape:
-        """Return what decides which tasks fit on the machine."""
-        capacity = TaskSize(self.cpu_milli, self.memory_mb, self.accelerators)
-        return MachineShape(capacity, self.labels)
-
-
-@dataclass(frozen=True, slots=True)
-class Move:
-    """The move of a machine from one service to another."""
-
-    machine: MachineId
-    source: ServiceId
-    target: ServiceId
-
-
 @dataclass(frozen=True, slots=True)
 class PoolFloor:
     """The number of machines that a service needs, and the one below which it releases none."""
--- a/tests/core/dispatch/test_machine_maintenance.py
+++ b/tests/core/dispatch/test_machine_maintenance.py
@@ -8,7 +8,7 @@
     MaintenanceOrder,
     StopOrder,
 )
-from marigolddoor_core.dispatch.rebalancing import Move
+from marigolddoor_core.dispatch.machines import Move
 from marigolddoor_core.ids import MachineId, ServiceId, WaveId
 from marigolddoor_core.jobs import BeginUpkeep, FinishWave, OpenWave, StoreConfiguration
 
