Do not empty a machine that jobs of its own service need

Cause: a service without a machine that its jobs require had one of another service emptied, also if jobs there require it. It was kept and chosen in turn at each decision.

Change: only machines that their service needs for nothing but cores are emptied.

--- a/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
+++ b/packages/core/src/marigolddoor_core/dispatch/rebalancing.py
@@ -496,12 +496,21 @@
                 if executor in suitable:
                     move = Move(executor.heartbeat.machine, other, service)
                     return self._order(move, MachineShape.of_executor(executor), now)
-            emptying += [executor for executor in suitable if not _is_pinned(executor)]
+            emptying += [
+                executor
+                for executor in suitable
+                if not _is_pinned(executor) and self._is_dispensable(executor, staying, now)
+            ]
         if emptying and not any(e.heartbeat.machine in self.retiring for e in emptying):
             chosen = min(emptying, key=lambda executor: executor.load)
             self.retiring.add(chosen.heartbeat.machine)
         return None
 
+    def _is_dispensable(self, executor: Executor, pool: Iterable[Executor], now: Instant) -> bool:
+        """Return whether a service needs an executor for its number of cores only."""
+        others = [other for other in pool if other is not executor]
+        return not self.needs.kept(executor.heartbeat.service, others, [executor], now)
+
     def _is_refused(self, machine: MachineId, service: ServiceId, now: Instant) -> bool:
         refused_at = self.refused_at.get((machine, service))
         return refused_at is not None and now - refused_at < REFUSED_RETRY_S
--- a/tests/core/dispatch/test_machine_needs.py
+++ b/tests/core/dispatch/test_machine_needs.py
@@ -253,6 +253,28 @@
         self.assertTrue(took_s <= MOVED_BACK_S + RUN_S, f"it took {took_s} s")
 
 
+class ContendedTest(NeedsTest):
+    """A machine that jobs of its own service need is not taken, nor chosen to leave."""
+
+    scenarios = NEEDS
+
+    def test_machine(self) -> None:
+        site = Site()
+        for _ in range(3):
+            site.add()
+        special = site.add(OTHER, self.size, self.labels)
+        for _ in range(2):
+            site.add(OTHER)
+        step = {"count": 1, "estimated_s": RUN_S, **self.step}
+        own = accept("k", step, first_due_s=1000.0)
+        site.fleet.step(replace(own, queue="others", service=OTHER), accept("j", step))
+        site.run(SETTLED_S)
+        self.assertEqual([], site.machines_moved)
+        self.assertNotIn(special, site.fleet.dispatch.rebalancer.retiring)
+        chosen = [item.machine for item in site.fleet.dispatch.rebalancer.retirements]
+        self.assertNotIn(special, chosen)
+
+
 class QuantityTest(testtools.TestCase):
     """As many machines stay as the jobs that wait can use, counted in what they lack."""
 
