--- a/review/bed3.py
+++ b/review/bed3.py
@@ -256,12 +256,12 @@
         self.cores = cores
         self.host = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
         self.port = free_port()
-        self.is_cut = asyncio.Event()
         self.joined = asyncio.Event()
         self.joined.set()
         self.tasks = []
         self.is_up = False
         self.state = "ready"
+        self.kind = "a"
 
     @property
     def address(self):
@@ -327,7 +327,7 @@
             "state": self.state,
             "cold-remaining-ms": 0,
             "capacity": {"cpu": self.cores * 1000, "mem-mb": 32768, "gpu": 0},
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "clock-ms": self.clock_ms(),
             "sequence": self.sequence,
             "born": self.born,
@@ -631,7 +631,7 @@
                         "pool": e.service,
                         "state": "up",
                         "zone": e.zone,
-                        "labels": ["a", e.rack],
+                        "labels": [e.kind, e.rack],
                         "capacity": {"cpu": e.cores * 1000, "mem-mb": 32768, "gpu": 0},
                         "id": e.name,
                     }
