--- a/review/bed3.py
+++ b/review/bed3.py
@@ -815,7 +815,8 @@
 
     try:
         breaks = asyncio.run(main())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
+        # Also an error of the script itself, which shows nothing about the rule.
         record.say(f"the case could not run: {type(error).__name__} {error}")
         sys.exit(2)
     for number, line in enumerate(breaks):
