Move the reports of executors to a module of their own

Cause: executors.py holds an executor's record, its heartbeat and its report, and the evidence that a report gives is about to grow.

Change: RunningTask, FinishedRun and HoldReport move to dispatch/hold_reports.py; nothing else changes.

--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -5,12 +5,10 @@
 from marigolddoor_core.dispatch.executors import (
     Executor,
     ExecutorState,
-    FinishedRun,
     Heartbeat,
-    HoldReport,
     PlacedRun,
-    RunningTask,
 )
+from marigolddoor_core.dispatch.hold_reports import FinishedRun, HoldReport, RunningTask
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
 from marigolddoor_core.dispatch.machines import MachineState, MachineView, Move
 from marigolddoor_core.dispatch.orders import (
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -1,10 +1,11 @@
-"""The leader's records of executors: their reports, runs and free capacity."""
+"""The leader's records of executors: their heartbeats, runs and free capacity."""
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
 from marigolddoor_core.dispatch.departures import Departure
+from marigolddoor_core.dispatch.hold_reports import HoldReport
 from marigolddoor_core.dispatch.leases import ExecutorLease
 from marigolddoor_core.dispatch.team_usage import TeamUsage
 from marigolddoor_core.ids import (
@@ -23,11 +24,8 @@
 __all__ = [
     "Executor",
     "ExecutorState",
-    "FinishedRun",
     "Heartbeat",
-    "HoldReport",
     "PlacedRun",
-    "RunningTask",
     "free_size",
     "teamless_size",
 ]
@@ -119,48 +117,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class RunningTask:
-    """A run in progress on an executor.
-
-    `percent` is its progress. `load` is the tail latency in ms of a serving task, else the
-    thousandths of a core in use; None if the executor does not report it.
-    """
-
-    task: TaskName
-    run: RunNumber
-    checkpoint: str
-    percent: int
-    load: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class FinishedRun:
-    """The end of a run. Each incarnation of an executor numbers the ends from 1."""
-
-    number: int
-    task: TaskName
-    run: RunNumber
-    outcome: str
-    checkpoint: str
-
-
-@dataclass(frozen=True, slots=True)
-class HoldReport:
-    """An executor's answer to a renewal of its lease. `born_ms` is 0 if not reported.
-
-    `unreadable` has a text for each row that could not be read. If `has_all_ends` is false, more
-    ends follow in later reports; these runs aren't in `running` either.
-    """
-
-    clock_ms: int
-    running: tuple[RunningTask, ...]
-    finished: tuple[FinishedRun, ...]
-    born_ms: int = 0
-    unreadable: tuple[str, ...] = ()
-    has_all_ends: bool = True
-
-
 class PlacedRun:
     """A run that was placed on an executor.
 
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -9,11 +9,10 @@
 from marigolddoor_core.dispatch.durations import DurationEstimates
 from marigolddoor_core.dispatch.executors import (
     Executor,
-    FinishedRun,
     Heartbeat,
-    HoldReport,
     PlacedRun,
 )
+from marigolddoor_core.dispatch.hold_reports import FinishedRun, HoldReport
 from marigolddoor_core.dispatch.incarnations import Incarnations
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
 from marigolddoor_core.dispatch.near_places import slowdown
