--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 from anyio.abc import TaskGroup
@@ -20,7 +20,15 @@
     NoAnswerError,
     WrongIncarnationError,
 )
-from marigolddoor_core.dispatch import Executor, ExecutorState, Heartbeat, LeaseTiming
+from marigolddoor_core.dispatch import (
+    Executor,
+    ExecutorState,
+    Heartbeat,
+    HoldReport,
+    LeaseTiming,
+    PlacedRun,
+    UnreadableRow,
+)
 from marigolddoor_core.ids import ExecutorIncarnation, FencingToken
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
@@ -30,7 +38,7 @@
     RecordChanges,
     StoreConfiguration,
 )
-from marigolddoor_core.metrics import Counters
+from marigolddoor_core.metrics import CounterKind, Counters, Labels
 from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 
 __all__ = ["FleetLeadership", "NotRecordedError", "RecordingUnknownError"]
@@ -308,6 +316,7 @@
         )
         # The first call reads the executor's clock; it must not wait and can't extend the lease.
         wait_s = 0.0
+        unreadable: tuple[UnreadableRow, ...] = ()
         while not executor.has_ended:
             if not self.consensus.is_leader:
                 await anyio.sleep(RETRY_S)
@@ -335,30 +344,67 @@
                 await self._handle_unanswered_hold(executor, sent_at)
                 continue
             is_first = not executor.lease.is_known
-            self.dispatch.handle_hold_report(executor, sent_at, report, self.now())
+            outcome = self.dispatch.handle_hold_report(executor, sent_at, report, self.now())
             self._note_answer(executor)
-            last_seen = max((finished.number for finished in report.finished), default=0)
-            if last_seen > executor.seen:
+            if outcome.missing:
+                self._log_missing(executor, request, sent_at, report, outcome.missing)
+            if outcome.seen > executor.seen or outcome.missing:
                 try:
                     await self.flush()
                 except (NotRecordedError, RecordingUnknownError):
                     # The leadership ends; the executor reports these runs again to the next leader.
                     return
-                executor.seen = last_seen
+                executor.seen = outcome.seen
             elif self.dispatch.changes or self.dispatch.orders or self.dispatch.is_planning_due:
                 self.wake.set()
             if report.unreadable:
-                logger.info(
-                    "fleet: executor {}: {} rows of its report are unreadable: {}",
-                    executor.incarnation,
-                    len(report.unreadable),
-                    report.unreadable[0],
-                )
-                # An end that can't be read is never acknowledged, so each answer comes at once.
+                if report.unreadable != unreadable:
+                    logger.warning(
+                        "fleet: executor {}: {} rows of its report are unreadable: {}",
+                        executor.incarnation,
+                        len(report.unreadable),
+                        report.unreadable[0].reason,
+                    )
+                # An end that can't be read isn't acknowledged, so each answer comes at once.
                 await anyio.sleep(RETRY_S)
-            wait_s = 0.0 if is_first else _hold_wait_s(executor)
+            unreadable = report.unreadable
+            wait_s = 0.0 if is_first or not report.has_all_ends else _hold_wait_s(executor)
         await self.ports.executors.forget(executor)
 
+    def _log_missing(
+        self,
+        executor: Executor,
+        request: HoldRequest,
+        sent_at: Instant,
+        report: HoldReport,
+        missing: Sequence[PlacedRun],
+    ) -> None:
+        """Count and log the runs that count as lost because a report does not list them."""
+        self.counters.add(
+            CounterKind.RUNS_MISSING,
+            Labels(service=executor.heartbeat.service),
+            len(missing),
+        )
+        logger.warning(
+            "fleet: executor {}: {} runs count as lost, not listed in the report requested {:.3f} s"
+            " ago that acknowledged ends up to {}: {} running, {} ended, {} unreadable",
+            executor.incarnation,
+            len(missing),
+            self.now() - sent_at,
+            request.seen,
+            len(report.running),
+            len(report.finished),
+            len(report.unreadable),
+        )
+        for placed in missing:
+            logger.warning(
+                "fleet: run {} {} is missing at executor {}, confirmed {:.3f} s ago",
+                placed.task.name,
+                placed.run,
+                executor.incarnation,
+                self.now() - (placed.confirmed_at or sent_at),
+            )
+
     async def _handle_unanswered_hold(self, executor: Executor, sent_at: Instant) -> None:
         """Take note of a hold without an answer, and pause before the next one."""
         if not executor.has_ended:
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -8,7 +8,13 @@
     Heartbeat,
     PlacedRun,
 )
-from marigolddoor_core.dispatch.hold_reports import FinishedRun, HoldReport, RunningTask
+from marigolddoor_core.dispatch.hold_reports import (
+    FinishedRun,
+    HoldReport,
+    ReportList,
+    RunningTask,
+    UnreadableRow,
+)
 from marigolddoor_core.dispatch.leases import ExecutorLease, LeaseTiming
 from marigolddoor_core.dispatch.machines import MachineState, MachineView, Move
 from marigolddoor_core.dispatch.orders import (
@@ -41,9 +47,11 @@
     "PaceOrder",
     "PlacedRun",
     "Placer",
+    "ReportList",
     "RunningTask",
     "StartOrder",
     "StepOrder",
     "StopOrder",
     "Tickets",
+    "UnreadableRow",
 ]
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -5,8 +5,8 @@
 from enum import Enum
 
 from marigolddoor_core.dispatch.departures import Departure
-from marigolddoor_core.dispatch.hold_reports import HoldReport
 from marigolddoor_core.dispatch.leases import ExecutorLease
+from marigolddoor_core.dispatch.run_evidence import RunEvidence
 from marigolddoor_core.dispatch.team_usage import TeamUsage
 from marigolddoor_core.ids import (
     DataCentreId,
@@ -152,7 +152,7 @@
 class Executor:
     """One incarnation of an executor, with its free capacity.
 
-    `seen` is the number of the last end that is committed, so that the executor may discard it.
+    `seen` is the number up to which all ends are committed, so that the executor may discard them.
     The runs that it holds are counted in `usage`.
     """
 
@@ -184,6 +184,9 @@
         self.has_ended = False
         self.runs: dict[TaskName, PlacedRun] = {}
         self.seen = 0
+        self.evidence = RunEvidence()
+        # Set while ends of its runs may be left out of its reports.
+        self.has_unlisted_ends = False
         self.free_cpu = heartbeat.capacity.cpu_milli
         self.free_memory = heartbeat.capacity.memory_mb
         self.free_accelerators = heartbeat.capacity.accelerators
@@ -260,9 +263,13 @@
         )
 
     def is_available(self, now: Instant) -> bool:
-        """Return whether the executor answers and is not about to end."""
+        """Return whether the executor answers, has no ends left to list and is not about to end.
+
+        A task that seems to wait may be one of which it has still to list the end `done`.
+        """
         return (
             not self.has_ended
+            and not self.has_unlisted_ends
             and not self.departure.is_announced
             and self.heartbeat.state is ExecutorState.READY
             and self.is_in_contact(now)
@@ -286,20 +293,13 @@
             and size.accelerators <= capacity.accelerators
         )
 
-    def missing_runs(
-        self, report: HoldReport, listed: Collection[TaskName], sent_at: Instant
-    ) -> list[PlacedRun]:
-        """Return the runs that have ended, as a report shows that doesn't list them.
-
-        A report without all ends shows none: these runs may have ended `done`.
+    def unlisted_runs(self, listed: Collection[TaskName], sent_at: Instant) -> list[PlacedRun]:
+        """Return the runs that a report should list but doesn't.
 
         Args:
-          report: the report.
           listed: the tasks whose runs the report lists as running or as ended.
           sent_at: when the report was requested; runs that were confirmed later may be missing.
         """
-        if not report.has_all_ends:
-            return []
         return [
             placed
             for name, placed in self.runs.items()
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from marigolddoor_core.dispatch.durations import DurationEstimates
 from marigolddoor_core.dispatch.executors import (
@@ -20,6 +21,7 @@
 from marigolddoor_core.dispatch.pacing import plan_pace
 from marigolddoor_core.dispatch.planner import has_destination
 from marigolddoor_core.dispatch.quotas import QuotaPolicy, TeamLimits, TeamQuotas
+from marigolddoor_core.dispatch.run_evidence import ReportEvidence, RunningList
 from marigolddoor_core.dispatch.stragglers import is_slow, straggling_runs
 from marigolddoor_core.dispatch.team_usage import TeamUsage
 from marigolddoor_core.dispatch.uncertain_ends import UncertainEnds
@@ -48,7 +50,7 @@
     parse_incarnation,
 )
 
-__all__ = ["FleetView"]
+__all__ = ["FleetView", "ReportOutcome"]
 
 # An executor that rejected or ignored a call gets no new task for this long. The time doubles with
 # each failure up to the limit, and is reset when one of its tasks succeeds.
@@ -70,6 +72,17 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class ReportOutcome:
+    """What follows from a report: once the changes are committed, ends up to `seen` may go.
+
+    `missing` are the runs that count as lost because the report lists them in neither list.
+    """
+
+    seen: int
+    missing: tuple[PlacedRun, ...] = ()
+
+
 class FleetView:
     """The state of the executors during one leadership, with the resulting changes and orders.
 
@@ -270,15 +283,36 @@
 
     def handle_hold_report(
         self, executor: Executor, sent_at: Instant, report: HoldReport, now: Instant
-    ) -> None:
+    ) -> ReportOutcome:
         """Handle an executor's answer to a lease renewal that was sent at `sent_at`."""
         if executor.has_ended:
-            return
+            return ReportOutcome(executor.seen)
         if executor.contact_at is None or now - executor.contact_at > 1.0:
             self.is_planning_due = True
         executor.contact_at = now
         executor.unresponsive_since = None
         executor.lease.observe(report.clock_ms, now)
+        evidence = executor.evidence.evaluate(report, executor.seen, now)
+        if executor.has_unlisted_ends and report.has_all_ends:
+            self.is_planning_due = True
+        executor.has_unlisted_ends = not report.has_all_ends
+        listed = self._handle_ends(executor, report, evidence, now)
+        listed |= self._handle_running(executor, report, now)
+        if evidence.running_list is RunningList.COMPLETE and self.uncertain_ends.reported(
+            executor.heartbeat.executor,
+            {(running.task, running.run) for running in report.running},
+            sent_at,
+        ):
+            self.is_planning_due = True
+        if report.has_all_ends:
+            self._adjust_runs(executor, now)
+        unlisted = executor.unlisted_runs(listed, sent_at)
+        return ReportOutcome(evidence.seen, self._end_missing(executor, unlisted, evidence))
+
+    def _handle_ends(
+        self, executor: Executor, report: HoldReport, evidence: ReportEvidence, now: Instant
+    ) -> set[TaskName]:
+        """Record the new ends of a report; return the tasks whose runs it lists as ended."""
         listed: set[TaskName] = set()
         for finished in report.finished:
             placed = executor.runs.get(finished.task)
@@ -286,13 +320,22 @@
                 listed.add(finished.task)
                 self.begun.add(placed.task.step.job.job)
                 self.unconfirmed.listed(executor.heartbeat.executor, finished.task, finished.run)
-                if finished.number > executor.seen:
-                    self._handle_end(executor, placed, finished, now)
-            elif finished.number > executor.seen:
+        for finished in evidence.new_ends:
+            placed = executor.runs.get(finished.task)
+            if placed is not None and placed.run == finished.run:
+                self._handle_end(executor, placed, finished, now)
+            else:
                 # The run was abandoned. The executor discards the end once `seen` reaches it, so
                 # the end must be committed as well.
                 end = OUTCOMES.get(finished.outcome, RunEnd.LOST)
                 self.changes.append(EndRun(finished.task, finished.run, end, has_begun=True))
+        return listed
+
+    def _handle_running(
+        self, executor: Executor, report: HoldReport, now: Instant
+    ) -> set[TaskName]:
+        """Handle the running tasks of a report; return those whose runs are expected there."""
+        listed: set[TaskName] = set()
         for running in report.running:
             placed = executor.runs.get(running.task)
             if placed is None or placed.run != running.run:
@@ -306,24 +349,34 @@
                 placed.confirmed_at = now
             placed.percent = running.percent
             placed.load = running.load
-        if self.uncertain_ends.reported(
-            executor.heartbeat.executor,
-            {(running.task, running.run) for running in report.running},
-            sent_at,
-        ):
-            self.is_planning_due = True
+        return listed
+
+    def _adjust_runs(self, executor: Executor, now: Instant) -> None:
+        """Pace the runs of an executor, and evacuate those that are far too slow."""
         for placed, percent in plan_pace(executor, now):
             placed.pace = percent
             self.orders.append(PaceOrder(executor, placed.task.name, placed.run, percent))
         if is_slow(executor, self._expected_s, now):
             self._evacuate_slow(executor, now)
-        for placed in executor.missing_runs(report, listed, sent_at):
+
+    def _end_missing(
+        self, executor: Executor, unlisted: Iterable[PlacedRun], evidence: ReportEvidence
+    ) -> tuple[PlacedRun, ...]:
+        """End the runs that a report shows to be gone; return those that count as lost."""
+        missing: list[PlacedRun] = []
+        for placed in unlisted:
+            if evidence.running_list is RunningList.GIVEN_UP:
+                self._order_stop(executor, placed.task)
+            if not evidence.shows_end_of((placed.task.name, placed.run)):
+                continue
             if placed.task.phase is TaskPhase.PLACED and placed.task.run == placed.run:
                 self._end_run(placed.task, RunEnd.LOST)
+                missing.append(placed)
             else:
                 # It was superseded, and its end is committed.
                 executor.release(placed.task)
                 self.is_planning_due = True
+        return tuple(missing)
 
     def _expected_s(self, task: TaskRecord) -> float:
         """Return the expected duration of a run on its executor."""
--- a/packages/core/src/marigolddoor_core/dispatch/hold_reports.py
+++ b/packages/core/src/marigolddoor_core/dispatch/hold_reports.py
@@ -1,10 +1,19 @@
 """What an executor reports in its answer to a renewal of its lease: its runs and their ends."""
 
 from dataclasses import dataclass
+from enum import Enum
 
+from marigolddoor_core.dispatch.team_usage import RunKey
 from marigolddoor_core.ids import RunNumber, TaskName
 
-__all__ = ["FinishedRun", "HoldReport", "RunningTask"]
+__all__ = ["FinishedRun", "HoldReport", "ReportList", "RunningTask", "UnreadableRow"]
+
+
+class ReportList(Enum):
+    """The lists of a report."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,17 +42,32 @@
     checkpoint: str
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableRow:
+    """A row of a report that can't be read in full.
+
+    `number` is the number of its end and `key` the run that it is about, as far as they can be
+    read. `after` is the number of the last end that is listed before it, 0 if there is none.
+    """
+
+    place: ReportList
+    reason: str
+    after: int = 0
+    number: int | None = None
+    key: RunKey | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class HoldReport:
     """An executor's answer to a renewal of its lease. `born_ms` is 0 if not reported.
 
-    `unreadable` has a text for each row that could not be read. If `has_all_ends` is false, more
-    ends follow in later reports; these runs aren't in `running` either.
+    The ends are listed in the order of their numbers. If `has_all_ends` is false, more ends follow
+    in later reports; these runs aren't in `running` either.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     finished: tuple[FinishedRun, ...]
     born_ms: int = 0
-    unreadable: tuple[str, ...] = ()
+    unreadable: tuple[UnreadableRow, ...] = ()
     has_all_ends: bool = True
--- a/packages/core/src/marigolddoor_core/metrics.py
+++ b/packages/core/src/marigolddoor_core/metrics.py
@@ -27,6 +27,7 @@
     FAILOVERS = "failovers"
     JOBS = "jobs"
     RUNS = "runs"
+    RUNS_MISSING = "runs_missing"
     ORDERS_UNANSWERED = "orders_unanswered"
     UNEXPECTED_ERRORS = "unexpected_errors"
     LOG_LINES_LEFT_OUT = "log_lines_left_out"
@@ -39,6 +40,7 @@
     CounterKind.QUESTIONS: "Questions that were opened.",
     CounterKind.JOBS: "Submitted jobs by what became of them.",
     CounterKind.RUNS: "Runs of tasks by how they ended.",
+    CounterKind.RUNS_MISSING: "Runs that count as lost because a report does not list them.",
     CounterKind.ORDERS_UNANSWERED: "Orders to executors and the platform without an answer.",
     CounterKind.UNEXPECTED_ERRORS: "Faults of the program, contained in one order or hold.",
     CounterKind.LOG_LINES_LEFT_OUT: "Log lines that were left out to bound the log.",
--- a/tests/core/dispatch/fakes.py
+++ b/tests/core/dispatch/fakes.py
@@ -8,8 +8,11 @@
     Heartbeat,
     HoldReport,
     LeaseTiming,
+    ReportList,
     RunningTask,
+    UnreadableRow,
 )
+from marigolddoor_core.dispatch.fleet_view import ReportOutcome
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.ids import (
     DataCentreId,
@@ -66,6 +69,15 @@
     return FinishedRun(number, TaskName(task), RunNumber(run), outcome, "")
 
 
+def unread_end(after: int = 0, number: int | None = None, task: str = "") -> UnreadableRow:
+    """Return the row of an end without a readable outcome; by default nothing of it is known."""
+    key = (TaskName(task), RunNumber(1)) if task else None
+    return UnreadableRow(ReportList.FINISHED, "how: None is not a text", after, number, key)
+
+
+UNREAD_RUNNING = UnreadableRow(ReportList.RUNNING, "None is not a row")
+
+
 class Fleet:
     """One leadership. Time is in seconds and is set by `at`."""
 
@@ -97,11 +109,15 @@
         ends: tuple[FinishedRun, ...] = (),
         sent_s_ago: float = 0.0,
         has_all_ends: bool = True,
-    ) -> None:
+        unreadable: tuple[UnreadableRow, ...] = (),
+    ) -> ReportOutcome:
         """Deliver an executor's list of current runs and ends."""
         clock_ms = int(5000 + (self.now - 100.0) * 1000)
-        report = HoldReport(clock_ms, running_tasks, ends, has_all_ends=has_all_ends)
-        self.dispatch.handle_hold_report(executor, Instant(self.now - sent_s_ago), report, self.now)
+        report = HoldReport(
+            clock_ms, running_tasks, ends, unreadable=unreadable, has_all_ends=has_all_ends
+        )
+        sent_at = Instant(self.now - sent_s_ago)
+        return self.dispatch.handle_hold_report(executor, sent_at, report, self.now)
 
     def step(self, *changes: JobChange) -> list[JobChange]:
         """Commit changes and the decisions of the dispatch, until there are no more.
--- a/tests/platform/test_operations_page.py
+++ b/tests/platform/test_operations_page.py
@@ -52,6 +52,9 @@
             "stops voting",
             "fleet: machine {} is no longer listed",
             "rejected a stale fencing token",
+            "fleet: executor {}: {} rows of its report are unreadable: {}",
+            "runs count as lost, not listed in the report requested",
+            "fleet: run {} {} is missing at executor {}, confirmed",
             "the settings are not reloaded",
         )
     ]
@@ -70,6 +73,7 @@
         for kind in (
             CounterKind.JOBS,
             CounterKind.RUNS,
+            CounterKind.RUNS_MISSING,
             CounterKind.ORDERS_UNANSWERED,
             CounterKind.UNEXPECTED_ERRORS,
             CounterKind.MOVES,
