Extend the lease of an executor while its ends are being committed

Cause: the next hold waited for the commit of the ends that the last one had reported, up to 20 s, and only holds extend the lease.

Change: the next hold waits 1 s at most. Ends are acknowledged only after the batch that has them is committed, and are recorded once, however often they are listed; a run that a report shows to be missing counts as lost once.

Tests: SlowCommitTest in test_acknowledged_ends, with commits that are late, fail or have an unknown result.

--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
@@ -51,6 +52,9 @@
 SHARED_HOLD_WAIT_S = 0.5
 # Upper bound of the pause between calls to an unresponsive executor; it grows with the outage.
 MAX_RETRY_S = 1.0
+# The next hold waits this long for the commit of the ends that the last one reported. It also
+# extends the lease, so a slow commit must not delay it further.
+COMMIT_WAIT_S = 1.0
 # Interval of checks for due times and expired leases.
 TIMER_INTERVAL_S = 0.25
 # A proposal ends when another leader takes over, so this bounds only a group without a quorum.
@@ -101,6 +105,14 @@
     return len(change.document) if isinstance(change, AcceptJob | StoreConfiguration) else 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Acknowledgement:
+    """The number up to which an executor may discard its ends once a batch is committed."""
+
+    batch: _Batch
+    seen: int
+
+
 class FleetLeadership(OrderSender):
     """Leads the fleet for one term; each election won begins a new one."""
 
@@ -181,12 +193,16 @@
           NotRecordedError: none of them was committed.
           RecordingUnknownError: they may have been committed.
         """
-        batch = self.batches[-1]
-        self.wake.set()
+        batch = self._request_commit()
         await batch.done.wait()
         if batch.error is not None:
             raise batch.error
 
+    def _request_commit(self) -> _Batch:
+        """Return the batch after which all pending changes are committed."""
+        self.wake.set()
+        return self.batches[-1]
+
     async def settle(self) -> None:
         """Wait until the changes that were recorded before this call are committed.
 
@@ -317,10 +333,17 @@
         # The first call reads the executor's clock; it must not wait and can't extend the lease.
         wait_s = 0.0
         unreadable: tuple[UnreadableRow, ...] = ()
+        uncommitted: deque[_Acknowledgement] = deque()
         while not executor.has_ended:
             if not self.consensus.is_leader:
                 await anyio.sleep(RETRY_S)
                 continue
+            while uncommitted and uncommitted[0].batch.done.is_set():
+                acknowledgement = uncommitted.popleft()
+                if acknowledgement.batch.error is not None:
+                    # The leadership ends; the executor reports these runs again to the next leader.
+                    return
+                executor.seen = acknowledgement.seen
             sent_at = self.now()
             deadline_ms = executor.extend_lease(sent_at)
             request = HoldRequest(deadline_ms, executor.seen, wait_s, self.token)
@@ -348,13 +371,12 @@
             self._note_answer(executor)
             if outcome.missing:
                 self._log_missing(executor, request, sent_at, report, outcome.missing)
-            if outcome.seen > executor.seen or outcome.missing:
-                try:
-                    await self.flush()
-                except (NotRecordedError, RecordingUnknownError):
-                    # The leadership ends; the executor reports these runs again to the next leader.
-                    return
-                executor.seen = outcome.seen
+            last_seen = uncommitted[-1].seen if uncommitted else executor.seen
+            if outcome.seen > last_seen or outcome.missing:
+                uncommitted.append(_Acknowledgement(self._request_commit(), outcome.seen))
+            if uncommitted:
+                with anyio.move_on_after(COMMIT_WAIT_S):
+                    await uncommitted[-1].batch.done.wait()
             elif self.dispatch.changes or self.dispatch.orders or self.dispatch.is_planning_due:
                 self.wake.set()
             if report.unreadable:
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -121,13 +121,15 @@
     """A run that was placed on an executor.
 
     `confirmed_at` is when the executor first confirmed that it has the run. `is_stopping` is set
-    once a stop was ordered, `is_given_up` once it counts as lost while it may go on. `pace` is the
-    share of its full speed at which it runs, in percent.
+    once a stop was ordered, `is_given_up` once it counts as lost while it may go on, `is_missing`
+    once it counts as lost because a report does not list it. `pace` is the share of its full speed
+    at which it runs, in percent.
     """
 
     __slots__ = (
         "confirmed_at",
         "is_given_up",
+        "is_missing",
         "is_stopping",
         "load",
         "pace",
@@ -144,6 +146,7 @@
         self.confirmed_at: Instant | None = None
         self.is_stopping = False
         self.is_given_up = False
+        self.is_missing = False
         self.percent = 0
         self.load: float | None = None
         self.pace = 100
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -367,9 +367,10 @@
         for placed in unlisted:
             if evidence.running_list is RunningList.GIVEN_UP:
                 self._order_stop(executor, placed.task)
-            if not evidence.shows_end_of((placed.task.name, placed.run)):
+            if placed.is_missing or not evidence.shows_end_of((placed.task.name, placed.run)):
                 continue
             if placed.task.phase is TaskPhase.PLACED and placed.task.run == placed.run:
+                placed.is_missing = True
                 self._end_run(placed.task, RunEnd.LOST)
                 missing.append(placed)
             else:
--- a/tests/control/test_acknowledged_ends.py
+++ b/tests/control/test_acknowledged_ends.py
@@ -4,6 +4,7 @@
 and its task, which had ended `done`, was started again.
 """
 
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -16,6 +17,7 @@
 from marigolddoor_core.dispatch.run_evidence import UNREADABLE_ROW_TIMEOUT_S
 from marigolddoor_core.ids import RunNumber, TaskName
 from marigolddoor_core.metrics import CounterKind, Labels
+from marigolddoor_core.ports import NoQuorumError, ProposalOutcomeUnknownError
 
 from bench.faults.virtual_loop import run_in_virtual_time
 from tests.control.test_order_sender import ScriptedExecutor, lead
@@ -48,6 +50,7 @@
         self.number = 0
         self.reports = 0
         self.seen: list[int] = []
+        self.held_at: list[float] = []
         self.starts: list[TaskName] = []
 
     async def start(self, executor: Executor, request: StartRequest) -> StartOutcome:
@@ -66,6 +69,7 @@
 
     async def hold(self, executor: Executor, request: HoldRequest) -> HoldReport:
         self.seen.append(request.seen)
+        self.held_at.append(anyio.current_time())
         self.listed = [end for end in self.listed if end.number > request.seen]
         await anyio.sleep(0.0 if self.listed else request.wait_s)
         self.reports += any(end.unreadable_reports for end in self.listed)
@@ -169,3 +173,61 @@
         self.assertIn(f"{unreadable} unreadable", text)
         self.assertIn("acknowledged ends up to", text)
         self.assertIn(f"run {OTHER} 1 is missing at executor i-1/100", text)
+
+
+class SlowCommitTest(testtools.TestCase):
+    """The ends of an executor are committed late or not at all; meanwhile another task runs on."""
+
+    scenarios = [
+        ("at once", {"commit_s": 0.0, "error": None, "is_acknowledged": True}),
+        ("late", {"commit_s": 8.0, "error": None, "is_acknowledged": True}),
+        (
+            "result unknown",
+            {"commit_s": 8.0, "error": ProposalOutcomeUnknownError, "is_acknowledged": False},
+        ),
+        (
+            "failed",
+            {"commit_s": 0.1, "error": NoQuorumError, "is_acknowledged": False, "missing": 0},
+        ),
+    ]
+
+    missing = 1
+
+    def test_holds_go_on(self) -> None:
+        run_in_virtual_time(self.run_scenario)
+
+    async def run_scenario(self) -> None:
+        executor = ReportingExecutor(0, vanishing=UNREAD)
+
+        async def scenario(leadership: Any) -> None:
+            await leadership.record(accept("k", {"count": 1}))
+            await leadership.record(accept("l", {"count": 1}))
+            await eventually(lambda: len(executor.running) == 3)
+            await anyio.sleep(1.0)
+            propose = leadership.consensus.propose_here
+
+            async def propose_late(*arguments: Any) -> Any:
+                await anyio.sleep(self.commit_s)
+                if self.error is not None:
+                    raise self.error("the disk failed")
+                return await propose(*arguments)
+
+            leadership.consensus.propose_here = propose_late
+            executor.end(UNREAD)
+            executor.end(OTHER)
+            executor.held_at.clear()
+            ended_at = anyio.current_time()
+            await anyio.sleep(self.commit_s + 4.0)
+            self.assertEqual(self.is_acknowledged, executor.seen[-1] == 1)
+            if self.is_acknowledged:
+                first = executor.held_at[executor.seen[-len(executor.held_at) :].index(1)]
+                self.assertGreaterEqual(first - ended_at, self.commit_s)
+            until = ended_at + self.commit_s
+            times = [ended_at, *(at for at in executor.held_at if at < until), until]
+            gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+            self.assertLess(max(gaps), 3.0)
+            leadership.consensus.propose_here = propose
+
+        leadership = await lead(executor, scenario)
+        missing = leadership.counters.values[CounterKind.RUNS_MISSING, Labels(service="desk")]
+        self.assertEqual((self.missing, 1), (missing, executor.starts.count(OTHER)))
