--- a/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
+++ b/packages/control/src/marigolddoor_control/fleet/fleet_leadership.py
@@ -292,7 +292,7 @@
     async def _identify(self, heartbeat: Heartbeat) -> None:
         candidate = self.dispatch.candidate(heartbeat, self.now())
         # It neither extends a lease nor discards an end, whoever answers.
-        request = HoldRequest(0, 0, 0.0, self.token)
+        request = HoldRequest(0, 0, 0.0, candidate.fencing_token(self.token))
         try:
             # An idle connection may lead to an executor that lost its power, and answers no more.
             await self.ports.executors.forget(candidate)
@@ -346,7 +346,8 @@
                 executor.seen = acknowledgement.seen
             sent_at = self.now()
             deadline_ms = executor.extend_lease(sent_at)
-            request = HoldRequest(deadline_ms, executor.seen, wait_s, self.token)
+            token = executor.fencing_token(self.token)
+            request = HoldRequest(deadline_ms, executor.seen, wait_s, token)
             try:
                 report = await self.ports.executors.hold(executor, request)
             except WrongIncarnationError:
--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -139,7 +139,7 @@
                 order.payload,
                 order.checkpoint,
                 executor.extend_lease(self.now()),
-                self.token,
+                executor.fencing_token(self.token),
                 order.ticket,
             )
             self.dispatch.start_sent(order, self.now())
@@ -187,7 +187,8 @@
             attempts += 1
             if self.consensus.is_leader:
                 try:
-                    await self.ports.executors.stop(executor, order.task, order.run, self.token)
+                    token = executor.fencing_token(self.token)
+                    await self.ports.executors.stop(executor, order.task, order.run, token)
                 except WrongIncarnationError:
                     self._end_incarnation(executor, "another incarnation answered")
                     return
@@ -225,8 +226,9 @@
     async def _pace(self, order: PaceOrder) -> None:
         """Set the pace of a best-effort task; without an answer the next report sets it again."""
         try:
+            token = order.executor.fencing_token(self.token)
             await self.ports.executors.pace(
-                order.executor, order.task, order.run, order.percent, self.token
+                order.executor, order.task, order.run, order.percent, token
             )
         except (NoAnswerError, WrongIncarnationError) as error:
             self._count_unanswered("pace")
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -8,6 +8,7 @@
     Heartbeat,
     PlacedRun,
 )
+from marigolddoor_core.dispatch.fencing import executor_token, leadership_token
 from marigolddoor_core.dispatch.hold_reports import (
     FinishedRun,
     HoldReport,
@@ -54,4 +55,6 @@
     "StopOrder",
     "Tickets",
     "UnreadableRow",
+    "executor_token",
+    "leadership_token",
 ]
--- a/packages/core/src/marigolddoor_core/dispatch/executors.py
+++ b/packages/core/src/marigolddoor_core/dispatch/executors.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from marigolddoor_core.dispatch.departures import Departure
+from marigolddoor_core.dispatch.fencing import executor_token
 from marigolddoor_core.dispatch.leases import ExecutorLease
 from marigolddoor_core.dispatch.run_evidence import RunEvidence
 from marigolddoor_core.dispatch.team_usage import TeamUsage
@@ -12,6 +13,7 @@
     DataCentreId,
     ExecutorId,
     ExecutorIncarnation,
+    FencingToken,
     MachineId,
     RackId,
     RunNumber,
@@ -156,7 +158,8 @@
     """One incarnation of an executor, with its free capacity.
 
     `seen` is the number up to which all ends are committed, so that the executor may discard them.
-    The runs that it holds are counted in `usage`.
+    The runs that it holds are counted in `usage`. `predecessors` is the number of its earlier
+    incarnations that this leadership has used.
     """
 
     def __init__(
@@ -167,6 +170,7 @@
         usage: TeamUsage | None = None,
     ) -> None:
         self.heartbeat = heartbeat
+        self.predecessors = 0
         self.lease = lease
         self.usage = TeamUsage() if usage is None else usage
         self.last_heartbeat_at = now
@@ -201,6 +205,10 @@
         """Return the incarnation that this is."""
         return self.heartbeat.incarnation
 
+    def fencing_token(self, leadership: FencingToken) -> FencingToken:
+        """Return the token of this leadership's calls to this incarnation."""
+        return executor_token(leadership, self.predecessors)
+
     def extend_lease(self, now: Instant) -> int:
         """Return the lease deadline to send with a call at `now`; 0 if its clock is not known.
 
--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -234,8 +234,13 @@
         return self.incarnations.displaced_by(heartbeat) or []
 
     def candidate(self, heartbeat: Heartbeat, now: Instant) -> Executor:
-        """Return the executor that a heartbeat tells of, without using it."""
-        return Executor(heartbeat, ExecutorLease(self.lease_timing, now), now)
+        """Return the executor that a heartbeat tells of, without using it.
+
+        Calls to it must not fence off those to the incarnation in use.
+        """
+        candidate = Executor(heartbeat, ExecutorLease(self.lease_timing, now), now)
+        candidate.predecessors = max(0, self.incarnations.counts.get(heartbeat.executor, 0) - 1)
+        return candidate
 
     def _unconfirmed_runs(
         self, previous: Executor | None, unconfirmed: Iterable[tuple[TaskName, RunNumber]]
--- a/packages/core/src/marigolddoor_core/dispatch/incarnations.py
+++ b/packages/core/src/marigolddoor_core/dispatch/incarnations.py
@@ -22,12 +22,16 @@
         self.by_address: dict[str, Executor] = {}
         self.by_machine: dict[MachineId, Executor] = {}
         self.newest_incarnation: dict[ExecutorId, int] = {}
+        # How many incarnations of each executor were in use.
+        self.counts: dict[ExecutorId, int] = {}
         # The last heartbeat's number of each executor that was given up because of its silence.
         self.silent_after: dict[ExecutorId, int] = {}
 
     def add(self, executor: Executor) -> None:
         """Use an incarnation, after those that it displaces were removed."""
         heartbeat = executor.heartbeat
+        executor.predecessors = self.counts.get(heartbeat.executor, 0)
+        self.counts[heartbeat.executor] = executor.predecessors + 1
         self.newest_incarnation[heartbeat.executor] = heartbeat.born_ms
         self.silent_after.pop(heartbeat.executor, None)
         self.executors[heartbeat.incarnation] = executor
--- a/tests/platform/test_permissions.py
+++ b/tests/platform/test_permissions.py
@@ -6,6 +6,7 @@
 import anyio
 import testtools
 from marigolddoor_control.fleet.ports import HoldRequest, NoAnswerError, StartRequest
+from marigolddoor_core.dispatch import executor_token
 from marigolddoor_core.ids import FencingToken, MachineId, RunNumber, ServiceId, TaskName, WaveId
 from marigolddoor_platform.executors import HttpExecutors
 from marigolddoor_platform.machines import HttpMachines
@@ -16,24 +17,26 @@
 from tests.core.jobs.fakes import Log
 
 TOKEN = FencingToken(7)
+# The token of calls to an executor that had one earlier incarnation.
+CALL_TOKEN = executor_token(TOKEN, 1)
 TASK = TaskName("j.0.0.0")
 Send = Callable[[HttpExecutors, HttpMachines, Any], Awaitable[Any]]
 
 
 async def start(executors: HttpExecutors, machines: HttpMachines, executor: Any) -> None:
-    await executors.start(executor, StartRequest(TASK, RunNumber(1), "", "", 5000, TOKEN, ""))
+    await executors.start(executor, StartRequest(TASK, RunNumber(1), "", "", 5000, CALL_TOKEN, ""))
 
 
 async def stop(executors: HttpExecutors, machines: HttpMachines, executor: Any) -> None:
-    await executors.stop(executor, TASK, RunNumber(1), TOKEN)
+    await executors.stop(executor, TASK, RunNumber(1), CALL_TOKEN)
 
 
 async def hold(executors: HttpExecutors, machines: HttpMachines, executor: Any) -> None:
-    await executors.hold(executor, HoldRequest(5000, 0, 0.0, TOKEN))
+    await executors.hold(executor, HoldRequest(5000, 0, 0.0, CALL_TOKEN))
 
 
 async def pace(executors: HttpExecutors, machines: HttpMachines, executor: Any) -> None:
-    await executors.pace(executor, TASK, RunNumber(1), 50, TOKEN)
+    await executors.pace(executor, TASK, RunNumber(1), 50, CALL_TOKEN)
 
 
 async def move(executors: HttpExecutors, machines: HttpMachines, executor: Any) -> None:
