--- a/packages/core/src/marigolddoor_core/dispatch/uncertain_ends.py
+++ b/packages/core/src/marigolddoor_core/dispatch/uncertain_ends.py
@@ -132,9 +132,7 @@
         for step in job.steps.values():
             for task in step.tasks:
                 is_superseded = (
-                    task.phase is TaskPhase.DONE
-                    and task.run > 1
-                    and not (step.spec.is_gang or step.spec.is_long_running)
+                    task.phase is TaskPhase.DONE and task.run > 1 and not step.spec.is_long_running
                 )
                 is_given_up = task.phase is TaskPhase.WAITING and step.spec.is_speculative
                 if (is_superseded or is_given_up) and task.incarnation is not None:
--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -22,7 +22,7 @@
 from marigolddoor_core.jobs.configuration import FleetConfiguration, InvalidConfigurationError
 from marigolddoor_core.jobs.enrolment import EnrolledExecutor
 from marigolddoor_core.jobs.phases import JobPhase, RunEnd, TaskPhase
-from marigolddoor_core.jobs.records import JobRecord, TaskRecord
+from marigolddoor_core.jobs.records import JobRecord, StepRecord, TaskRecord
 from marigolddoor_core.jobs.specs import InvalidJobError, JobSpec, parse_task_name
 from marigolddoor_core.jobs.stored import (
     JobTableSnapshot,
@@ -240,7 +240,7 @@
         if task.phase is TaskPhase.PLACED and task.run == change.run:
             self._end_placed(task, change)
         elif change.end is RunEnd.DONE:
-            self._end_earlier_run(task)
+            self._end_earlier_run(task, change.run)
         self._end_job_if_finished(task)
 
     def _end_placed(self, task: TaskRecord, change: EndRun) -> None:
@@ -254,21 +254,35 @@
         if self.observer is not None:
             self.observer.run_ended(task, change.end)
         if change.end is RunEnd.DONE and step.spec.is_gang:
-            # The members of a gang end together, so the end of one counts for all.
-            for member in step.tasks:
-                if member.phase is TaskPhase.PLACED and member.run == change.run:
-                    step.placed -= 1
-                    self._finish(member)
-                    if self.observer is not None:
-                        self.observer.run_ended(member, RunEnd.DONE)
-
-    def _end_earlier_run(self, task: TaskRecord) -> None:
+            self._end_gang(step, change.run)
+
+    def _end_gang(self, step: StepRecord, run: RunNumber) -> None:
+        """Finish the members of a gang of which one ended `done`: that end counts for all.
+
+        A member may wait or have been placed anew, if its run was taken for lost before.
+        """
+        for member in step.tasks:
+            if member.phase is TaskPhase.PLACED and member.run == run:
+                step.placed -= 1
+                self._finish(member)
+                if self.observer is not None:
+                    self.observer.run_ended(member, RunEnd.DONE)
+            elif member.phase is not TaskPhase.DONE and not step.spec.is_long_running:
+                self._finish_early(member)
+
+    def _end_earlier_run(self, task: TaskRecord, run: RunNumber) -> None:
         """Accept the late success of an earlier run, so that the task is not started again."""
         step = task.step
-        if task.phase is TaskPhase.DONE or step.spec.is_long_running or step.spec.is_gang:
+        if task.phase is TaskPhase.DONE or step.spec.is_long_running:
             return
+        self._finish_early(task)
+        if step.spec.is_gang:
+            self._end_gang(step, run)
+
+    def _finish_early(self, task: TaskRecord) -> None:
+        """Finish a task whose success is known from another run than its latest one."""
         if task.phase is TaskPhase.PLACED:
-            step.placed -= 1
+            task.step.placed -= 1
             if self.observer is not None:
                 self.observer.run_superseded(task)
         self._finish(task)
--- a/tests/core/jobs/test_table.py
+++ b/tests/core/jobs/test_table.py
@@ -132,6 +132,61 @@
                 "phase": JobPhase.COMPLETED,
             },
         ),
+        (
+            "end of a gang after one member was lost",
+            {
+                "steps": [GANG],
+                "changes": [
+                    place("j.0.0.0"),
+                    place("j.0.0.1"),
+                    end("j.0.0.0", LOST),
+                    end("j.0.0.1"),
+                ],
+                "phase": JobPhase.COMPLETED,
+            },
+        ),
+        (
+            "end of a gang by the member that was lost",
+            {
+                "steps": [GANG],
+                "changes": [
+                    place("j.0.0.0"),
+                    place("j.0.0.1"),
+                    end("j.0.0.0", LOST),
+                    end("j.0.0.0"),
+                ],
+                "phase": JobPhase.COMPLETED,
+            },
+        ),
+        (
+            "late success of a gang that was placed again",
+            {
+                "steps": [GANG],
+                "changes": [
+                    place("j.0.0.0"),
+                    place("j.0.0.1"),
+                    end("j.0.0.0", LOST),
+                    end("j.0.0.1", LOST),
+                    place("j.0.0.0", 2),
+                    place("j.0.0.1", 2),
+                    end("j.0.0.1"),
+                ],
+                "phase": JobPhase.COMPLETED,
+            },
+        ),
+        (
+            "one member of a gang failed, the others were broken",
+            {
+                "steps": [GANG],
+                "changes": [
+                    place("j.0.0.0"),
+                    place("j.0.0.1"),
+                    end("j.0.0.0", FAILED),
+                    end("j.0.0.1", RunEnd.BROKEN),
+                ],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
         (
             "cancelled",
             {
