--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -249,11 +249,13 @@
         task.phase = TaskPhase.WAITING
         if change.checkpoint:
             task.checkpoint = change.checkpoint
-        if change.end is RunEnd.DONE and not step.spec.is_long_running:
+        # Tasks that last run again however they end.
+        is_finished = change.end is RunEnd.DONE and not step.spec.is_long_running
+        if is_finished:
             self._finish(task)
         if self.observer is not None:
             self.observer.run_ended(task, change.end)
-        if change.end is RunEnd.DONE and step.spec.is_gang:
+        if is_finished and step.spec.is_gang:
             self._end_gang(step, change.run)
 
     def _end_gang(self, step: StepRecord, run: RunNumber) -> None:
@@ -267,7 +269,7 @@
                 self._finish(member)
                 if self.observer is not None:
                     self.observer.run_ended(member, RunEnd.DONE)
-            elif member.phase is not TaskPhase.DONE and not step.spec.is_long_running:
+            elif member.phase is not TaskPhase.DONE:
                 self._finish_early(member)
 
     def _end_earlier_run(self, task: TaskRecord, run: RunNumber) -> None:
--- a/tests/core/dispatch/test_gangs.py
+++ b/tests/core/dispatch/test_gangs.py
@@ -83,3 +83,29 @@
             fleet.at(9.5).hold(order.executor, ends=ends)
         fleet.step()
         self.assertEqual([4000, 4000], [other.free_cpu for other in others])
+
+
+class LastingGangTest(testtools.TestCase):
+    """The members of a gang that lasts end one after the other; both are started again together.
+
+    review/13: the end `done` of one member finished the other one, which was never started again.
+    """
+
+    scenarios = [
+        ("both done", {"first": "done", "second": "done"}),
+        ("one failed, the other broken", {"first": "failed", "second": "broken"}),
+        ("one done, the other not listed any more", {"first": "done", "second": None}),
+    ]
+
+    def test_both_start_again(self) -> None:
+        fleet = Fleet()
+        holders = place_gang(fleet, is_long_running=True)
+        fleet.at(8.0).hold(holders[0], ends=(finished(1, MEMBERS[0], self.first),))
+        fleet.step()
+        self.assertEqual([], fleet.take_orders())
+        ends = () if self.second is None else (finished(1, MEMBERS[1], self.second),)
+        fleet.at(8.5).hold(holders[1], ends=ends, sent_s_ago=0.1)
+        fleet.step()
+        starts = [order for order in fleet.take_orders() if isinstance(order, StartOrder)]
+        self.assertEqual({(name, 2) for name in MEMBERS}, {(s.task, s.run) for s in starts})
+        self.assertIs(JobPhase.ACTIVE, fleet.log.table.jobs["j"].phase)
--- a/tests/core/jobs/test_table.py
+++ b/tests/core/jobs/test_table.py
@@ -25,6 +25,7 @@
 TWO = {"count": 2}
 LONG_RUNNING = {"count": 1, "is_long_running": True}
 GANG = {"count": 2, "is_gang": True}
+LASTING_GANG = {**GANG, "is_long_running": True}
 DONE, FAILED, LOST = RunEnd.DONE, RunEnd.FAILED, RunEnd.LOST
 REJECTED = RunEnd.REJECTED
 
@@ -158,6 +159,19 @@
                 "phase": JobPhase.COMPLETED,
             },
         ),
+        (
+            "end of a long-running gang",
+            {
+                "steps": [LASTING_GANG],
+                "changes": [
+                    place("j.0.0.0"),
+                    place("j.0.0.1"),
+                    end("j.0.0.0"),
+                    end("j.0.0.1"),
+                ],
+                "phase": JobPhase.ACTIVE,
+            },
+        ),
         (
             "late success of a gang that was placed again",
             {
