--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -16,9 +16,9 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 from marigolddoor_control.fleet.fleet_leadership import FleetLeadership, NotRecordedError
-from marigolddoor_control.fleet.ports import Advice, FleetPorts
+from marigolddoor_control.fleet.ports import FleetPorts
 from marigolddoor_control.fleet.service import FleetService, NotLeadingError, WaveOrder
-from marigolddoor_core.dispatch import AdviceRequest, LeaseTiming, MachineState
+from marigolddoor_core.dispatch import Advice, AdviceRequest, LeaseTiming, MachineState
 from marigolddoor_core.ids import (
     ExecutorId,
     ExecutorIncarnation,
--- a/packages/control/src/marigolddoor_control/fleet/order_sender.py
+++ b/packages/control/src/marigolddoor_control/fleet/order_sender.py
@@ -14,6 +14,7 @@
     WrongIncarnationError,
 )
 from marigolddoor_core.dispatch import (
+    Advice,
     AdviceRequest,
     Dispatch,
     Executor,
@@ -207,20 +208,27 @@
     async def _ask_adviser(self, request: AdviceRequest) -> None:
         """Ask which executors may run a step; without an answer the dispatch asks again."""
         asked_at = self.now()
+        advice: Advice | None = None
         try:
             advice = await self.ports.adviser.advise(request)
         except NoAnswerError as error:
             self._count_unanswered("advice")
             logger.info("fleet: no advice on {}: {}", request.name, error)
+        finally:
+            if advice is None:
+                self.dispatch.advice_failed(request, self.now())
+                self.wake.set()
+        if advice is None:
             return
         logger.info(
-            "fleet: advice on {}: {} of {} executors for {:.1f} s",
+            "fleet: advice on {}: {} of {} executors for {:.1f} s, after {:.2f} s",
             request.name,
             len(advice.tickets),
             len(request.executors),
             advice.validity_s,
+            self.now() - asked_at,
         )
-        self.dispatch.advised(request, advice.tickets, advice.validity_s, asked_at)
+        self.dispatch.advised(request, advice, asked_at, self.now())
         self.wake.set()
 
     async def _pace(self, order: PaceOrder) -> None:
--- a/packages/control/src/marigolddoor_control/fleet/ports.py
+++ b/packages/control/src/marigolddoor_control/fleet/ports.py
@@ -4,10 +4,9 @@
 from enum import Enum
 from typing import Protocol
 
-from marigolddoor_core.dispatch import AdviceRequest, Executor, HoldReport, MachineView
+from marigolddoor_core.dispatch import Advice, AdviceRequest, Executor, HoldReport, MachineView
 from marigolddoor_core.errors import MarigolddoorError
 from marigolddoor_core.ids import (
-    ExecutorId,
     FencingToken,
     MachineId,
     RunNumber,
@@ -17,7 +16,6 @@
 )
 
 __all__ = [
-    "Advice",
     "Adviser",
     "CallOutcome",
     "DisconnectedError",
@@ -100,14 +98,6 @@
     token: FencingToken
 
 
-@dataclass(frozen=True, slots=True)
-class Advice:
-    """The executors that may run a step, with their tickets, valid for `validity_s`."""
-
-    tickets: dict[ExecutorId, str]
-    validity_s: float
-
-
 class Adviser(Protocol):
     """Knows which executors the policy of a queue allows."""
 
--- a/packages/core/src/marigolddoor_core/dispatch/__init__.py
+++ b/packages/core/src/marigolddoor_core/dispatch/__init__.py
@@ -1,6 +1,6 @@
 """The leader's scheduling of submitted jobs: which task runs on which executor."""
 
-from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
+from marigolddoor_core.dispatch.advice import Advice, AdviceRequest, Tickets
 from marigolddoor_core.dispatch.dispatch import Dispatch
 from marigolddoor_core.dispatch.executors import (
     Executor,
@@ -29,6 +29,7 @@
 from marigolddoor_core.dispatch.planner import ArrivalOrder, Placer, StepOrder
 
 __all__ = [
+    "Advice",
     "AdviceRequest",
     "ArrivalOrder",
     "Dispatch",
--- a/packages/core/src/marigolddoor_core/dispatch/dispatch.py
+++ b/packages/core/src/marigolddoor_core/dispatch/dispatch.py
@@ -1,8 +1,8 @@
 """Decides on which executor each task runs, and follows the committed changes."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
-from marigolddoor_core.dispatch.advice import AdviceRequest, Tickets
+from marigolddoor_core.dispatch.advice import Advice, AdviceRequest, Tickets
 from marigolddoor_core.dispatch.executors import (
     Executor,
     ExecutorState,
@@ -14,12 +14,18 @@
 from marigolddoor_core.dispatch.machine_planning import MachinePlanning
 from marigolddoor_core.dispatch.near_places import EndComparison, NeverWait, PlaceWait, RunTimes
 from marigolddoor_core.dispatch.orders import StartOrder
-from marigolddoor_core.dispatch.planner import Placer, StepOrder, fitting_steps, is_suitable
+from marigolddoor_core.dispatch.planner import (
+    Placer,
+    StepOrder,
+    fitting_steps,
+    has_room,
+    is_suitable,
+)
 from marigolddoor_core.dispatch.quotas import QuotaPolicy
 from marigolddoor_core.dispatch.ready import ReadySteps
 from marigolddoor_core.dispatch.team_rates import TeamRates
 from marigolddoor_core.dispatch.team_shares import SharedOrder
-from marigolddoor_core.ids import ExecutorId, ServiceId, TeamId
+from marigolddoor_core.ids import ServiceId, TeamId
 from marigolddoor_core.instants import Instant
 from marigolddoor_core.jobs import (
     JobChange,
@@ -212,24 +218,34 @@
     def _ask_for_advice(
         self, steps: Iterable[StepRecord], executors: list[Executor], now: Instant
     ) -> None:
+        """Order requests to the adviser, about steps that could start now before the others."""
+        if not self.tickets.accepts_request(now):
+            return
         ready = [e for e in executors if e.heartbeat.state is ExecutorState.READY]
-        for step in steps:
+
+        def waits_for_room(step: StepRecord) -> bool:
+            return not any(is_suitable(e, step) and has_room(e, step, now) for e in ready)
+
+        for step in sorted(steps, key=waits_for_room):
+            if not self.tickets.accepts_request(now):
+                break
             suitable = [e for e in ready if is_suitable(e, step) and e.could_hold(step)]
-            request = self.tickets.request(step, suitable, now)
+            room_on = {e.incarnation for e in suitable if has_room(e, step, now)}
+            request = self.tickets.request(step, suitable, now, room_on)
             if request is not None:
                 self.orders.append(request)
 
     def advised(
-        self,
-        request: AdviceRequest,
-        tickets: Mapping[ExecutorId, str],
-        validity_s: float,
-        asked_at: Instant,
+        self, request: AdviceRequest, advice: Advice, asked_at: Instant, now: Instant
     ) -> None:
         """Handle the adviser's answer to a request that was sent at `asked_at`."""
-        if request.step.job.phase is JobPhase.ACTIVE:
-            self.tickets.approved(request, tickets, validity_s, asked_at)
-            self.is_planning_due = True
+        self.tickets.answered(request, advice, asked_at, now)
+        self.is_planning_due = True
+
+    def advice_failed(self, request: AdviceRequest, now: Instant) -> None:
+        """Handle that a request to the adviser got no usable answer."""
+        self.tickets.failed(request, now)
+        self.is_planning_due = True
 
     def _count(self, kind: CounterKind, job: JobRecord, outcome: str) -> None:
         self.counters.add(kind, Labels(service=self.service_of(job), outcome=outcome))
--- a/packages/core/src/marigolddoor_core/dispatch/planner.py
+++ b/packages/core/src/marigolddoor_core/dispatch/planner.py
@@ -172,6 +172,12 @@
     return not label or label in executor.heartbeat.labels
 
 
+def has_room(executor: Executor, step: StepRecord, now: Instant) -> bool:
+    """Return whether an executor accepts one more task of a step, apart from its constraints."""
+    accepts = Executor.accepts_long_running if step.spec.is_long_running else Executor.accepts_work
+    return accepts(executor, now) and executor.has_capacity(step)
+
+
 def has_destination(step: StepRecord, executors: Sequence[Executor], now: Instant) -> bool:
     """Return whether one of the executors can accept one more task of a step now."""
     limit = step.spec.spread_limit
--- a/tests/control/test_order_sender.py
+++ b/tests/control/test_order_sender.py
@@ -78,14 +78,19 @@
         return []
 
 
-async def lead(executor: ScriptedExecutor, scenario: Any) -> FleetLeadership:
+async def lead(
+    executor: ScriptedExecutor,
+    scenario: Any,
+    stored: StoreConfiguration | None = None,
+    adviser: Any = None,
+) -> FleetLeadership:
     """Lead a fleet of one executor and one job of one task until `scenario` returns."""
     group = VirtualGroup(random.Random(1), TestDocuments())
-    group.commit(RecordChanges((StoreConfiguration(1, configuration(1, views="desk")),), 0.0))
+    stored = stored or StoreConfiguration(1, configuration(1, views="desk"))
+    group.commit(RecordChanges((stored,), 0.0))
     consensus = group.elect()
     executors: Any = executor
     machines: Any = NoMachines()
-    adviser: Any = None
     leadership = FleetLeadership(
         consensus.table,
         consensus,  # type: ignore[arg-type]
--- a/tests/core/dispatch/test_machine_needs.py
+++ b/tests/core/dispatch/test_machine_needs.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 import testtools
-from marigolddoor_core.dispatch import AdviceRequest, Executor, MoveOrder, StartOrder
+from marigolddoor_core.dispatch import Advice, AdviceRequest, Executor, MoveOrder, StartOrder
 from marigolddoor_core.dispatch.requirements import MachineShape, OpenRequirements, Requirement
 from marigolddoor_core.ids import ExecutorId, JobId, MachineId, ServiceId, TaskName, WaveId
 from marigolddoor_core.jobs import (
@@ -124,7 +124,9 @@
                     for executor in order.executors
                     if executor.heartbeat.machine in self.approved
                 }
-                self.fleet.dispatch.advised(order, tickets, 30.0, self.fleet.now)
+                self.fleet.dispatch.advised(
+                    order, Advice(tickets, 30.0), self.fleet.now, self.fleet.now
+                )
 
     def move(self, order: MoveOrder) -> None:
         dispatch, move = self.fleet.dispatch, order.move
