--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -4,9 +4,10 @@
 its runs, and from then on the view follows from committed changes and the executors' answers.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+from marigolddoor_core.dispatch.awaited_starts import AwaitedStarts
 from marigolddoor_core.dispatch.durations import DurationEstimates
 from marigolddoor_core.dispatch.executors import (
     Executor,
@@ -23,7 +24,7 @@
 from marigolddoor_core.dispatch.quotas import QuotaPolicy, TeamLimits, TeamQuotas
 from marigolddoor_core.dispatch.run_evidence import ReportEvidence, RunningList
 from marigolddoor_core.dispatch.stragglers import is_slow, straggling_runs
-from marigolddoor_core.dispatch.team_usage import TeamUsage
+from marigolddoor_core.dispatch.team_usage import RunKey, TeamUsage
 from marigolddoor_core.dispatch.uncertain_ends import UncertainEnds
 from marigolddoor_core.dispatch.unconfirmed_starts import MAX_START_DELAY_S, UnconfirmedStarts
 from marigolddoor_core.dispatch.value_order import ValueOrder
@@ -120,6 +121,7 @@
         # Runs on executors that have not reported to this leader yet.
         self.unreported: dict[ExecutorIncarnation, dict[TaskName, TaskRecord]] = {}
         self.unconfirmed = UnconfirmedStarts()
+        self.awaited = AwaitedStarts(self.usage)
         # Jobs of which an executor has confirmed a run to this leader.
         self.begun: set[JobId] = set()
         self.changes: list[JobChange] = []
@@ -205,6 +207,7 @@
             return None
         unconfirmed = self.unconfirmed.starts_of(heartbeat.executor, now)
         inherited = self._unconfirmed_runs(self.current.get(heartbeat.executor), unconfirmed)
+        inherited += self.awaited.take(heartbeat.executor)
         for previous in displaced:
             self.end_incarnation(previous, now)
         # A start that was sent to the previous incarnation may have extended the lease of this one.
@@ -543,14 +546,20 @@
             last_contact_at = max(
                 executor.last_heartbeat_at, executor.contact_at or executor.last_heartbeat_at
             )
-            is_unresponsive = now - last_contact_at > self.lease_timing.certain_expiry_s
-            if now >= executor.lease.over_at and is_unresponsive:
+            if now < executor.lease.over_at:
+                continue
+            awaited = self.awaited_starts(executor, now)
+            if now - last_contact_at > self.lease_timing.certain_expiry_s:
                 self.incarnations.given_up(executor)
+                for (task, _), sent_at in awaited.items():
+                    self.awaited.add(executor, executor.runs[task], sent_at)
                 self.end_incarnation(executor, now)
                 ended.append(executor)
-            elif now >= executor.lease.over_at:
-                self._lease_expired(executor, now)
-                self._end_as_lost(placed.task for placed in list(executor.runs.values()))
+            else:
+                self._lease_expired(executor, awaited, now)
+        for start in self.awaited.take_expired(now):
+            self.uncertain_ends.given_up(start.executor, start.placed, start.sent_at, now)
+            self._end_run(start.placed.task, RunEnd.LOST)
         for name in list(self.uncertain_ends.ends):
             current = self.current.get(name)
             has_lease = current is not None and now < current.lease.over_at
@@ -562,13 +571,34 @@
             self.unreported.clear()
         return ended
 
-    def _lease_expired(self, executor: Executor, now: Instant) -> None:
-        """Stop counting the runs of an executor without a lease, unless they may begin late."""
+    def _lease_expired(self, executor: Executor, awaited: Collection[RunKey], now: Instant) -> None:
+        """Give up the runs of an executor without a lease, except the awaited ones.
+
+        Those that may begin late go on counting for their team.
+        """
         late_starts = self.late_starts(executor, now)
+        lost: list[TaskRecord] = []
         for placed in executor.runs.values():
-            placed.is_given_up = (placed.task.name, placed.run) in late_starts
+            key = placed.task.name, placed.run
+            if key in awaited:
+                continue
+            placed.is_given_up = key in late_starts
             if not placed.is_given_up:
-                self.usage.remove(placed.task.name, placed.run)
+                self.usage.remove(*key)
+            lost.append(placed.task)
+        self._end_as_lost(lost)
+
+    def awaited_starts(self, executor: Executor, now: Instant) -> dict[RunKey, Instant]:
+        """Return when the starts were sent that are awaited although the lease has expired.
+
+        A long-running task would be without a run for too long, so none of its starts is.
+        """
+        late_starts = self.late_starts(executor, now)
+        return {
+            (name, placed.run): late_starts[name, placed.run]
+            for name, placed in executor.runs.items()
+            if (name, placed.run) in late_starts and not placed.task.step.spec.is_long_running
+        }
 
     def late_starts(
         self, executor: Executor, now: Instant
--- a/tests/core/dispatch/test_team_usage.py
+++ b/tests/core/dispatch/test_team_usage.py
@@ -29,9 +29,14 @@
     view, sizes = fleet.dispatch, {}
     for executor in view.executors.values():
         has_lease = fleet.now < executor.lease.over_at
+        awaited = view.awaited_starts(executor, fleet.now)
         for name, placed in executor.runs.items():
-            if has_lease or placed.is_given_up:
+            if has_lease or placed.is_given_up or (name, placed.run) in awaited:
                 sizes[name, placed.run] = executor.heartbeat.service, placed.task.step
+    for starts in view.awaited.starts.values():
+        for start in starts:
+            key = start.placed.task.name, start.placed.run
+            sizes[key] = start.executor.heartbeat.service, start.placed.task.step
     for tasks in view.unreported.values():
         sizes.update({(task.name, task.run): (SERVICE, task.step) for task in tasks.values()})
     for ends in view.uncertain_ends.ends.values():
--- a/tests/core/dispatch/test_unconfirmed_starts.py
+++ b/tests/core/dispatch/test_unconfirmed_starts.py
@@ -132,6 +132,91 @@
         self.assertEqual(3000, successor.free_cpu)
 
 
+class ExpiredLeaseTest(testtools.TestCase):
+    """An executor that is out of contact crashed, and its next incarnation may begin an old start.
+
+    review/15: the task was started elsewhere once the lease had expired, and the next incarnation
+    carried out the start 10.1 s late, before its first heartbeat.
+    """
+
+    scenarios = [
+        ("unanswered", {"events": ["sent"], "lost_at_s": 13.2}),
+        ("repeated", {"events": ["sent", "sent", "answered", "listed"], "lost_at_s": 13.2}),
+        ("answered, not listed", {"events": ["sent", "answered"], "lost_at_s": 13.2}),
+        (
+            "listed",
+            {"events": ["sent", "answered", "listed"], "lost_at_s": 6.4, "is_unconfirmed": False},
+        ),
+        (
+            "its heartbeats go on",
+            {"events": ["sent"], "lost_at_s": 13.2, "has_heartbeats": True},
+        ),
+        (
+            "a long-running task",
+            {"events": ["sent"], "lost_at_s": 6.4, "step": {"is_long_running": True}},
+        ),
+        ("of an earlier leader", {"events": [], "lost_at_s": 6.4, "is_taken_over": True}),
+    ]
+    step: dict[str, object] = {}
+    has_heartbeats = is_taken_over = False
+    is_unconfirmed = True
+
+    def setUp(self) -> None:
+        super().setUp()
+        log = Log()
+        if self.is_taken_over:
+            log.apply(accept("j", {"count": 1}), place(TASK, incarnation="i-1/100"))
+        self.fleet = Fleet(log)
+        self.victim = self.fleet.at(0.1).executor()
+        if not self.is_taken_over:
+            self.fleet.step(accept("j", {"count": 1, **self.step}))
+        self.victim.extend_lease(self.fleet.now)
+        for event in self.events:
+            if event == "sent":
+                self.fleet.dispatch.unconfirmed.sent(EXECUTOR, TASK, RUN, self.fleet.now)
+            elif event == "answered":
+                self.fleet.dispatch.unconfirmed.answered(EXECUTOR, TASK, RUN)
+            else:
+                self.fleet.hold(self.victim, running(TASK))
+        self.fleet.executor(2)
+
+    def starts(self, seconds: float) -> list[tuple[str, int]]:
+        """Return where the task is started by a time."""
+        fleet = self.fleet.at(seconds)
+        if self.has_heartbeats:
+            beat = heartbeat(sequence=2 + int(seconds))
+            fleet.dispatch.receive_heartbeat(beat, fleet.now)
+        fleet.hold(fleet.dispatch.current[ExecutorId("i-2")])
+        fleet.dispatch.expire(fleet.now)
+        fleet.step()
+        return [
+            (order.executor.heartbeat.executor, order.run)
+            for order in fleet.take_orders()
+            if isinstance(order, StartOrder) and order.run > RUN
+        ]
+
+    def test_start_elsewhere(self) -> None:
+        for number in range(1, int(self.lost_at_s)):
+            self.assertEqual([], self.starts(float(number)))
+        self.assertEqual([("i-2", 2)], self.starts(self.lost_at_s))
+        self.assertEqual(self.has_heartbeats, not self.victim.has_ended)
+
+    def test_next_incarnation_reports(self) -> None:
+        self.starts(self.lost_at_s - 0.5)
+        self.fleet.dispatch.receive_heartbeat(heartbeat(born_ms=200), self.fleet.now)
+        successor = self.fleet.dispatch.current[EXECUTOR]
+        orders = self.fleet.take_orders()
+        expected = [StopOrder(successor, TASK, RUN)] if self.is_unconfirmed else []
+        self.assertEqual(expected, [item for item in orders if isinstance(item, StopOrder)])
+        # Nothing is started elsewhere before the next incarnation has rejected the old start.
+        elsewhere = [] if self.is_unconfirmed else [("i-2", 2)]
+        self.assertEqual(elsewhere, self.starts(self.lost_at_s - 0.4))
+        if self.is_unconfirmed:
+            self.fleet.dispatch.stop_confirmed(successor, TASK, RUN, self.fleet.now)
+            self.fleet.at(self.lost_at_s - 0.2).hold(successor)
+            self.assertEqual(1, len(self.starts(self.lost_at_s - 0.1)))
+
+
 class NewLeaderTest(testtools.TestCase):
     """A new leader does not know which starts of the previous one are in flight."""
 
