--- a/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
+++ b/packages/core/src/marigolddoor_core/dispatch/fleet_view.py
@@ -591,13 +591,17 @@
     def awaited_starts(self, executor: Executor, now: Instant) -> dict[RunKey, Instant]:
         """Return when the starts were sent that are awaited although the lease has expired.
 
-        A long-running task would be without a run for too long, so none of its starts is.
+        A call that was answered is not carried out again. A long-running task would be without a
+        run for too long, so none of its starts is awaited.
         """
         late_starts = self.late_starts(executor, now)
+        name = executor.heartbeat.executor
         return {
-            (name, placed.run): late_starts[name, placed.run]
-            for name, placed in executor.runs.items()
-            if (name, placed.run) in late_starts and not placed.task.step.spec.is_long_running
+            (task, placed.run): late_starts[task, placed.run]
+            for task, placed in executor.runs.items()
+            if (task, placed.run) in late_starts
+            and self.unconfirmed.has_unanswered_call(name, task, placed.run)
+            and not placed.task.step.spec.is_long_running
         }
 
     def late_starts(
--- a/packages/core/src/marigolddoor_core/dispatch/unconfirmed_starts.py
+++ b/packages/core/src/marigolddoor_core/dispatch/unconfirmed_starts.py
@@ -78,6 +78,11 @@
             if now - start.sent_at <= MAX_START_DELAY_S
         }
 
+    def has_unanswered_call(self, executor: ExecutorId, task: TaskName, run: RunNumber) -> bool:
+        """Return whether a call for a start was not answered and may still be carried out."""
+        start = self.starts.get(executor, {}).get((task, run))
+        return start is not None and start.unanswered > 0
+
     def forget_old(self, now: Instant) -> None:
         """Drop starts that can no longer be carried out, also of executors that left for good."""
         for executor, starts in list(self.starts.items()):
