--- a/packages/core/src/marigolddoor_core/jobs/table.py
+++ b/packages/core/src/marigolddoor_core/jobs/table.py
@@ -248,7 +248,9 @@
         step.placed -= 1
         task.phase = TaskPhase.WAITING
         if change.checkpoint:
-            task.checkpoint = change.checkpoint
+            # The members of a gang start from one checkpoint, which may be that of any of them.
+            for member in step.tasks if step.spec.is_gang else (task,):
+                member.checkpoint = change.checkpoint
         # Tasks that last run again however they end.
         is_finished = change.end is RunEnd.DONE and not step.spec.is_long_running
         if is_finished:
--- a/tests/core/jobs/test_table.py
+++ b/tests/core/jobs/test_table.py
@@ -394,3 +394,27 @@
         for table in (log.table, restored):
             table.apply(LogIndex(9), RecordChanges((), 1000.0 + self.later_s))
             self.assertEqual(self.known, list(table.machine_orders))
+
+
+class CheckpointTest(testtools.TestCase):
+    """The checkpoints that the two tasks of a step are started with again.
+
+    Third review: after a crash of the executor of one member of a gang, its members were started
+    with different checkpoints, so that they did not come together.
+    """
+
+    scenarios = [
+        ("a gang, one member crashed", {"step": GANG, "saved": ("", "b"), "expected": ("b", "b")}),
+        ("a gang, both reported", {"step": GANG, "saved": ("a", "b"), "expected": ("b", "b")}),
+        ("a gang, no checkpoint", {"step": GANG, "saved": ("", ""), "expected": ("", "")}),
+        ("single tasks", {"step": TWO, "saved": ("a", ""), "expected": ("a", "")}),
+    ]
+
+    def test_checkpoints(self) -> None:
+        log = Log()
+        log.apply(accept("j", self.step), place("j.0.0.0"), place("j.0.0.1"))
+        for index, checkpoint in enumerate(self.saved):
+            how = RunEnd.BROKEN if checkpoint else LOST
+            log.apply(EndRun(TaskName(f"j.0.0.{index}"), RunNumber(1), how, checkpoint))
+        tasks = log.table.jobs[JobId("j")].step(0, 0).tasks
+        self.assertEqual(list(self.expected), [task.checkpoint for task in tasks])
